--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry is the daemon of an entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/fescue/main.go
@@ -0,0 +1,4 @@
+// Command fescue is the command line of operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is a stand-in for the platform in tests and first runs.
+package platform
