--- a/entry/caller/handler_test.go
+++ b/entry/caller/handler_test.go
@@ -91,7 +91,7 @@
 	h.Serve = func(_ context.Context, r Request) End {
 		return Answered{Status: 201, Header: http.Header{"X": {"y"}}, Body: r.Body()}
 	}
-	p, err := ask(t, h, "/fitting/", nil, "content")
+	p, err = ask(t, h, "/fitting/", nil, "content")
 	assert.NilError(t, err)
 	assert.Equal(t, p.status, 201)
 	assert.Equal(t, p.body, "content")
