--- /dev/null
+++ b/entry/internal/settings/keys.go
@@ -0,0 +1,178 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	_wantAddress  = "an IP address with a port, like 10.0.1.5:8080"
+	_wantName     = "a name of letters, digits and dashes, at most 64"
+	_wantDuration = "a positive duration with its unit, like 2s"
+
+	_maxName     = 64
+	_maxRequests = 100_000
+	_maxBody     = 64 << 20
+)
+
+// key describes one key of the file.
+type key struct {
+	section, key string
+	// value is the default; a key without one must be given.
+	value string
+	want  string
+	about string
+	set   func(s *Settings, v string) error
+}
+
+// _keys lists every key but those of the [peer "name"] sections.
+var _keys = []key{
+	{"entry", "name", "", _wantName, "Name of this entry; unique among the entries.", func(s *Settings, v string) error { return setName(&s.name, v) }},
+	{"entry", "dataCentre", "", _wantName, "Data centre that the entry stands in, as the configuration names it.", func(s *Settings, v string) error { return setName(&s.dataCentre, v) }},
+	{"entry", "shutdownTimeout", "10m", _wantDuration, "Longest wait of a graceful shutdown for requests in flight.", func(s *Settings, v string) error { return setDuration(&s.shutdown, v) }},
+	{"listen", "caller", "", _wantAddress, "Where the balancer sends callers.", func(s *Settings, v string) error { return setAddress(&s.caller, v) }},
+	{"listen", "peer", "", _wantAddress, "Where the other entries connect.", func(s *Settings, v string) error { return setAddress(&s.peer, v) }},
+	{"listen", "admin", "", _wantAddress, "Status, readiness, liveness and metrics.", func(s *Settings, v string) error { return setAddress(&s.admin, v) }},
+	{"platform", "url", "", "a base URL, like http://10.0.0.1:7000", "The platform's log and live list.", setPlatform},
+	{"platform", "timeout", "2s", _wantDuration, "Longest wait for one answer of the platform.", func(s *Settings, v string) error { return setDuration(&s.timeout, v) }},
+	{"limits", "maxBodyBytes", "1048576", "a number of bytes from 1 to 67108864", "Largest request body.", setMaxBody},
+	{"limits", "requests", "4096", "a number from 1 to 100000", "Most requests open at once; more are refused, not run.", setRequests},
+	{"log", "level", "info", "debug, info, warn or error", "Lowest level that is logged.", setLevel},
+}
+
+// Reference writes the table of keys for the operators' page, in Markdown.
+func Reference(w io.Writer) error {
+	if _, err := fmt.Fprintln(w, "| section | key | default | value | what it is |\n|---|---|---|---|---|"); err != nil {
+		return fmt.Errorf("write reference: %w", err)
+	}
+	for _, k := range _keys {
+		v := k.value
+		if v == "" {
+			v = "must be given"
+		}
+		if _, err := fmt.Fprintf(w, "| `[%s]` | `%s` | %s | %s | %s |\n", k.section, k.key, v, k.want, k.about); err != nil {
+			return fmt.Errorf("write reference: %w", err)
+		}
+	}
+	_, err := fmt.Fprintf(w, "| `[peer \"name\"]` | `address` | must be given | %s | A peer known before the log has been read; one section each. |\n", _wantAddress)
+	if err != nil {
+		return fmt.Errorf("write reference: %w", err)
+	}
+	return nil
+}
+
+func find(section, name string) (key, bool) {
+	i := slices.IndexFunc(_keys, func(k key) bool { return k.section == section && k.key == name })
+	if i < 0 {
+		return key{}, false
+	}
+	return _keys[i], true
+}
+
+func known(section string) bool { return len(keysOf(section)) > 0 }
+
+func keysOf(section string) []string {
+	var l []string
+	for _, k := range _keys {
+		if k.section == section {
+			l = append(l, k.key)
+		}
+	}
+	return l
+}
+
+// sections names the sections in the order of the table.
+func sections() string {
+	var l []string
+	for _, k := range _keys {
+		if !slices.Contains(l, k.section) {
+			l = append(l, k.section)
+		}
+	}
+	return strings.Join(append(l, `peer "name"`), ", ")
+}
+
+// seedName takes the name out of a section name like peer "name".
+func seedName(section string) (string, bool) {
+	q, ok := strings.CutPrefix(section, "peer ")
+	if !ok {
+		return "", false
+	}
+	n, err := strconv.Unquote(strings.TrimSpace(q))
+	return n, err == nil && n != ""
+}
+
+func address(v string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return a, fmt.Errorf("parse address: %w", err)
+	}
+	return a, nil
+}
+
+func setAddress(p *netip.AddrPort, v string) error {
+	a, err := address(v)
+	*p = a
+	return err
+}
+
+func setName(p *string, v string) error {
+	letter := func(r rune) bool {
+		return r == '-' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+	}
+	if v == "" || len(v) > _maxName || strings.ContainsFunc(v, func(r rune) bool { return !letter(r) }) {
+		return fmt.Errorf("want %s", _wantName)
+	}
+	*p = v
+	return nil
+}
+
+func setDuration(p *time.Duration, v string) error {
+	d, err := time.ParseDuration(v)
+	if err != nil || d <= 0 {
+		return fmt.Errorf("want %s", _wantDuration)
+	}
+	*p = d
+	return nil
+}
+
+func setPlatform(s *Settings, v string) error {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return fmt.Errorf("parse platform URL %q", v)
+	}
+	s.platform = strings.TrimSuffix(v, "/")
+	return nil
+}
+
+func setMaxBody(s *Settings, v string) error {
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < 1 || n > _maxBody {
+		return fmt.Errorf("parse size %q", v)
+	}
+	s.maxBody = n
+	return nil
+}
+
+func setRequests(s *Settings, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 1 || n > _maxRequests {
+		return fmt.Errorf("parse number %q", v)
+	}
+	s.requests = n
+	return nil
+}
+
+func setLevel(s *Settings, v string) error {
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, v) {
+		return fmt.Errorf("unknown level %q", v)
+	}
+	s.level = v
+	return nil
+}
