config: parse, validate, diff and print the operators' configuration

Sections are read through one table of fields for each kind, so that the text, the records and the printed form can't differ.

--- /dev/null
+++ b/fleet/config/field.go
@@ -0,0 +1,143 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"time"
+)
+
+const (
+	_maxName  = 63
+	_maxCount = 1_000_000
+)
+
+var _nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// field is one key of a section, kept in a T.
+type field[T any] struct {
+	key      string
+	required bool
+	set      func(*T, string) error
+	// get returns the value as text, or "" where it need not be written.
+	get func(*T) string
+}
+
+// need returns the field as one that every section of its kind must have.
+func (f field[T]) need() field[T] {
+	f.required = true
+	return f
+}
+
+// nameField is a field with the name of an object or a label.
+func nameField[T any](key string, at func(*T) *string) field[T] {
+	return field[T]{
+		key: key,
+		set: func(t *T, v string) error {
+			if err := checkName(v); err != nil {
+				return err
+			}
+			*at(t) = v
+			return nil
+		},
+		get: func(t *T) string { return *at(t) },
+	}
+}
+
+// countField is a field with a whole number of at least low. Zero is written
+// only where the field is required.
+func countField[T any](key string, low int, at func(*T) *int) field[T] {
+	return field[T]{
+		key: key,
+		set: func(t *T, v string) error {
+			n, err := strconv.Atoi(v)
+			if err != nil || n < low || n > _maxCount {
+				return fmt.Errorf("%w from %d to %d", errWantCount, low, _maxCount)
+			}
+			*at(t) = n
+			return nil
+		},
+		get: func(t *T) string { return strconv.Itoa(*at(t)) },
+	}
+}
+
+// durationField is a field with a Go duration above zero.
+func durationField[T any](key string, at func(*T) *time.Duration) field[T] {
+	return field[T]{
+		key: key,
+		set: func(t *T, v string) error {
+			d, err := time.ParseDuration(v)
+			if err != nil || d < time.Millisecond {
+				return errWantDuration
+			}
+			*at(t) = d
+			return nil
+		},
+		get: func(t *T) string {
+			if *at(t) == 0 {
+				return ""
+			}
+			return at(t).String()
+		},
+	}
+}
+
+// flagField is a field that is true or false.
+func flagField[T any](key string, at func(*T) *bool) field[T] {
+	return field[T]{
+		key: key,
+		set: func(t *T, v string) error {
+			switch v {
+			case "true":
+				*at(t) = true
+			case "false":
+				*at(t) = false
+			default:
+				return errWantFlag
+			}
+			return nil
+		},
+		get: func(t *T) string { return strconv.FormatBool(*at(t)) },
+	}
+}
+
+// addressField is a field with an IP address and a port.
+func addressField[T any](key string, at func(*T) *netip.AddrPort) field[T] {
+	return field[T]{
+		key: key,
+		set: func(t *T, v string) error {
+			a, err := netip.ParseAddrPort(v)
+			if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+				return errWantAddress
+			}
+			*at(t) = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+			return nil
+		},
+		get: func(t *T) string { return at(t).String() },
+	}
+}
+
+// domainField is a field with a failure domain.
+func domainField[T any](key string, at func(*T) *Domain) field[T] {
+	return field[T]{
+		key: key,
+		set: func(t *T, v string) error {
+			d, ok := _domains[v]
+			if !ok {
+				return errWantDomain
+			}
+			*at(t) = d
+			return nil
+		},
+		get: func(t *T) string { return at(t).String() },
+	}
+}
+
+// checkName returns what would be right where a name isn't.
+func checkName(v string) error {
+	if len(v) > _maxName || !_nameForm.MatchString(v) {
+		return fmt.Errorf("%w, at most %d", errWantName, _maxName)
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/config/problem.go
@@ -0,0 +1,148 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// _maxProblems bounds the problems that an Invalid lists.
+const _maxProblems = 50
+
+// Reasons of a Problem, for errors.Is.
+var (
+	ErrSyntax    = errors.New("syntax error")
+	ErrKind      = errors.New("unknown section kind")
+	ErrName      = errors.New("bad section name")
+	ErrDuplicate = errors.New("declared twice")
+	ErrKey       = errors.New("unknown key")
+	ErrMissing   = errors.New("missing key")
+	ErrValue     = errors.New("bad value")
+	ErrReference = errors.New("not declared")
+	ErrBudget    = errors.New("budget can't hold")
+	ErrAbsent    = errors.New("no such section to remove")
+)
+
+var (
+	errWantName     = errors.New("letters, digits, '.', '_' and '-'")
+	errWantCount    = errors.New("a whole number")
+	errWantDuration = errors.New(`a duration of at least 1ms with its unit, such as "30s" or "672h"`)
+	errWantFlag     = errors.New("true or false")
+	errWantAddress  = errors.New(`an IP address and port, such as "10.1.1.1:8080"`)
+	errWantDomain   = errors.New("none, rack or dataCentre")
+)
+
+// Problem is one fault of a configuration.
+type Problem struct {
+	reason  error
+	kind    string
+	name    string
+	key     string
+	found   string
+	want    string
+	line    int
+	keyLine int
+}
+
+// Unwrap returns the reason, one of the package's Err variables.
+func (p *Problem) Unwrap() error { return p.reason }
+
+// Section returns the header of the section, such as `pool "fitting"`.
+func (p *Problem) Section() string { return header(p.kind, p.name) }
+
+// Key returns the key in the section, or "" where the whole section is meant.
+func (p *Problem) Key() string { return p.key }
+
+// Want says what would be right.
+func (p *Problem) Want() string { return p.want }
+
+// Line returns the line in the parsed text, from 1, or 0 where there is none.
+func (p *Problem) Line() int {
+	if p.keyLine != 0 {
+		return p.keyLine
+	}
+	return p.line
+}
+
+// Error tells the problem in one line.
+func (p *Problem) Error() string {
+	var b strings.Builder
+	if l := p.Line(); l != 0 {
+		fmt.Fprintf(&b, "line %d: ", l)
+	}
+	if p.kind != "" || p.name != "" {
+		fmt.Fprintf(&b, "[%s] ", p.Section())
+	}
+	if p.key != "" {
+		fmt.Fprintf(&b, "%s: ", p.key)
+	}
+	b.WriteString(p.reason.Error())
+	if p.found != "" {
+		fmt.Fprintf(&b, " %q", p.found)
+	}
+	if p.want != "" {
+		fmt.Fprintf(&b, ", want %s", p.want)
+	}
+	return b.String()
+}
+
+// Invalid is the error of a configuration with problems.
+type Invalid struct {
+	problems []*Problem
+	more     int
+}
+
+// Problems returns the problems found, in the order of the text or else of the
+// sections. There are at most 50.
+func (e *Invalid) Problems() []*Problem { return e.problems }
+
+// More returns how many further problems are not listed.
+func (e *Invalid) More() int { return e.more }
+
+// Error lists the problems, one a line.
+func (e *Invalid) Error() string {
+	var b strings.Builder
+	b.WriteString("invalid configuration:")
+	for _, p := range e.problems {
+		b.WriteString("\n  ")
+		b.WriteString(p.Error())
+	}
+	if e.more > 0 {
+		fmt.Fprintf(&b, "\n  and %d more", e.more)
+	}
+	return b.String()
+}
+
+// Unwrap returns the problems for errors.Is and errors.As.
+func (e *Invalid) Unwrap() []error {
+	r := make([]error, len(e.problems))
+	for i, p := range e.problems {
+		r[i] = p
+	}
+	return r
+}
+
+// add notes a problem, or counts it where the list is full.
+func (e *Invalid) add(p Problem) {
+	if len(e.problems) == _maxProblems {
+		e.more++
+		return
+	}
+	e.problems = append(e.problems, &p)
+}
+
+// err returns nil where no problem was noted.
+func (e *Invalid) err() error {
+	if len(e.problems) == 0 {
+		return nil
+	}
+	return e
+}
+
+// header returns a section's header without its brackets.
+func header(kind, name string) string {
+	if name == "" {
+		return kind
+	}
+	return kind + ` "` + name + `"`
+}
