platform: client of the log and the live list

The fleet's hard facts last only in the platform's service, whose answers can be lost, old or late.

Ruled out: an append repeated on any error (a second record, and a publish that reports the wrong one); taking a timeout for a refusal.

--- /dev/null
+++ b/fleet/platform/http.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	_maxAnswer   = 64 << 20 // bytes
+	_maxIdle     = 8        // connections
+	_idleTimeout = 30 * time.Second
+)
+
+// HTTP returns the dialect of JSON over HTTP that docs/platform.md describes.
+func HTTP(baseURL string) Dialect {
+	h := &httpDialect{base: baseURL, client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: _maxIdle,
+		IdleConnTimeout:     _idleTimeout,
+	}}}
+	return Dialect{Append: h.append, Read: h.read, Live: h.live}
+}
+
+type httpDialect struct {
+	base   string
+	client *http.Client
+}
+
+type appendAnswer struct {
+	Offset uint64 `json:"offset"`
+}
+
+type readAnswer struct {
+	First   uint64       `json:"first"`
+	Head    uint64       `json:"head"`
+	Records []readRecord `json:"records"`
+}
+
+type readRecord struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+type liveAnswer struct {
+	AsOfUnixMs int64      `json:"asOfUnixMs"`
+	Hosts      []liveHost `json:"hosts"`
+}
+
+type liveHost struct {
+	Name  string    `json:"name"`
+	State HostState `json:"state"`
+}
+
+func (h *httpDialect) append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	u := h.base + "/streams/" + url.PathEscape(stream) + "/records"
+	var a appendAnswer
+	sent, err := h.call(ctx, http.MethodPost, u, data, &a)
+	if err != nil {
+		return 0, appendError(sent, err)
+	}
+	if a.Offset == 0 {
+		return 0, fmt.Errorf("answer without offset: %w", ErrUnknownOutcome)
+	}
+	return a.Offset, nil
+}
+
+// appendError tells a lost answer from an append that was not performed.
+func appendError(sent bool, err error) error {
+	switch {
+	case isDefinite(err):
+		return err
+	case sent:
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+}
+
+func (h *httpDialect) read(
+	ctx context.Context, stream string, from uint64, limit int, wait time.Duration,
+) (Batch, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatUint(from, 10))
+	q.Set("waitMs", strconv.FormatInt(wait.Milliseconds(), 10))
+	q.Set("limit", strconv.Itoa(limit))
+	u := h.base + "/streams/" + url.PathEscape(stream) + "/records?" + q.Encode()
+	var a readAnswer
+	if _, err := h.call(ctx, http.MethodGet, u, nil, &a); err != nil {
+		return Batch{}, readError(err)
+	}
+	b := Batch{first: a.First, head: a.Head, records: make([]Record, len(a.Records))}
+	for i, r := range a.Records {
+		b.records[i] = Record{offset: r.Offset, data: r.Data}
+	}
+	return b, nil
+}
+
+func (h *httpDialect) live(ctx context.Context) ([]LiveHost, error) {
+	var a liveAnswer
+	if _, err := h.call(ctx, http.MethodGet, h.base+"/hosts", nil, &a); err != nil {
+		return nil, readError(err)
+	}
+	t := time.UnixMilli(a.AsOfUnixMs)
+	l := make([]LiveHost, len(a.Hosts))
+	for i, v := range a.Hosts {
+		l[i] = LiveHost{name: v.Name, state: v.State, asOf: t}
+	}
+	return l, nil
+}
+
+// readError makes a failure to get a whole answer an unavailable platform.
+func readError(err error) error {
+	if isDefinite(err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+// isDefinite tells whether an error is the platform's own word.
+func isDefinite(err error) bool {
+	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrRejected)
+}
+
+// call makes a request and decodes its answer. It also returns whether a
+// connection was had, after which the request may have reached the platform.
+func (h *httpDialect) call(ctx context.Context, method, u string, body []byte, answer any) (bool, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	r, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return false, fmt.Errorf("make request: %w", err)
+	}
+	a, err := h.client.Do(r)
+	if err != nil {
+		return sent.Load(), fmt.Errorf("send request: %w", err)
+	}
+	defer a.Body.Close()
+	if err := checkStatus(a); err != nil {
+		return true, err
+	}
+	if err := json.NewDecoder(io.LimitReader(a.Body, _maxAnswer)).Decode(answer); err != nil {
+		return true, fmt.Errorf("decode answer: %w", err)
+	}
+	return true, nil
+}
+
+// checkStatus types the answers that say the call was not performed. Any other
+// failure, such as a gateway's 502, leaves the outcome open.
+func checkStatus(a *http.Response) error {
+	switch a.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusTooManyRequests:
+		s, _ := strconv.Atoi(a.Header.Get("Retry-After"))
+		return &RateLimitError{After: time.Duration(s) * time.Second}
+	case http.StatusServiceUnavailable:
+		return fmt.Errorf("status %d: %w", a.StatusCode, ErrUnavailable)
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge:
+		return fmt.Errorf("status %d: %w", a.StatusCode, ErrRejected)
+	default:
+		return fmt.Errorf("unexpected status %d", a.StatusCode)
+	}
+}
