platform: show the guard on an answer without offset

The test server now answers {}, and the test fails without the guard, as it does for an expired look.

--- a/fleet/platform/http_test.go
+++ b/fleet/platform/http_test.go
@@ -47,6 +47,7 @@
 	} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(status)
+			_, _ = w.Write([]byte("{}"))
 		}))
 		_, err := New(s.URL).Append(t.Context(), "s", nil)
 		assert.ErrorIs(t, err, want)
