entry/internal/duty: actors with a bounded ring that never waits

Cause: the library's bounded mailbox spins while full, and its default mailbox restarts an actor whose handler panicked, so a half-made decision would live on. Ruled out: the dropping mailbox (drops for every duty alike, tells nobody) and a goroutine for each burst (the library's dispatcher).

Change: an own mailbox through the Mailbox seam; the policy of a full ring is chosen for each duty (Refuse, DropOldest); ticks bypass the ring; a panic is logged and ends the process.

Shown to fail with the guard out: swallowed panic, spinning sender, tick only when idle, post after stop, wrong drop.

--- /dev/null
+++ b/entry/internal/duty/duty.go
@@ -0,0 +1,137 @@
+package duty
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/charmbracelet/log"
+)
+
+var (
+	// ErrFull says that the ring was full and the message was not taken.
+	ErrFull = errors.New("duty: ring is full")
+	// ErrStopped says that the duty takes no more messages.
+	ErrStopped = errors.New("duty: stopped")
+	// ErrSize says that a ring must hold at least one message.
+	ErrSize = errors.New("duty: ring size must be positive")
+)
+
+// Policy says what Post does when the ring is full.
+type Policy uint8
+
+const (
+	// Refuse returns ErrFull and leaves the ring as it is.
+	Refuse Policy = iota
+	// DropOldest makes room by dropping the oldest message, for facts that
+	// the next message replaces.
+	DropOldest
+)
+
+// System returns the actor system that duties are spawned in. The library
+// logs through l; nil silences it.
+func System(l *log.Logger) *actor.ActorSystem {
+	h := slog.DiscardHandler
+	if l != nil {
+		h = l
+	}
+	s := slog.New(h)
+	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return s
+	}))
+}
+
+// Option changes how a duty of messages M runs.
+type Option[M any] func(*Duty[M])
+
+// WithTick has the handler called with m at each interval, in turn with the
+// posted messages and whether or not the ring is full.
+func WithTick[M any](every time.Duration, m M) Option[M] {
+	return func(d *Duty[M]) { d.box.every, d.box.tick = every, m }
+}
+
+// WithClock replaces time.Now as the source of the handler's present time.
+func WithClock[M any](now func() time.Time) Option[M] {
+	return func(d *Duty[M]) { d.now = now }
+}
+
+// Duty is a running actor with its ring.
+type Duty[M any] struct {
+	name   string
+	handle func(now time.Time, m M)
+	now    func() time.Time
+	log    *slog.Logger
+	box    *mailbox[M]
+}
+
+// Spawn starts a duty whose ring holds up to size messages. Its handler runs
+// on one goroutine, in the order of posting. It fails where the system has a
+// duty of that name already or the size isn't positive.
+func Spawn[M any](s *actor.ActorSystem, name string, size int, p Policy,
+	handle func(now time.Time, m M), opts ...Option[M],
+) (*Duty[M], error) {
+	if size <= 0 {
+		return nil, ErrSize
+	}
+	d := &Duty[M]{
+		name:   name,
+		handle: handle,
+		now:    time.Now,
+		log:    s.Logger(),
+		box:    &mailbox[M]{ring: newRing[M](size), policy: p, done: make(chan struct{})},
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	props := actor.PropsFromFunc(d.receive, actor.WithMailbox(func() actor.Mailbox { return d.box }))
+	if _, err := s.Root.SpawnNamed(props, name); err != nil {
+		return nil, fmt.Errorf("spawn duty %s: %w", name, err)
+	}
+	return d, nil
+}
+
+// Post hands m to the duty and never waits. It returns ErrFull where the
+// policy is Refuse and the ring is full, and ErrStopped after Stop.
+func (d *Duty[M]) Post(m M) error { return d.box.ring.push(m, d.box.policy) }
+
+// Stop refuses further messages, lets the handler finish those that were
+// posted, and returns when it has. It must not be called by the handler.
+func (d *Duty[M]) Stop() {
+	d.box.ring.close()
+	<-d.box.done
+}
+
+// Waiting returns the number of messages in the ring.
+func (d *Duty[M]) Waiting() int {
+	n, _ := d.box.ring.counts()
+	return n
+}
+
+// Lost returns the number of messages refused or dropped by a full ring.
+func (d *Duty[M]) Lost() uint64 {
+	_, n := d.box.ring.counts()
+	return n
+}
+
+func (d *Duty[M]) receive(c actor.Context) {
+	switch c.Message().(type) {
+	case *actor.Started, *actor.Stopping, *actor.Stopped:
+		return
+	}
+	if m, ok := c.Message().(M); ok {
+		d.invoke(m)
+	}
+}
+
+// invoke logs a panic of the handler and lets it end the process.
+func (d *Duty[M]) invoke(m M) {
+	defer func() {
+		if r := recover(); r != nil {
+			d.log.Error("duty panicked", "duty", d.name, "panic", r)
+			panic(r)
+		}
+	}()
+	d.handle(d.now(), m)
+}
--- /dev/null
+++ b/entry/internal/duty/duty_test.go
@@ -0,0 +1,186 @@
+package duty_test
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fescuelanding/entry/internal/duty"
+)
+
+const _panicEnv = "DUTY_TEST_PANIC"
+
+type event interface{ event() }
+
+type number int
+
+func (number) event() {}
+
+type beat struct{}
+
+func (beat) event() {}
+
+// blocked spawns a duty whose handler waits for the returned channel.
+func blocked(t testing.TB, size int, p duty.Policy) (d *duty.Duty[event], seen *[]event, open chan struct{}) {
+	t.Helper()
+	seen, open = new([]event), make(chan struct{})
+	entered := make(chan struct{}, 1)
+	d, err := duty.Spawn(duty.System(nil), "test", size, p, func(_ time.Time, m event) {
+		if len(*seen) == 0 {
+			entered <- struct{}{}
+		}
+		<-open
+		*seen = append(*seen, m)
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, d.Post(number(-1)))
+	<-entered
+	return d, seen, open
+}
+
+func TestFullRingRefuses(t *testing.T) {
+	d, seen, open := blocked(t, 2, duty.Refuse)
+	assert.NilError(t, d.Post(number(1)))
+	assert.NilError(t, d.Post(number(2)))
+	assert.ErrorIs(t, d.Post(number(3)), duty.ErrFull)
+	assert.Equal(t, d.Lost(), uint64(1))
+	assert.Equal(t, d.Waiting(), 2)
+	close(open)
+	d.Stop()
+	assert.DeepEqual(t, *seen, []event{number(-1), number(1), number(2)})
+	assert.ErrorIs(t, d.Post(number(4)), duty.ErrStopped)
+}
+
+func TestFullRingDropsOldest(t *testing.T) {
+	d, seen, open := blocked(t, 2, duty.DropOldest)
+	for i := range 5 {
+		assert.NilError(t, d.Post(number(i)))
+	}
+	assert.Equal(t, d.Lost(), uint64(3))
+	close(open)
+	d.Stop()
+	assert.DeepEqual(t, *seen, []event{number(-1), number(3), number(4)})
+}
+
+func TestSpawnRefuses(t *testing.T) {
+	s := duty.System(nil)
+	handle := func(time.Time, event) {}
+	_, err := duty.Spawn(s, "a", 0, duty.Refuse, handle)
+	assert.ErrorIs(t, err, duty.ErrSize)
+	d, err := duty.Spawn(s, "a", 1, duty.Refuse, handle)
+	assert.NilError(t, err)
+	_, err = duty.Spawn(s, "a", 1, duty.Refuse, handle)
+	assert.ErrorContains(t, err, "spawn duty a")
+	d.Stop()
+	again, err := duty.Spawn(s, "a", 1, duty.Refuse, handle)
+	assert.NilError(t, err)
+	again.Stop()
+}
+
+func TestTickRunsThoughTheRingIsBusy(t *testing.T) {
+	const every = time.Millisecond
+	clock := time.Unix(5, 0)
+	ticked := make(chan time.Time, 1)
+	var d *duty.Duty[event]
+	again := make(chan struct{})
+	d, err := duty.Spawn(duty.System(nil), "test", 1, duty.Refuse, func(now time.Time, m event) {
+		if _, ok := m.(beat); ok {
+			select {
+			case ticked <- now:
+			default:
+			}
+			return
+		}
+		<-again
+		_ = d.Post(m)
+	}, duty.WithTick[event](every, beat{}), duty.WithClock[event](func() time.Time { return clock }))
+	assert.NilError(t, err)
+	assert.NilError(t, d.Post(number(0)))
+	close(again)
+	assert.Equal(t, <-ticked, clock)
+	d.Stop()
+}
+
+func TestOrderIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var got []event
+		d, err := duty.Spawn(duty.System(nil), "test", rapid.IntRange(1, 8).Draw(t, "size"), duty.Refuse,
+			func(_ time.Time, m event) { got = append(got, m) })
+		assert.NilError(t, err)
+		var want []event
+		for i := range rapid.IntRange(0, 50).Draw(t, "posts") {
+			if d.Post(number(i)) == nil {
+				want = append(want, number(i))
+			}
+		}
+		d.Stop()
+		assert.DeepEqual(t, got, want)
+	})
+}
+
+// A waiting sender that spins would use the whole interval.
+func TestFullRingCostsNoProcessorTime(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	d, _, open := blocked(t, 1, duty.Refuse)
+	assert.NilError(t, d.Post(number(1)))
+	var refused atomic.Int64
+	for range 8 {
+		go func() {
+			if d.Post(number(2)) != nil {
+				refused.Add(1)
+			}
+		}()
+	}
+	before := processorTime(t)
+	time.Sleep(interval)
+	used := processorTime(t) - before
+	assert.Equal(t, refused.Load(), int64(8))
+	assert.Assert(t, used < interval/5, "used %v in %v", used, interval)
+	close(open)
+	d.Stop()
+}
+
+func processorTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// The library's own mailbox would restart the actor and go on.
+func TestPanicEndsTheProcess(t *testing.T) {
+	if os.Getenv(_panicEnv) != "" {
+		d, err := duty.Spawn(duty.System(log.New(os.Stderr)), "fragile", 1, duty.Refuse,
+			func(time.Time, event) { panic("half a decision") })
+		assert.NilError(t, err)
+		assert.NilError(t, d.Post(number(1)))
+		d.Stop()
+		return
+	}
+	var out bytes.Buffer
+	c := exec.Command(os.Args[0], "-test.run=^TestPanicEndsTheProcess$")
+	c.Env, c.Stderr = append(os.Environ(), _panicEnv+"=1"), &out
+	err := c.Run()
+	assert.ErrorContains(t, err, "exit status 2")
+	assert.Assert(t, strings.Contains(out.String(), `duty panicked duty=fragile panic="half a decision"`), out.String())
+	assert.Assert(t, strings.Contains(out.String(), "goroutine "), out.String())
+}
+
+func BenchmarkPost(b *testing.B) {
+	done := make(chan struct{}, 1)
+	d, err := duty.Spawn(duty.System(nil), "bench", 1024, duty.Refuse, func(_ time.Time, _ event) { done <- struct{}{} })
+	assert.NilError(b, err)
+	for b.Loop() {
+		_ = d.Post(number(1))
+		<-done
+	}
+	d.Stop()
+}
--- /dev/null
+++ b/entry/internal/duty/ring.go
@@ -0,0 +1,88 @@
+package duty
+
+import "sync"
+
+// ring is a bounded first-in first-out queue of many senders and one receiver.
+// Its wake channel holds at most one token, so a waiting receiver costs
+// nothing and a sender never waits.
+type ring[M any] struct {
+	mu     sync.Mutex
+	slots  []M
+	head   int
+	len    int
+	lost   uint64
+	closed bool
+	wake   chan struct{}
+}
+
+func newRing[M any](size int) *ring[M] {
+	return &ring[M]{slots: make([]M, size), wake: make(chan struct{}, 1)}
+}
+
+// push adds m, or settles a full ring by the policy.
+func (r *ring[M]) push(m M, p Policy) error {
+	r.mu.Lock()
+	err := r.pushLocked(m, p)
+	r.mu.Unlock()
+	if err == nil {
+		r.signal()
+	}
+	return err
+}
+
+func (r *ring[M]) pushLocked(m M, p Policy) error {
+	if r.closed {
+		return ErrStopped
+	}
+	if r.len == len(r.slots) {
+		r.lost++
+		if p == Refuse {
+			return ErrFull
+		}
+		r.dropOldest()
+	}
+	r.slots[(r.head+r.len)%len(r.slots)] = m
+	r.len++
+	return nil
+}
+
+func (r *ring[M]) dropOldest() {
+	var zero M
+	r.slots[r.head] = zero
+	r.head = (r.head + 1) % len(r.slots)
+	r.len--
+}
+
+// pop takes the oldest message; ended is true once the ring is closed and
+// empty.
+func (r *ring[M]) pop() (m M, ok, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.len == 0 {
+		return m, false, r.closed
+	}
+	m = r.slots[r.head]
+	r.dropOldest()
+	return m, true, false
+}
+
+func (r *ring[M]) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.signal()
+}
+
+func (r *ring[M]) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// counts returns the messages waiting and those refused or dropped so far.
+func (r *ring[M]) counts() (waiting int, lost uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.len, r.lost
+}
