entry: view, holds and follower (in work, not wired yet)

Cause: the duties need a state kept up with the log, an immutable view of it, and one gate before every request. Change: three small packages; not run yet.

--- /dev/null
+++ b/entry/internal/follow/recover.go
@@ -0,0 +1,86 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"fescuelanding/entry/internal/view"
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/platform"
+	"fescuelanding/fleet/record"
+)
+
+// ErrNoCheckpoint means that the log has dropped records this entry needs, and
+// holds no complete checkpoint in their place.
+var ErrNoCheckpoint = errors.New("log holds no complete checkpoint")
+
+// recover takes the state of the newest complete checkpoint in the log, where
+// that is ahead of the own state. The records behind it are read as usual.
+func (f *Follower) recover(ctx context.Context, first uint64) error {
+	var c collector
+	for from := first; ; {
+		b, err := f.Read(ctx, from, 0)
+		if err != nil {
+			return fmt.Errorf("read checkpoint: %w", err)
+		}
+		for _, r := range b.Records() {
+			c.add(r)
+			from = r.Offset() + 1
+		}
+		if len(b.Records()) == 0 || from > b.Head() {
+			break
+		}
+	}
+	// Whatever follows the checkpoint has to be retained still.
+	if len(c.whole) == 0 || c.whole[0].GetAtOffset()+1 < first {
+		return ErrNoCheckpoint
+	}
+	return f.restore(c.whole)
+}
+
+// restore replaces the state by a checkpoint that is ahead of it.
+func (f *Follower) restore(chunks []*record.Checkpoint) error {
+	s, err := fleet.Restore(chunks)
+	if err != nil {
+		return fmt.Errorf("restore checkpoint: %w", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Offset() <= f.state.Offset() {
+		return ErrNoCheckpoint
+	}
+	f.state = *s
+	f.recent = nil
+	f.Show(view.New(&f.state))
+	return nil
+}
+
+// collector finds the newest complete checkpoint among records.
+type collector struct {
+	part  []*record.Checkpoint
+	whole []*record.Checkpoint
+}
+
+func (c *collector) add(r platform.Record) {
+	var m record.Record
+	if proto.Unmarshal(r.Data(), &m) != nil {
+		return
+	}
+	k := m.GetCheckpoint()
+	if k == nil {
+		return
+	}
+	if k.GetChunk() == 0 {
+		c.part = nil
+	}
+	if int(k.GetChunk()) != len(c.part) || len(c.part) > 0 && c.part[0].GetAtOffset() != k.GetAtOffset() {
+		return
+	}
+	c.part = append(c.part, k)
+	if len(c.part) == int(k.GetChunks()) {
+		c.whole, c.part = c.part, nil
+	}
+}
--- /dev/null
+++ b/entry/internal/hold/table.go
@@ -0,0 +1,230 @@
+package hold
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/internal/view"
+)
+
+// Reasons for which the gate stays shut. Nothing was sent.
+var (
+	// ErrStale means that the entry's view is older than its bound.
+	ErrStale = errors.New("view is stale")
+	// ErrUnregistered means that the entry's process isn't registered.
+	ErrUnregistered = errors.New("entry is not registered")
+	// ErrHost means that the host doesn't serve the pool in this entry's view.
+	ErrHost = errors.New("host does not serve the pool")
+	// ErrBroker means that the pool has a newer broker.
+	ErrBroker = errors.New("grant of an old broker")
+)
+
+// Broker names the broker that a pool's holds were last reported to.
+type Broker struct {
+	Entry string
+	Term  uint64
+}
+
+// Table is the holds of one entry. New makes it; it is safe for concurrent use.
+type Table struct {
+	self  broker.Entry
+	start time.Time
+	fresh atomic.Int64 // nanoseconds from start, by the monotonic clock
+
+	mu        sync.Mutex
+	view      *view.View
+	holds     map[uint64]held
+	hosts     map[string]int
+	brokers   map[string]Broker
+	witnessed map[uint64]held
+}
+
+// held is a hold with its pool.
+type held struct {
+	broker.Hold
+	pool string
+}
+
+// New returns the empty table of an entry's process that started now.
+func New(self broker.Entry, now time.Time) *Table {
+	return &Table{
+		self: self, start: now, view: &view.View{},
+		holds: map[uint64]held{}, hosts: map[string]int{},
+		brokers: map[string]Broker{}, witnessed: map[uint64]held{},
+	}
+}
+
+// Fresh says until when the entry may rely on its view. An earlier time than
+// the one known changes nothing.
+func (t *Table) Fresh(until time.Time) {
+	n := int64(until.Sub(t.start))
+	for {
+		o := t.fresh.Load()
+		if o >= n || t.fresh.CompareAndSwap(o, n) {
+			return
+		}
+	}
+}
+
+// IsFresh reports whether the view may be relied on.
+func (t *Table) IsFresh(now time.Time) bool { return int64(now.Sub(t.start)) < t.fresh.Load() }
+
+// Show gives the table a newer view. After it returns, no request passes the
+// gate by an older one.
+func (t *Table) Show(v *view.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v.Offset() >= t.view.Offset() {
+		t.view = v
+	}
+}
+
+// View returns the view that the gate goes by.
+func (t *Table) View() *view.View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view
+}
+
+// Enter counts a hold in, or says why its grant must not be used.
+func (t *Table) Enter(now time.Time, pool string, h broker.Hold) error {
+	if !t.IsFresh(now) {
+		return ErrStale
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.view.Entry(t.self.Name); !ok || e.Incarnation() != t.self.Incarnation {
+		return ErrUnregistered
+	}
+	v, ok := t.view.Host(h.Host)
+	if !ok || v.Pool() != pool || !v.Available() {
+		return ErrHost
+	}
+	if h.Term < t.term(pool) {
+		return ErrBroker
+	}
+	t.holds[h.Slot] = held{Hold: h, pool: pool}
+	t.hosts[h.Host]++
+	return nil
+}
+
+// term returns the newest term known of a pool's broker.
+func (t *Table) term(pool string) uint64 {
+	n := t.brokers[pool].Term
+	if o, ok := t.view.Broker(pool); ok {
+		n = max(n, o.Term())
+	}
+	return n
+}
+
+// Leave counts a hold out, and returns the broker that its end is for.
+func (t *Table) Leave(pool string, slot uint64) Broker {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h, ok := t.holds[slot]; ok {
+		delete(t.holds, slot)
+		if t.hosts[h.Host]--; t.hosts[h.Host] == 0 {
+			delete(t.hosts, h.Host)
+		}
+	}
+	return t.newest(pool)
+}
+
+// newest returns the newest broker known of a pool.
+func (t *Table) newest(pool string) Broker {
+	b := t.brokers[pool]
+	if o, ok := t.view.Broker(pool); ok && o.Term() > b.Term {
+		return Broker{Entry: o.Entry(), Term: o.Term()}
+	}
+	return b
+}
+
+// Broker returns the newest broker known of a pool; its entry is empty where
+// there is none.
+func (t *Table) Broker(pool string) Broker {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest(pool)
+}
+
+// Idle reports whether the entry has nothing in flight on a host.
+func (t *Table) Idle(host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hosts[host] == 0
+}
+
+// Len returns the number of holds.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.holds)
+}
+
+// Report returns the holds in a pool, the entry's own and those it witnessed,
+// for a new broker. Grants of an older term don't pass the gate any more. It
+// returns false to a broker that is itself older than one reported to.
+func (t *Table) Report(pool string, b Broker) ([]broker.Hold, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b.Term < t.term(pool) {
+		return nil, false
+	}
+	t.brokers[pool] = b
+	var l []broker.Hold
+	for _, m := range []map[uint64]held{t.holds, t.witnessed} {
+		for _, h := range m {
+			if h.pool == pool {
+				l = append(l, h.Hold)
+			}
+		}
+	}
+	slices.SortFunc(l, func(a, b broker.Hold) int {
+		if a.Slot < b.Slot {
+			return -1
+		}
+		return 1
+	})
+	return l, true
+}
+
+// Witness remembers a hold of the broker's own entry, for the next broker. It
+// returns false for a broker older than one reported to.
+func (t *Table) Witness(now time.Time, pool string, h broker.Hold) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h.Term < t.term(pool) {
+		return false
+	}
+	for s, o := range t.witnessed {
+		if o.Until.Before(now) {
+			delete(t.witnessed, s)
+		}
+	}
+	t.witnessed[h.Slot] = held{Hold: h, pool: pool}
+	return true
+}
+
+// Unwitness forgets a hold that has ended.
+func (t *Table) Unwitness(slot uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.witnessed, slot)
+}
+
+// Own returns the entry's own holds in a pool, for a new witness.
+func (t *Table) Own(pool string) []broker.Hold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var l []broker.Hold
+	for _, h := range t.holds {
+		if h.pool == pool {
+			l = append(l, h.Hold)
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/entry/internal/view/view.go
@@ -0,0 +1,120 @@
+// Package view holds what an entry's duties need of the fleet's state, as it
+// was after one record of the log.
+//
+// A View never changes, so that duties and requests read it without a lock:
+//
+//	v := view.New(state)
+//	h, ok := v.Host("h01")
+//	if ok && h.Available() && h.Pool() == "fitting" {
+//		// The host takes requests of that pool.
+//	}
+package view
+
+import (
+	"slices"
+
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/config"
+	"fescuelanding/fleet/record"
+)
+
+// View is the state after the record at its offset. The zero value is the view
+// of an entry that has read nothing.
+type View struct {
+	offset  uint64
+	config  config.Config
+	hosts   map[string]fleet.Host
+	pools   map[string][]fleet.Host
+	entries []fleet.Entry
+	owners  map[string]fleet.Owner
+	steps   []Step
+}
+
+// Step is a drain or release that waits for confirmations.
+type Step struct {
+	host   string
+	offset uint64
+	waits  []string
+}
+
+// Host returns the host that is to be idle.
+func (s Step) Host() string { return s.host }
+
+// Offset returns the offset of the step's record.
+func (s Step) Offset() uint64 { return s.offset }
+
+// WaitsFor reports whether an entry has yet to confirm the step.
+func (s Step) WaitsFor(entry string) bool { return slices.Contains(s.waits, entry) }
+
+// Ref returns the step as a Confirm record names it.
+func (s Step) Ref() *record.StepRef {
+	return &record.StepRef{Host: s.host, Offset: s.offset}
+}
+
+// New returns the view of a state.
+func New(s *fleet.State) *View {
+	v := &View{
+		offset: s.Offset(), config: s.Config(), entries: s.Entries(),
+		hosts: map[string]fleet.Host{}, pools: map[string][]fleet.Host{}, owners: map[string]fleet.Owner{},
+	}
+	for _, h := range s.Hosts() {
+		v.hosts[h.Name()] = h
+		v.pools[h.Pool()] = append(v.pools[h.Pool()], h)
+		if w := s.Confirmers(h.Name()); len(w) > 0 {
+			v.steps = append(v.steps, Step{host: h.Name(), offset: h.Step(), waits: w})
+		}
+	}
+	v.own(s, fleet.PlannerKey)
+	for _, p := range v.config.Pools() {
+		v.own(s, fleet.PoolKey(p.Name()))
+	}
+	return v
+}
+
+func (v *View) own(s *fleet.State, key string) {
+	if o, ok := s.Owner(key); ok {
+		v.owners[key] = o
+	}
+}
+
+// Offset returns the offset of the last record applied.
+func (v *View) Offset() uint64 { return v.offset }
+
+// Config returns the configuration in force.
+func (v *View) Config() config.Config { return v.config }
+
+// Host returns a host by name.
+func (v *View) Host(name string) (fleet.Host, bool) {
+	h, ok := v.hosts[name]
+	return h, ok
+}
+
+// Pool returns the hosts of a pool; it must not be changed.
+func (v *View) Pool(name string) []fleet.Host { return v.pools[name] }
+
+// Broker returns the owner of a pool.
+func (v *View) Broker(pool string) (fleet.Owner, bool) {
+	o, ok := v.owners[fleet.PoolKey(pool)]
+	return o, ok
+}
+
+// Planner returns the owner of planning.
+func (v *View) Planner() (fleet.Owner, bool) {
+	o, ok := v.owners[fleet.PlannerKey]
+	return o, ok
+}
+
+// Entries returns the registered entries, sorted; it must not be changed.
+func (v *View) Entries() []fleet.Entry { return v.entries }
+
+// Entry returns a registered entry by name.
+func (v *View) Entry(name string) (fleet.Entry, bool) {
+	i := slices.IndexFunc(v.entries, func(e fleet.Entry) bool { return e.Name() == name })
+	if i < 0 {
+		return fleet.Entry{}, false
+	}
+	return v.entries[i], true
+}
+
+// Steps returns the steps that wait for confirmations.
+func (v *View) Steps() []Step { return v.steps }
