fleet: state with guards, ownership, confirmations and checkpoints

Cause: the entries need one pure function that turns the log's records into the fleet's state, with every guard in it.

Ruled out: rendezvous.Remove of the library (it reads past the end of its slice), so the witness comes from a table without the winner.

--- /dev/null
+++ b/fleet/apply.go
@@ -0,0 +1,125 @@
+package fleet
+
+import "fescuelanding/fleet/record"
+
+// _maxID is the greatest length of a record's id, in bytes.
+const _maxID = 16
+
+// action is a record that is being applied.
+type action struct {
+	offset uint64
+	record *record.Record
+}
+
+// checkBasis rejects a record whose writer saw another version of the object.
+func (a *action) checkBasis(basis uint64) *Rejection {
+	if a.record.GetBasis() != basis {
+		return reject(ReasonStaleBasis, "basis is %d, not %d", basis, a.record.GetBasis())
+	}
+	return nil
+}
+
+// Apply applies the record at an offset, which must be greater than the last
+// one. It returns nil where the record took effect, a *Rejection where a guard
+// held it back, a *DigestMismatch where a checkpoint shows that this state or
+// its writer's is wrong, and an *OffsetError where the record was applied
+// already. Records may not be changed afterwards.
+func (s *State) Apply(offset uint64, r *record.Record) error {
+	if offset <= s.offset {
+		return &OffsetError{offset: offset, last: s.offset}
+	}
+	a := &action{offset: offset, record: r}
+	err := s.outcome(a)
+	s.offset = offset
+	s.digest.setHead(s.head)
+	s.digest.mark(offset)
+	return err
+}
+
+// outcome applies a record and remembers its id. It turns a nil *Rejection into
+// a nil error.
+func (s *State) outcome(a *action) error {
+	id := a.record.GetId()
+	if len(id) > _maxID {
+		return reject(ReasonMalformed, "id has %d bytes, more than %d", len(id), _maxID)
+	}
+	if s.ids.has(id) {
+		return reject(ReasonDuplicate, "applied before")
+	}
+	s.digest.flip(s.ids.push(id))
+	if c := a.record.GetCheckpoint(); c != nil {
+		return s.checkpointed(a, c)
+	}
+	if r := s.dispatch(a); r != nil {
+		return r
+	}
+	return nil
+}
+
+// dispatch applies a record by its kind.
+func (s *State) dispatch(a *action) *Rejection {
+	switch b := a.record.GetBody().(type) {
+	case *record.Record_ConfigChange:
+		return s.configure(a, b.ConfigChange)
+	case *record.Record_EntryRegister:
+		return s.register(a, b.EntryRegister)
+	case *record.Record_EntryUnregister:
+		return s.unregister(a, b.EntryUnregister)
+	case *record.Record_EntryLeaving:
+		return s.leave(a, b.EntryLeaving)
+	case *record.Record_EntrySuspect:
+		return s.suspect(a, b.EntrySuspect)
+	case *record.Record_EntryAlive:
+		return s.alive(a, b.EntryAlive)
+	case *record.Record_Confirm:
+		return s.confirm(b.Confirm)
+	case *record.Record_DrainIntent:
+		return s.intendDrain(a, b.DrainIntent)
+	case *record.Record_MoveIntent:
+		return s.intendMove(a, b.MoveIntent)
+	case *record.Record_RecallStart:
+		return s.startRecall(a, b.RecallStart)
+	case *record.Record_RecallCancel:
+		return s.cancelRecall(a, b.RecallCancel)
+	case *record.Record_WaveStart:
+		return s.startWave(a, b.WaveStart)
+	case *record.Record_WaveCancel:
+		return s.cancelWave(a, b.WaveCancel)
+	default:
+		return s.step(a)
+	}
+}
+
+// Basis returns the basis that a record of this body needs now, so that it is
+// accepted if nothing changes before it is applied. It is 0 for bodies that
+// need none.
+func (s *State) Basis(r *record.Record) uint64 {
+	switch b := r.GetBody().(type) {
+	case *record.Record_ConfigChange:
+		return s.head.configOffset
+	case *record.Record_EntryRegister:
+		return s.entryBasis(b.EntryRegister.GetEntry())
+	case *record.Record_EntryUnregister:
+		return s.entryBasis(b.EntryUnregister.GetEntry())
+	case *record.Record_EntryLeaving:
+		return s.entryBasis(b.EntryLeaving.GetEntry())
+	case *record.Record_EntrySuspect:
+		return s.entryBasis(b.EntrySuspect.GetEntry())
+	case *record.Record_EntryAlive:
+		return s.entryBasis(b.EntryAlive.GetEntry())
+	case *record.Record_DrainIntent:
+		return s.hosts[b.DrainIntent.GetHost()].intent.basis
+	case *record.Record_MoveIntent:
+		return s.hosts[b.MoveIntent.GetHost()].intent.basis
+	case *record.Record_RecallStart:
+		return s.recallBasis(b.RecallStart.GetRecall())
+	case *record.Record_RecallCancel:
+		return s.recallBasis(b.RecallCancel.GetRecall())
+	case *record.Record_WaveStart:
+		return s.waveBasis(b.WaveStart.GetWave())
+	case *record.Record_WaveCancel:
+		return s.waveBasis(b.WaveCancel.GetWave())
+	default:
+		return s.hosts[steppedHost(r)].basis
+	}
+}
--- /dev/null
+++ b/fleet/intent.go
@@ -0,0 +1,42 @@
+package fleet
+
+import "fescuelanding/fleet/record"
+
+// intendDrain notes whether operators want a host out of duty.
+func (s *State) intendDrain(a *action, m *record.DrainIntent) *Rejection {
+	h, r := s.intended(a, m.GetHost())
+	if r != nil {
+		return r
+	}
+	h.intent.drain = m.GetDrain()
+	s.putHost(h)
+	return nil
+}
+
+// intendMove notes which pool operators want a host to be in.
+func (s *State) intendMove(a *action, m *record.MoveIntent) *Rejection {
+	h, r := s.intended(a, m.GetHost())
+	if r != nil {
+		return r
+	}
+	if _, ok := s.config.Pool(m.GetToPool()); !ok && m.GetToPool() != "" {
+		return reject(ReasonUnknownPool, "pool %s", m.GetToPool())
+	}
+	h.intent.toPool = m.GetToPool()
+	s.putHost(h)
+	return nil
+}
+
+// intended returns the host that an intent is about, after the check of its
+// basis, with the basis of the next intent.
+func (s *State) intended(a *action, name string) (Host, *Rejection) {
+	h, ok := s.hosts[name]
+	if !ok {
+		return Host{}, reject(ReasonUnknownHost, "host %s", name)
+	}
+	if r := a.checkBasis(h.intent.basis); r != nil {
+		return Host{}, r
+	}
+	h.intent.basis = a.offset
+	return h, nil
+}
--- /dev/null
+++ b/fleet/snapshot.go
@@ -0,0 +1,158 @@
+package fleet
+
+import "fescuelanding/fleet/record"
+
+// headMessage returns the message of a head.
+func headMessage(h head) *record.SnapshotHead {
+	return &record.SnapshotHead{
+		ConfigOffset:   h.configOffset,
+		EntryFloor:     h.entryFloor,
+		RecallFloor:    h.recallFloor,
+		WaveFloor:      h.waveFloor,
+		CheckpointAt:   h.checkpoint.at,
+		CheckpointFrom: h.checkpoint.from,
+		PendingAt:      h.checkpoint.pendingAt,
+		PendingFrom:    h.checkpoint.pendingFrom,
+		PendingNext:    h.checkpoint.pendingNext,
+		PendingChunks:  h.checkpoint.pendingChunks,
+	}
+}
+
+// headOf returns the head of a message.
+func headOf(m *record.SnapshotHead) head {
+	return head{
+		configOffset: m.GetConfigOffset(),
+		entryFloor:   m.GetEntryFloor(),
+		recallFloor:  m.GetRecallFloor(),
+		waveFloor:    m.GetWaveFloor(),
+		checkpoint: checkpointProgress{
+			at:            m.GetCheckpointAt(),
+			from:          m.GetCheckpointFrom(),
+			pendingAt:     m.GetPendingAt(),
+			pendingFrom:   m.GetPendingFrom(),
+			pendingNext:   m.GetPendingNext(),
+			pendingChunks: m.GetPendingChunks(),
+		},
+	}
+}
+
+// fillHost sets every field of a message from a host.
+func fillHost(m *record.HostState, h Host) {
+	m.Name = h.name
+	m.Pool = h.pool
+	m.MovingTo = h.movingTo
+	m.Duty = uint32(h.duty)
+	m.Cause = h.cause
+	m.CauseId = h.causeID
+	m.Step = h.step
+	m.Waiting = h.waiting
+	m.Basis = h.basis
+	m.MaintainedAtUnixMs = h.maintainedUnixMs
+	m.MaintainedOffset = h.maintainedOffset
+	m.RepairedBatch = h.repairedBatch
+	m.IntentBasis = h.intent.basis
+	m.DrainWanted = h.intent.drain
+	m.PoolWanted = h.intent.toPool
+}
+
+// hostMessage returns the message of a host.
+func hostMessage(h Host) *record.HostState {
+	m := new(record.HostState)
+	fillHost(m, h)
+	return m
+}
+
+// hostOf returns the host of a message.
+func hostOf(m *record.HostState) Host {
+	return Host{
+		name:             m.GetName(),
+		pool:             m.GetPool(),
+		movingTo:         m.GetMovingTo(),
+		duty:             Duty(m.GetDuty()),
+		cause:            m.GetCause(),
+		causeID:          m.GetCauseId(),
+		step:             m.GetStep(),
+		waiting:          m.GetWaiting(),
+		basis:            m.GetBasis(),
+		maintainedUnixMs: m.GetMaintainedAtUnixMs(),
+		maintainedOffset: m.GetMaintainedOffset(),
+		repairedBatch:    m.GetRepairedBatch(),
+		intent: Intent{
+			basis:  m.GetIntentBasis(),
+			drain:  m.GetDrainWanted(),
+			toPool: m.GetPoolWanted(),
+		},
+	}
+}
+
+// entryMessage returns the message of an entry.
+func entryMessage(e Entry) *record.EntryState {
+	return &record.EntryState{
+		Name:         e.name,
+		Incarnation:  e.incarnation,
+		DataCentre:   e.dataCentre,
+		PeerAddress:  e.peerAddress,
+		AdminAddress: e.adminAddress,
+		Leaving:      e.leaving,
+		Suspect:      e.suspect,
+		Registered:   e.registered,
+		Basis:        e.basis,
+	}
+}
+
+// entryOf returns the entry of a message.
+func entryOf(m *record.EntryState) Entry {
+	return Entry{
+		name:         m.GetName(),
+		incarnation:  m.GetIncarnation(),
+		dataCentre:   m.GetDataCentre(),
+		peerAddress:  m.GetPeerAddress(),
+		adminAddress: m.GetAdminAddress(),
+		leaving:      m.GetLeaving(),
+		suspect:      m.GetSuspect(),
+		registered:   m.GetRegistered(),
+		basis:        m.GetBasis(),
+	}
+}
+
+// ownerMessage returns the message of an owner.
+func ownerMessage(o Owner) *record.OwnerState {
+	return &record.OwnerState{
+		Key:         o.key,
+		Entry:       o.entry,
+		Incarnation: o.incarnation,
+		Term:        o.term,
+		Witness:     o.witness,
+	}
+}
+
+// ownerOf returns the owner of a message.
+func ownerOf(m *record.OwnerState) Owner {
+	return Owner{
+		key:         m.GetKey(),
+		entry:       m.GetEntry(),
+		incarnation: m.GetIncarnation(),
+		term:        m.GetTerm(),
+		witness:     m.GetWitness(),
+	}
+}
+
+// recallMessage returns the message of a recall.
+func recallMessage(r recall) *record.RecallState {
+	return &record.RecallState{Name: r.name, Batch: r.batch, Offset: r.offset}
+}
+
+// recallOf returns the recall of a message.
+func recallOf(m *record.RecallState) recall {
+	return recall{name: m.GetName(), batch: m.GetBatch(), offset: m.GetOffset()}
+}
+
+// waveMessage returns the message of a wave.
+func waveMessage(w wave) *record.WaveState {
+	return &record.WaveState{Name: w.name, Pools: w.pools, Offset: w.offset}
+}
+
+// waveOf returns the wave of a message.
+func waveOf(m *record.WaveState) wave {
+	return wave{name: m.GetName(), pools: m.GetPools(), offset: m.GetOffset()}
+}
--- /dev/null
+++ b/fleet/step.go
@@ -0,0 +1,245 @@
+package fleet
+
+import "fescuelanding/fleet/record"
+
+// step applies a planner's step on a host. Every step carries the planner's
+// term, so that a planner that was paused or replaced can't act.
+func (s *State) step(a *action) *Rejection {
+	name := steppedHost(a.record)
+	if name == "" {
+		return reject(ReasonMalformed, "no body of a known kind, or no host")
+	}
+	if o, ok := s.owners[PlannerKey]; !ok || a.record.GetTerm() != o.term {
+		return reject(ReasonStaleTerm, "term is %d, not %d", o.term, a.record.GetTerm())
+	}
+	h, ok := s.hosts[name]
+	if !ok {
+		return reject(ReasonUnknownHost, "host %s", name)
+	}
+	if r := a.checkBasis(h.basis); r != nil {
+		return r
+	}
+	h, r := s.stepped(a, h)
+	if r != nil {
+		return r
+	}
+	h.basis = a.offset
+	s.putHost(h)
+	return nil
+}
+
+// stepped returns the host after a step.
+func (s *State) stepped(a *action, h Host) (Host, *Rejection) {
+	switch b := a.record.GetBody().(type) {
+	case *record.Record_HostDrain:
+		return s.drain(a, h, b.HostDrain)
+	case *record.Record_HostDown:
+		return takeDown(h)
+	case *record.Record_HostServe:
+		return s.serve(a, h, b.HostServe)
+	case *record.Record_HostFail:
+		return fail(h), nil
+	case *record.Record_HostRelease:
+		return s.release(a, h, b.HostRelease)
+	case *record.Record_HostAssign:
+		return s.assign(h, b.HostAssign)
+	default:
+		return keep(h)
+	}
+}
+
+// steppedHost returns the host that a planner's step is about, or "".
+func steppedHost(r *record.Record) string {
+	switch b := r.GetBody().(type) {
+	case *record.Record_HostDrain:
+		return b.HostDrain.GetHost()
+	case *record.Record_HostDown:
+		return b.HostDown.GetHost()
+	case *record.Record_HostServe:
+		return b.HostServe.GetHost()
+	case *record.Record_HostFail:
+		return b.HostFail.GetHost()
+	case *record.Record_HostRelease:
+		return b.HostRelease.GetHost()
+	case *record.Record_HostAssign:
+		return b.HostAssign.GetHost()
+	case *record.Record_HostKeep:
+		return b.HostKeep.GetHost()
+	default:
+		return ""
+	}
+}
+
+// drain stops new work on a serving host, within the budget.
+func (s *State) drain(a *action, h Host, m *record.HostDrain) (Host, *Rejection) {
+	if h.duty != Serving || h.movingTo != "" {
+		return h, reject(ReasonWrongState, "host %s is %s, moving to %q", h.name, h.duty, h.movingTo)
+	}
+	if r := s.checkCause(m); r != nil {
+		return h, r
+	}
+	if r := s.checkBudget(h); r != nil {
+		return h, r
+	}
+	h.duty = Draining
+	h.cause, h.causeID = m.GetCause(), m.GetCauseId()
+	return s.await(a, h), nil
+}
+
+// checkCause rejects a drain for a wave or recall that has ended.
+func (s *State) checkCause(m *record.HostDrain) *Rejection {
+	switch {
+	case m.GetCause() == record.Cause_CAUSE_UNSPECIFIED:
+		return reject(ReasonMalformed, "a cause is needed")
+	case m.GetCauseId() == "":
+		return nil
+	case m.GetCause() == record.Cause_CAUSE_RECALL:
+		if _, ok := s.recalls[m.GetCauseId()]; !ok {
+			return reject(ReasonUnknownRecall, "recall %s", m.GetCauseId())
+		}
+	case m.GetCause() == record.Cause_CAUSE_MAINTENANCE:
+		if _, ok := s.waves[m.GetCauseId()]; !ok {
+			return reject(ReasonUnknownWave, "wave %s", m.GetCauseId())
+		}
+	}
+	return nil
+}
+
+// checkBudget rejects a voluntary step that takes an available host from a pool
+// which has none to spare.
+func (s *State) checkBudget(h Host) *Rejection {
+	if !h.Available() {
+		return nil
+	}
+	if p := s.pools[h.pool]; p.available-1 < p.budget {
+		return reject(ReasonBudget, "pool %s has %d available of at least %d", h.pool, p.available, p.budget)
+	}
+	return nil
+}
+
+// await begins a step that every entry registered now has to confirm.
+func (s *State) await(a *action, h Host) Host {
+	h.step = a.offset
+	h.waiting = s.entryNames()
+	return h
+}
+
+// checkConfirmed rejects what must not happen before every entry confirmed.
+func checkConfirmed(h Host) *Rejection {
+	if len(h.waiting) > 0 {
+		return reject(ReasonUnconfirmed, "host %s waits for %v", h.name, h.waiting)
+	}
+	return nil
+}
+
+// takeDown takes a drained host out.
+func takeDown(h Host) (Host, *Rejection) {
+	if h.duty != Draining {
+		return h, reject(ReasonWrongState, "host %s is %s", h.name, h.duty)
+	}
+	if r := checkConfirmed(h); r != nil {
+		return h, r
+	}
+	h.duty, h.step = Down, 0
+	return h, nil
+}
+
+// serve returns a host to duty in its pool.
+func (s *State) serve(a *action, h Host, m *record.HostServe) (Host, *Rejection) {
+	worked := m.GetMaintained() || m.GetRepaired()
+	if h.duty == Serving || worked && h.duty == Draining {
+		return h, reject(ReasonWrongState, "host %s is %s", h.name, h.duty)
+	}
+	if m.GetMaintained() {
+		h.maintainedUnixMs, h.maintainedOffset = a.record.GetAtUnixMs(), a.offset
+	}
+	if m.GetRepaired() {
+		c, _ := s.config.Host(h.name)
+		h.repairedBatch = c.Batch()
+	}
+	if h.movingTo == "" {
+		h.step, h.waiting = 0, nil
+	}
+	h.duty, h.cause, h.causeID = Serving, record.Cause_CAUSE_UNSPECIFIED, ""
+	return h, nil
+}
+
+// fail records a loss. A move that was released goes on.
+func fail(h Host) Host {
+	if h.movingTo == "" {
+		h.step, h.waiting = 0, nil
+	}
+	h.duty = Failed
+	return h
+}
+
+// release begins a move. A host that drains is let finish or is put back first,
+// so that a host has one step at a time.
+func (s *State) release(a *action, h Host, m *record.HostRelease) (Host, *Rejection) {
+	if h.movingTo != "" || h.pool == m.GetToPool() {
+		return h, reject(ReasonSecondPool, "host %s is in %s, moving to %q", h.name, h.pool, h.movingTo)
+	}
+	if _, ok := s.config.Pool(m.GetToPool()); !ok {
+		return h, reject(ReasonUnknownPool, "pool %s", m.GetToPool())
+	}
+	if h.duty == Draining {
+		return h, reject(ReasonWrongState, "host %s is %s", h.name, h.duty)
+	}
+	if r := s.checkBudget(h); r != nil {
+		return h, r
+	}
+	h.movingTo = m.GetToPool()
+	return s.await(a, h), nil
+}
+
+// assign ends a move: the host changes its pool at this offset.
+func (s *State) assign(h Host, m *record.HostAssign) (Host, *Rejection) {
+	if h.movingTo == "" || h.movingTo != m.GetToPool() {
+		return h, reject(ReasonSecondPool, "host %s is in %s, moving to %q", h.name, h.pool, h.movingTo)
+	}
+	if r := checkConfirmed(h); r != nil {
+		return h, r
+	}
+	h.pool, h.movingTo, h.step = h.movingTo, "", 0
+	return h, nil
+}
+
+// keep gives up a move; the host stays in its pool.
+func keep(h Host) (Host, *Rejection) {
+	if h.movingTo == "" {
+		return h, reject(ReasonWrongState, "host %s isn't moving", h.name)
+	}
+	h.movingTo, h.step, h.waiting = "", 0, nil
+	return h, nil
+}
+
+// confirm notes that an entry has nothing in flight on some hosts. Steps that
+// don't wait for it are passed over.
+func (s *State) confirm(m *record.Confirm) *Rejection {
+	e, ok := s.entries[m.GetEntry()]
+	if !ok || e.incarnation != m.GetIncarnation() {
+		return reject(ReasonUnknownEntry, "entry %s with incarnation %d", m.GetEntry(), m.GetIncarnation())
+	}
+	n := 0
+	for _, r := range m.GetSteps() {
+		h, ok := s.hosts[r.GetHost()]
+		if !ok || h.step == 0 || h.step != r.GetOffset() || h.Confirmed(e.name) {
+			continue
+		}
+		s.putHost(h.without(e.name))
+		n++
+	}
+	if n == 0 {
+		return reject(ReasonStaleStep, "no step waits for entry %s", e.name)
+	}
+	return nil
+}
+
+// confirmAll ends the wait for a process that is gone.
+func (s *State) confirmAll(entry string) {
+	for _, n := range s.names {
+		if h := s.hosts[n]; !h.Confirmed(entry) {
+			s.putHost(h.without(entry))
+		}
+	}
+}
--- a/tools/gen/main.go
+++ b/tools/gen/main.go
@@ -14,6 +14,7 @@
 	"github.com/bufbuild/protocompile"
 	"github.com/bufbuild/protocompile/protoutil"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/pluginpb"
 )
@@ -72,6 +73,14 @@
 	return &pluginpb.CodeGeneratorRequest{
 		FileToGenerate: []string{path},
 		Parameter:      &parameter,
-		ProtoFile:      []*descriptorpb.FileDescriptorProto{protoutil.ProtoFromFileDescriptor(files[0])},
+		ProtoFile:      descriptors(files[0], nil),
 	}, nil
 }
+
+// descriptors appends a file to all, its imports first.
+func descriptors(f protoreflect.FileDescriptor, all []*descriptorpb.FileDescriptorProto) []*descriptorpb.FileDescriptorProto {
+	for i := range f.Imports().Len() {
+		all = descriptors(f.Imports().Get(i).FileDescriptor, all)
+	}
+	return append(all, protoutil.ProtoFromFileDescriptor(f))
+}
