--- /dev/null
+++ b/entry/broker/admit.go
@@ -0,0 +1,180 @@
+package broker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	_minSpread       = time.Second
+	_maxSpread       = time.Minute
+	_overloadGap     = time.Second
+	_defaultOverload = 5 * time.Second
+	_overloadStep    = 0.25
+	// _returnShare is the share of the pool that returning requests may fill.
+	_returnShare = 0.5
+)
+
+// admit says whether a request may wait, or why it is refused at once.
+func (b *Broker) admit(now time.Time, r *request) Reason {
+	if !b.retries.allow(r) {
+		return RetryBudget
+	}
+	if r.startBy.Before(now) {
+		return Overload
+	}
+	if b.waiting() >= _maxQueue {
+		return QueueFull
+	}
+	left := r.startBy.Sub(now)
+	if b.quotaWait(r) > left {
+		return Overload
+	}
+	if b.missing.any() || b.wait(now, r) <= left {
+		return ReasonNone
+	}
+	return b.displace(now, r)
+}
+
+func (b *Broker) waiting() int {
+	n := 0
+	for _, c := range b.classes.all {
+		n += len(c.line)
+	}
+	return n
+}
+
+// quotaWait returns the wait that the team's own quota brings.
+func (b *Broker) quotaWait(r *request) time.Duration {
+	q := r.team.Quota
+	l := r.class.byTeam[r.team]
+	if q == 0 || l == nil {
+		return 0
+	}
+	return l.work / time.Duration(q)
+}
+
+// wait returns the expected wait of a request that is asked for now.
+func (b *Broker) wait(now time.Time, r *request) time.Duration {
+	if r.class.Urgency == Urgent {
+		return b.urgentWait()
+	}
+	return b.relaxedWait(now)
+}
+
+// urgentWait expects that slots come free at the rates at which urgent and
+// relaxed work end, and that a slot freed by relaxed work then serves urgent
+// work. With a the starts in a second now and c their growth in a second, n
+// requests have started after t where a*t + c*t*t/2 = n.
+func (b *Broker) urgentWait() time.Duration {
+	u, l := b.band(Urgent), b.band(Relaxed)
+	run := u.run.Seconds()
+	unused := b.hosts.unused()
+	n := u.work.Seconds()/run + 1 - float64(unused)
+	if n <= 0 {
+		return 0
+	}
+	freed := float64(l.held) / max(l.run, _minRun).Seconds()
+	a := (float64(u.held)+float64(unused))/run + freed
+	c := freed / run
+	if a == 0 {
+		return math.MaxInt64
+	}
+	t := n / a
+	if c > 0 {
+		t = (math.Sqrt(a*a+2*c*n) - a) / c
+	}
+	return seconds(t)
+}
+
+// relaxedWait expects that relaxed work has the slots it may hold, less those
+// that urgent work keeps busy on average.
+func (b *Broker) relaxedWait(now time.Time) time.Duration {
+	l := b.band(Relaxed)
+	most := b.relaxedCap(now)
+	if l.work == 0 && l.held < most && b.hosts.unused() > 0 {
+		return 0
+	}
+	s := float64(b.hosts.slots())
+	share := min(float64(most), s-b.demand.steady.now(now, _relaxedTau))
+	share = max(share, s*_relaxedLeast, 1)
+	return seconds(l.work.Seconds() / share)
+}
+
+// seconds turns seconds into a duration, within its range.
+func seconds(s float64) time.Duration {
+	const most = float64(math.MaxInt64 / time.Second)
+	return time.Duration(min(s, most) * float64(time.Second))
+}
+
+// displace makes room in a full queue: the team that waits with the most work
+// for its weight gives up its latest request, unless that is the asking one.
+func (b *Broker) displace(now time.Time, r *request) Reason {
+	c := r.class
+	own := r.cost
+	if l := c.byTeam[r.team]; l != nil {
+		own += l.work
+	}
+	worst, most := (*lane)(nil), own/time.Duration(r.team.weight())
+	for _, l := range c.lanes {
+		if w := l.work / time.Duration(l.team.weight()); w > most {
+			worst, most = l, w
+		}
+	}
+	if worst == nil {
+		return Overload
+	}
+	v := worst.waiting[len(worst.waiting)-1]
+	b.leave(now, v)
+	b.refuse(now, v, Displaced)
+	return ReasonNone
+}
+
+// overload remembers how long overloads last, for the time to come back.
+type overload struct {
+	since  time.Time
+	last   time.Time
+	length time.Duration
+	work   time.Duration
+}
+
+// refused counts a request that was refused for want of slots.
+func (o *overload) refused(now time.Time, cost time.Duration) {
+	if o.since.IsZero() || now.Sub(o.last) > _overloadGap {
+		o.next(now)
+	}
+	o.last = now
+	o.work += cost
+}
+
+// next begins a new overload and learns from the one before.
+func (o *overload) next(now time.Time) {
+	if o.length == 0 {
+		o.length = _defaultOverload
+	} else {
+		d := o.last.Sub(o.since)
+		o.length += time.Duration(_overloadStep * float64(d-o.length))
+	}
+	o.since, o.work = now, 0
+}
+
+// left returns how much longer the overload is likely to last.
+func (o *overload) left(now time.Time) time.Duration {
+	if o.since.IsZero() || now.Sub(o.last) > _overloadGap {
+		return 0
+	}
+	return max(0, o.length-now.Sub(o.since))
+}
+
+// retryAfter returns when a refused request should come back: after the
+// overload, spread over the time that the refused work needs then. The spread
+// depends on the request only, so that asking again gives the same answer.
+func (b *Broker) retryAfter(now time.Time, r *request) time.Duration {
+	s := max(float64(b.hosts.slots())*_returnShare, 1)
+	d := seconds(b.overload.work.Seconds() / s)
+	if seen := now.Sub(b.overload.since); seen > 0 && seen < b.overload.length {
+		d = time.Duration(float64(d) * float64(b.overload.length) / float64(max(seen, _overloadGap)))
+	}
+	d = min(max(d, _minSpread), _maxSpread)
+	return b.overload.left(now) + time.Duration(r.spread()*float64(d)) + _minSpread
+}
--- /dev/null
+++ b/entry/broker/class.go
@@ -0,0 +1,236 @@
+package broker
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// classes are the configured classes of a pool.
+type classes struct {
+	byName map[string]*class
+	all    []*class
+}
+
+// class queues the requests of one class: each team has a lane, and lanes take
+// turns by deficit round robin.
+type class struct {
+	Class
+	runs   runs
+	lanes  []*lane
+	byTeam map[*team]*lane
+	turn   int
+	line   line
+	work   time.Duration
+	held   int
+}
+
+// lane holds the waiting requests of one team in one class, the earliest
+// deadline first.
+type lane struct {
+	team    *team
+	deficit time.Duration
+	waiting laneHeap
+	work    time.Duration
+}
+
+// team is a configured team and the slots it holds in this pool.
+type team struct {
+	Team
+	held int
+}
+
+func (t *team) weight() int {
+	return max(t.Weight, 1)
+}
+
+// full reports whether the team holds its quota.
+func (t *team) full() bool {
+	return t.Quota > 0 && t.held >= t.Quota
+}
+
+func (c *class) maxRun() time.Duration {
+	if c.MaxRun == 0 {
+		return _defaultMaxRun
+	}
+	return c.MaxRun
+}
+
+func (c *class) push(r *request) {
+	l := c.byTeam[r.team]
+	if l == nil {
+		l = &lane{team: r.team}
+		c.byTeam[r.team] = l
+	}
+	if len(l.waiting) == 0 {
+		c.lanes = append(c.lanes, l)
+	}
+	r.lane = l
+	heap.Push(&l.waiting, r)
+	heap.Push(&c.line, r)
+	l.work += r.cost
+	c.work += r.cost
+}
+
+func (c *class) remove(r *request) {
+	l := r.lane
+	heap.Remove(&l.waiting, r.laneIndex)
+	heap.Remove(&c.line, r.lineIndex)
+	l.work -= r.cost
+	c.work -= r.cost
+	r.lane = nil
+	if len(l.waiting) == 0 {
+		c.retire(l)
+	}
+}
+
+// retire takes an empty lane out of the round.
+func (c *class) retire(l *lane) {
+	i := slices.Index(c.lanes, l)
+	c.lanes = slices.Delete(c.lanes, i, i+1)
+	if c.turn > i {
+		c.turn--
+	}
+	delete(c.byTeam, l.team)
+}
+
+// pop takes out the next request by deficit round robin, or returns nil where
+// every team that waits holds its quota.
+func (c *class) pop() *request {
+	quantum := c.runs.longest()
+	for range 2 * len(c.lanes) {
+		if c.turn >= len(c.lanes) {
+			c.turn = 0
+		}
+		l := c.lanes[c.turn]
+		if l.team.full() {
+			c.turn++
+			continue
+		}
+		r := l.waiting[0]
+		if l.deficit < r.cost {
+			l.deficit += quantum * time.Duration(l.team.weight())
+		}
+		if l.deficit >= r.cost {
+			l.deficit -= r.cost
+			c.serve(l, r)
+			return r
+		}
+		c.turn++
+	}
+	return nil
+}
+
+// serve takes a request out, and ends the lane's turn once its deficit is used.
+func (c *class) serve(l *lane, r *request) {
+	next := len(l.waiting) > 1 && l.deficit < l.waiting[1].cost
+	c.remove(r)
+	if next {
+		c.turn++
+	}
+}
+
+// line orders the waiting requests of a class by their latest start.
+type line []*request
+
+func (l line) first() time.Time {
+	if len(l) == 0 {
+		return time.Time{}
+	}
+	return l[0].startBy.Add(time.Nanosecond)
+}
+
+func (l line) Len() int           { return len(l) }
+func (l line) Less(i, j int) bool { return l[i].startBy.Before(l[j].startBy) }
+func (l line) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].lineIndex, l[j].lineIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (l *line) Push(x any) {
+	r := x.(*request)
+	r.lineIndex = len(*l)
+	*l = append(*l, r)
+}
+
+// Pop implements heap.Interface.
+func (l *line) Pop() any {
+	n := len(*l) - 1
+	r := (*l)[n]
+	(*l)[n] = nil
+	*l = (*l)[:n]
+	return r
+}
+
+// laneHeap orders the waiting requests of a lane by their latest start.
+type laneHeap []*request
+
+func (l laneHeap) Len() int           { return len(l) }
+func (l laneHeap) Less(i, j int) bool { return l[i].startBy.Before(l[j].startBy) }
+func (l laneHeap) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].laneIndex, l[j].laneIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (l *laneHeap) Push(x any) {
+	r := x.(*request)
+	r.laneIndex = len(*l)
+	*l = append(*l, r)
+}
+
+// Pop implements heap.Interface.
+func (l *laneHeap) Pop() any {
+	n := len(*l) - 1
+	r := (*l)[n]
+	(*l)[n] = nil
+	*l = (*l)[:n]
+	return r
+}
+
+// setClasses takes over the configured classes and refuses what has none left.
+func (b *Broker) setClasses(now time.Time, cs []Class) {
+	old := b.classes
+	b.classes = classes{byName: make(map[string]*class, len(cs))}
+	for _, c := range cs {
+		k := old.byName[c.Name]
+		if k == nil {
+			k = &class{byTeam: make(map[*team]*lane)}
+		}
+		k.Class = c
+		b.classes.byName[c.Name] = k
+		b.classes.all = append(b.classes.all, k)
+	}
+	for _, k := range old.all {
+		if b.classes.byName[k.Name] != k {
+			b.refuseAll(now, k, UnknownClass)
+		}
+	}
+}
+
+// setTeams takes over the configured teams.
+func (b *Broker) setTeams(ts []Team) {
+	old := b.teams
+	b.teams = make(map[string]*team, len(ts))
+	b.anyTeam = len(ts) == 0
+	if b.anyTeam {
+		ts = []Team{{}}
+	}
+	for _, t := range ts {
+		k := old[t.Name]
+		if k == nil {
+			k = &team{}
+		}
+		k.Team = t
+		b.teams[t.Name] = k
+	}
+}
+
+// team returns the team of that name, or nil where it may not ask.
+func (b *Broker) team(name string) *team {
+	if b.anyTeam {
+		return b.teams[""]
+	}
+	return b.teams[name]
+}
--- /dev/null
+++ b/entry/broker/hold.go
@@ -0,0 +1,150 @@
+package broker
+
+import (
+	"container/heap"
+	"time"
+)
+
+// hold is a slot that is taken.
+type hold struct {
+	Hold
+	class   *class
+	team    *team
+	request *request
+	index   int
+	// orphan marks a hold whose end nobody may tell any more.
+	orphan bool
+	// settled marks that the key's outcome is known already.
+	settled bool
+}
+
+func (h *hold) grant() Grant {
+	return Grant{Request: h.Request, Entry: h.Entry, Slot: h.Slot, Host: h.Host, Term: h.Term, Until: h.Until}
+}
+
+// holds are the slots taken, with the next to expire first.
+type holds struct {
+	bySlot map[uint64]*hold
+	heap   holdHeap
+	counts map[string]int
+}
+
+func (s *holds) add(h *hold) {
+	if s.bySlot == nil {
+		s.bySlot = make(map[uint64]*hold)
+		s.counts = make(map[string]int)
+	}
+	s.bySlot[h.Slot] = h
+	s.counts[h.Host]++
+	heap.Push(&s.heap, h)
+}
+
+func (s *holds) remove(h *hold) {
+	delete(s.bySlot, h.Slot)
+	if s.counts[h.Host]--; s.counts[h.Host] == 0 {
+		delete(s.counts, h.Host)
+	}
+	heap.Remove(&s.heap, h.index)
+}
+
+func (s *holds) onHost(name string) int {
+	return s.counts[name]
+}
+
+// expired returns the holds whose run must have ended.
+func (s *holds) expired(now time.Time) []*hold {
+	var hs []*hold
+	for _, h := range s.heap {
+		if h.Until.Add(_holdGrace).Before(now) {
+			hs = append(hs, h)
+		}
+	}
+	return hs
+}
+
+func (s *holds) next() time.Time {
+	if len(s.heap) == 0 {
+		return time.Time{}
+	}
+	return s.heap[0].Until.Add(_holdGrace + time.Nanosecond)
+}
+
+// holdHeap implements heap.Interface by the time of expiry.
+type holdHeap []*hold
+
+func (s holdHeap) Len() int           { return len(s) }
+func (s holdHeap) Less(i, j int) bool { return s[i].Until.Before(s[j].Until) }
+func (s holdHeap) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index, s[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (s *holdHeap) Push(x any) {
+	h := x.(*hold)
+	h.index = len(*s)
+	*s = append(*s, h)
+}
+
+// Pop implements heap.Interface.
+func (s *holdHeap) Pop() any {
+	n := len(*s) - 1
+	h := (*s)[n]
+	(*s)[n] = nil
+	*s = (*s)[:n]
+	return h
+}
+
+// take counts a hold against its host, class and team.
+func (b *Broker) take(h *hold) {
+	b.holds.add(h)
+	b.hosts.take(h.Host)
+	if h.class != nil {
+		h.class.held++
+	}
+	if h.team != nil {
+		h.team.held++
+	}
+}
+
+// free ends a hold.
+func (b *Broker) free(h *hold) {
+	b.holds.remove(h)
+	b.hosts.free(h.Host)
+	if h.class != nil {
+		h.class.held--
+	}
+	if h.team != nil {
+		h.team.held--
+	}
+}
+
+// reserve takes a slot on a host for a request.
+func (b *Broker) reserve(now time.Time, r *request, host string) {
+	h := &hold{class: r.class, team: r.team, request: r}
+	h.Hold = Hold{
+		Slot: b.slot(), Request: r.Request, Entry: r.Entry, Host: host,
+		Service: r.Service, Class: r.Class, Team: r.Team,
+		Term: b.term, Until: now.Add(r.class.maxRun()),
+	}
+	if r.journaled() {
+		h.Key = r.Key
+	}
+	r.hold = h
+	b.take(h)
+}
+
+// unreserve gives back a slot that was never granted.
+func (b *Broker) unreserve(r *request) {
+	b.free(r.hold)
+	r.hold = nil
+}
+
+// grant hands the reserved slot over; the run may take its full time from now.
+func (b *Broker) grant(now time.Time, r *request) {
+	r.stage = _held
+	h := r.hold
+	h.Until = now.Add(r.class.maxRun())
+	heap.Fix(&b.holds.heap, h.index)
+	b.emit(h.grant())
+}
--- /dev/null
+++ b/entry/broker/key.go
@@ -0,0 +1,152 @@
+package broker
+
+import (
+	"time"
+
+	"fescuelanding/entry/keys"
+)
+
+// repeated ends or joins a request whose key was started before.
+func (b *Broker) repeated(now time.Time, r *request) bool {
+	if !r.journaled() {
+		return false
+	}
+	if b.keys == nil {
+		b.refuse(now, r, KeysUnavailable)
+		return true
+	}
+	if first := b.running[r.Key]; first != nil {
+		b.join(first, r)
+		return true
+	}
+	if b.keys.Started(r.Key) && !b.keys.Reusable(r.Key) {
+		b.repeat(r)
+		return true
+	}
+	return false
+}
+
+// join lets a request wait for the end of the first one with its key.
+func (b *Broker) join(first, r *request) {
+	r.stage = _joined
+	b.requests[r.Request] = r
+	first.followers = append(first.followers, r)
+}
+
+func (b *Broker) repeat(r *request) {
+	o, a := b.keys.Outcome(r.Key)
+	b.emit(Repeat{Request: r.Request, Entry: r.Entry, Outcome: o, Answer: a})
+}
+
+// promote asks anew for the followers of a request that ended without a run.
+func (b *Broker) promote(now time.Time, r *request) {
+	fs := r.followers
+	r.followers = nil
+	for _, f := range fs {
+		if f.cancelled {
+			continue
+		}
+		delete(b.requests, f.Request)
+		if b.repeated(now, f) {
+			continue
+		}
+		if reason := b.admit(now, f); reason != ReasonNone {
+			b.refuse(now, f, reason)
+			continue
+		}
+		b.enqueue(f)
+	}
+}
+
+// grantKeyed grants a request whose key is its own already, or asks for the
+// key to be journaled while the slot is reserved.
+func (b *Broker) grantKeyed(now time.Time, r *request) {
+	if b.keys.Reuse(r.Key) {
+		b.grant(now, r)
+		return
+	}
+	if b.keys.Started(r.Key) {
+		b.unreserve(r)
+		b.repeatAll(r)
+		return
+	}
+	r.stage = _journaling
+	b.emit(Journal{Request: r.Request, Key: r.Key, Term: b.term})
+}
+
+// Journaled says what became of a key that a Journal op asked for.
+func (b *Broker) Journaled(now time.Time, id uint64, res JournalResult) []Op {
+	b.start(now)
+	r := b.requests[id]
+	if r == nil || r.stage != _journaling {
+		return nil
+	}
+	switch {
+	case res == JournalStarted && !r.cancelled && !now.After(r.Deadline):
+		b.grant(now, r)
+	case res == JournalStarted:
+		b.keys.Finish(r.Key, keys.NotRun, nil)
+		b.abandon(now, r, Expired)
+	case res == JournalDuplicate:
+		b.unreserve(r)
+		b.repeatAll(r)
+	default:
+		b.abandon(now, r, KeysUnavailable)
+	}
+	b.dispatch(now)
+	return b.flush()
+}
+
+// abandon ends a request whose slot was reserved, with nothing run.
+func (b *Broker) abandon(now time.Time, r *request, reason Reason) {
+	b.unreserve(r)
+	cancelled := r.cancelled
+	b.forget(r)
+	if !cancelled {
+		b.refuse(now, r, reason)
+	}
+	b.promote(now, r)
+}
+
+// repeatAll ends a request and its followers with the outcome of the run that
+// another request with the key had.
+func (b *Broker) repeatAll(r *request) {
+	cancelled := r.cancelled
+	b.forget(r)
+	if !cancelled {
+		b.repeat(r)
+	}
+	for _, f := range r.followers {
+		if !f.cancelled {
+			b.forget(f)
+			b.repeat(f)
+		}
+	}
+	r.followers = nil
+}
+
+// settleKey notes the outcome of a keyed run and tells those that wait for it.
+func (b *Broker) settleKey(now time.Time, h *hold, res Result) {
+	if h.Key.IsZero() || h.settled || b.keys == nil {
+		return
+	}
+	h.settled = true
+	switch res.Outcome {
+	case NotSent, Unreachable:
+		if h.Term == b.term {
+			b.keys.Finish(h.Key, keys.NotRun, nil)
+		}
+	case Answered:
+		b.keys.Finish(h.Key, keys.Answered, res.Answer)
+	case Failed:
+		b.keys.Finish(h.Key, keys.Failed, res.Answer)
+	case Lost:
+		b.keys.Finish(h.Key, keys.Unknown, nil)
+	}
+	r := h.request
+	if r == nil {
+		return
+	}
+	b.forget(r)
+	b.promote(now, r)
+}
--- /dev/null
+++ b/entry/broker/retry.go
@@ -0,0 +1,125 @@
+package broker
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// _retryShare is the share of first attempts that may be retried.
+	_retryShare = 0.1
+	// _retryBurst bounds the retries saved up.
+	_retryBurst = 10.0
+	// _ownFault is the number of hosts on which a request fails through its
+	// own fault, and _fatal the number after which it is refused for good.
+	_ownFault   = 2
+	_fatal      = 3
+	_faultsKept = 2 * time.Minute
+	_maxFaults  = 10_000
+)
+
+// retries is the budget of retries.
+type retries struct {
+	tokens float64
+}
+
+// allow reports whether the attempt is within the budget, and counts it.
+func (t *retries) allow(r *request) bool {
+	if !r.retry() {
+		t.tokens = min(t.tokens+_retryShare, _retryBurst)
+		return true
+	}
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// faults remembers on which hosts a request failed lately.
+type faults struct {
+	byRequest map[uint64][]string
+	order     []fault
+}
+
+type fault struct {
+	request uint64
+	at      time.Time
+}
+
+// add notes a failure and returns the hosts on which the request has failed.
+func (f *faults) add(now time.Time, request uint64, host string) []string {
+	if f.byRequest == nil {
+		f.byRequest = make(map[uint64][]string)
+	}
+	hs := f.byRequest[request]
+	if slices.Contains(hs, host) {
+		return hs
+	}
+	if hs == nil {
+		f.order = append(f.order, fault{request: request, at: now})
+	}
+	hs = append(hs, host)
+	f.byRequest[request] = hs
+	if len(f.order) > _maxFaults {
+		f.drop()
+	}
+	return hs
+}
+
+func (f *faults) drop() {
+	delete(f.byRequest, f.order[0].request)
+	f.order = f.order[1:]
+}
+
+func (f *faults) expire(now time.Time) {
+	for len(f.order) > 0 && now.Sub(f.order[0].at) > _faultsKept {
+		f.drop()
+	}
+}
+
+// fatal reports whether a request has failed on too many hosts to try again.
+func (f *faults) fatal(request uint64) bool {
+	return len(f.byRequest[request]) >= _fatal
+}
+
+// judge learns from the outcome of a hold: the run time, the host's health,
+// and whose fault a failure is.
+func (b *Broker) judge(now time.Time, h *hold, res Result) {
+	k := b.hosts.byName[h.Host]
+	switch res.Outcome {
+	case NotSent:
+		return
+	case Answered:
+		if h.class != nil {
+			h.class.runs.add(h.Service, res.Run)
+		}
+		if k != nil {
+			k.health.succeed()
+		}
+		return
+	case Unreachable:
+		if k != nil {
+			b.hosts.failed(now, k)
+		}
+		return
+	case Lost, Failed:
+	}
+	hs := b.faults.add(now, h.Request, h.Host)
+	if len(hs) < _ownFault {
+		if k != nil {
+			b.hosts.failed(now, k)
+		}
+		return
+	}
+	if len(hs) == _ownFault {
+		b.pardon(hs[0])
+	}
+}
+
+// pardon takes back the failure that was put down to the first host.
+func (b *Broker) pardon(host string) {
+	if k := b.hosts.byName[host]; k != nil {
+		k.health.pardon()
+	}
+}
--- /dev/null
+++ b/entry/keys/batcher.go
@@ -0,0 +1,79 @@
+package keys
+
+import "time"
+
+const (
+	_flushEvery = 50 * time.Millisecond
+	_maxBatch   = 4096
+)
+
+// Pending is a key that waits for its append.
+type Pending struct {
+	Pool string
+	Term uint64
+	Key  Key
+}
+
+// Batcher decides when waiting keys are written. A key that comes after an
+// idle time is due at once; under load there are at most 20 appends a second,
+// which keeps nine entries under 200. The zero value is ready to use.
+type Batcher struct {
+	waiting []Pending
+	fences  []*Fence
+	last    time.Time
+}
+
+// Add puts a key into the next append.
+func (b *Batcher) Add(p Pending) {
+	b.waiting = append(b.waiting, p)
+}
+
+// AddFence puts a fence into the next append.
+func (b *Batcher) AddFence(pool string, term uint64) {
+	b.fences = append(b.fences, &Fence{Pool: pool, Term: term})
+}
+
+// Next returns when the next append is due, or the zero time where nothing
+// waits.
+func (b *Batcher) Next() time.Time {
+	if len(b.waiting) == 0 && len(b.fences) == 0 {
+		return time.Time{}
+	}
+	return b.last.Add(_flushEvery)
+}
+
+// Flush returns the record to append now, or nil where none is due. The
+// caller fills in the writer. A record holds at most 4096 keys; the rest waits
+// for the next one.
+func (b *Batcher) Flush(now time.Time) *Record {
+	t := b.Next()
+	if t.IsZero() || now.Before(t) {
+		return nil
+	}
+	b.last = now
+	r := &Record{AtUnixMs: now.UnixMilli(), Fences: b.fences}
+	b.fences = nil
+	n := min(len(b.waiting), _maxBatch)
+	r.Batches = group(b.waiting[:n])
+	b.waiting = append([]Pending(nil), b.waiting[n:]...)
+	return r
+}
+
+// group puts the keys of the same pool and term into one batch.
+func group(ps []Pending) []*Batch {
+	type owner struct {
+		pool string
+		term uint64
+	}
+	at := make(map[owner]*Batch)
+	var bs []*Batch
+	for _, p := range ps {
+		o := owner{p.Pool, p.Term}
+		if at[o] == nil {
+			at[o] = &Batch{Pool: p.Pool, Term: p.Term}
+			bs = append(bs, at[o])
+		}
+		at[o].Keys = append(at[o].Keys, p.Key[:]...)
+	}
+	return bs
+}
