--- /dev/null
+++ b/entry/internal/slots/book.go
@@ -0,0 +1,141 @@
+package slots
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/keys"
+	"fescuelanding/fleet/platform"
+)
+
+const (
+	// KeysStream is the platform's stream of started keys.
+	KeysStream = "keys"
+
+	_appendTimeout = 2 * time.Second
+)
+
+// book is the journal of started keys with what waits for it.
+type book struct {
+	journal keys.Journal
+	batcher keys.Batcher
+	// waiting has the requests whose key is to be read back.
+	waiting map[keys.Key]awaiting
+	// busy is set while an append is under way.
+	busy bool
+}
+
+// awaiting is a request that waits for its key.
+type awaiting struct {
+	pool    string
+	term    uint64
+	request uint64
+}
+
+// journal puts a key into the next append.
+func (d *Desk) journal(now time.Time, p *pool, o broker.Journal) {
+	if d.book.waiting == nil {
+		d.book.waiting = map[keys.Key]awaiting{}
+	}
+	d.book.waiting[o.Key] = awaiting{pool: p.name, term: p.term, request: o.Request}
+	d.book.batcher.Add(keys.Pending{Pool: p.name, Term: o.Term, Key: o.Key})
+	d.flushKeys(now)
+}
+
+// flushKeys begins an append where one is due, one at a time: a fence must not
+// be overtaken by a batch that relies on it.
+func (d *Desk) flushKeys(now time.Time) {
+	if d.book.busy {
+		return
+	}
+	r := d.book.batcher.Flush(now)
+	if r == nil {
+		return
+	}
+	r.Entry, r.Incarnation = d.Self.Name, d.Self.Incarnation
+	d.book.busy = true
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, _appendTimeout)
+		defer cancel()
+		d.must(written{record: r, err: d.Append(ctx, r)})
+	}()
+}
+
+// written takes note of an append's end. Keys of a failed one are refused, and
+// its fences are written again before anything else.
+func (d *Desk) written(now time.Time, m written) {
+	d.book.busy = false
+	if m.err == nil {
+		return
+	}
+	if d.Log != nil {
+		d.Log.Warn("Keys were not journaled.", "err", m.err)
+	}
+	for _, f := range m.record.GetFences() {
+		if p := d.pools[f.GetPool()]; p != nil && p.term == f.GetTerm() {
+			d.book.batcher.AddFence(f.GetPool(), f.GetTerm())
+		}
+	}
+	for _, b := range m.record.GetBatches() {
+		for i := 0; i+keys.Size <= len(b.GetKeys()); i += keys.Size {
+			d.settle(now, keys.Key(b.GetKeys()[i:i+keys.Size]), broker.JournalFailed)
+		}
+	}
+}
+
+// readKeys applies the keys stream and settles the requests that wait for it.
+func (d *Desk) readKeys(now time.Time, l []platform.Record) {
+	for _, r := range l {
+		var m keys.Record
+		if err := proto.Unmarshal(r.Data(), &m); err != nil {
+			m.Reset()
+		}
+		starts, err := d.book.journal.Apply(r.Offset(), &m)
+		if err != nil && d.Log != nil {
+			d.Log.Warn("Keys record is damaged.", "err", err)
+		}
+		for _, s := range starts {
+			d.started(now, s)
+		}
+	}
+	d.book.journal.Expire(now)
+}
+
+// started settles one key. A key that this process started for a request that
+// was refused meanwhile may be used by the next request with it.
+func (d *Desk) started(now time.Time, s keys.Start) {
+	own := s.Entry == d.Self.Name && s.Incarnation == d.Self.Incarnation
+	if !own {
+		return
+	}
+	w, waits := d.book.waiting[s.Key]
+	waits = waits && w.term == s.Term
+	switch {
+	case s.Verdict == keys.Started && waits:
+		d.settle(now, s.Key, broker.JournalStarted)
+	case s.Verdict == keys.Started:
+		d.book.journal.Release(s.Key)
+	case waits && s.Verdict == keys.Duplicate:
+		d.settle(now, s.Key, broker.JournalDuplicate)
+	case waits:
+		d.settle(now, s.Key, broker.JournalFailed)
+	}
+}
+
+func (d *Desk) settle(now time.Time, k keys.Key, r broker.JournalResult) {
+	w, ok := d.book.waiting[k]
+	if !ok {
+		return
+	}
+	delete(d.book.waiting, k)
+	if p := d.pools[w.pool]; p != nil && p.term == w.term {
+		d.perform(now, p, p.broker.Journaled(now, w.request, r))
+		return
+	}
+	if r == broker.JournalStarted {
+		d.book.journal.Release(k)
+	}
+}
--- /dev/null
+++ b/entry/internal/slots/desk.go
@@ -0,0 +1,205 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/charmbracelet/log"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/internal/duty"
+	"fescuelanding/entry/internal/view"
+	"fescuelanding/entry/keys"
+	"fescuelanding/fleet/platform"
+)
+
+var (
+	// ErrNotOwner means that the pool's broker runs elsewhere.
+	ErrNotOwner = errors.New("another entry owns the pool")
+	// ErrBusy means that the desk's ring is full; nothing was asked.
+	ErrBusy = errors.New("desk is busy")
+)
+
+// notOwner answers asks of a pool that isn't owned, or not any more.
+type notOwner struct{ broker.Refuse }
+
+// Desk runs the brokers of one entry. Its fields are set before Start.
+type Desk struct {
+	// Self is the process that owns.
+	Self broker.Entry
+	// FetchHolds asks an entry, this one included, for what it holds and has
+	// witnessed in a pool. It is called on goroutines of its own, again and
+	// again until it succeeds or the term ends.
+	FetchHolds func(ctx context.Context, entry, pool string, term uint64) ([]broker.Hold, error)
+	// Append writes a record to the keys stream.
+	Append func(ctx context.Context, r *keys.Record) error
+	// Log receives what is worth noting; it may be nil.
+	Log *log.Logger
+
+	duty  *duty.Duty[message]
+	stop  context.CancelFunc
+	ctx   context.Context
+	pools map[string]*pool
+	view  *view.View
+	book  book
+}
+
+// Start begins the duty.
+func (d *Desk) Start(s *actor.ActorSystem) error {
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	d.pools = map[string]*pool{}
+	d.view = &view.View{}
+	u, err := duty.Spawn(s, "slots", _ring, duty.Refuse, d.handle, duty.WithTick[message](_tick, tick{}))
+	if err != nil {
+		return fmt.Errorf("start slots: %w", err)
+	}
+	d.duty = u
+	return nil
+}
+
+// Stop ends the duty after what was posted.
+func (d *Desk) Stop() {
+	d.stop()
+	d.duty.Stop()
+}
+
+// Ask asks a pool's broker for a slot and waits for its answer: a Grant, a
+// Refuse or a Repeat. Where the context ends first, the request is cancelled and
+// a grant that comes later goes back unused.
+func (d *Desk) Ask(ctx context.Context, pool string, a broker.Ask) (broker.Op, error) {
+	c := make(chan broker.Op, 1)
+	if err := d.duty.Post(ask{pool: pool, ask: a, reply: c}); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBusy, err)
+	}
+	select {
+	case o := <-c:
+		if _, ok := o.(notOwner); ok {
+			return nil, ErrNotOwner
+		}
+		return o, nil
+	case <-ctx.Done():
+		d.Cancel(pool, a.Request)
+		return nil, fmt.Errorf("wait for slot: %w", ctx.Err())
+	}
+}
+
+// Cancel takes a request out of the queue. The asker must not use a grant of
+// it any more.
+func (d *Desk) Cancel(pool string, request uint64) {
+	d.must(cancel{pool: pool, request: request})
+}
+
+// Done gives a slot back.
+func (d *Desk) Done(pool string, slot uint64, r broker.Result) {
+	d.must(done{pool: pool, slot: slot, result: r})
+}
+
+// Show gives the desk a newer view.
+func (d *Desk) Show(v *view.View) { d.must(shown{view: v}) }
+
+// Lost tells the desk that a process of an entry is silent.
+func (d *Desk) Lost(e broker.Entry) { d.must(lost{entry: e}) }
+
+// Read gives the desk the next records of the keys stream.
+func (d *Desk) Read(l []platform.Record) { d.must(read{records: l}) }
+
+// must posts what can't be refused: it waits while the ring is full. The duty
+// waits for nobody, so that this ends.
+func (d *Desk) must(m message) {
+	for errors.Is(d.duty.Post(m), duty.ErrFull) {
+		time.Sleep(_poll)
+	}
+}
+
+// handle applies one message.
+func (d *Desk) handle(now time.Time, m message) {
+	switch m := m.(type) {
+	case ask:
+		d.ask(now, m)
+	case done:
+		if p := d.pools[m.pool]; p != nil {
+			p.done(now, m)
+			d.perform(now, p, p.broker.Done(now, m.slot, m.result))
+		}
+	case cancel:
+		d.cancel(now, m)
+	case shown:
+		d.shown(now, m.view)
+	case reported:
+		d.reported(now, m)
+	case lost:
+		for _, p := range d.pools {
+			d.perform(now, p, p.broker.EntryLost(now, m.entry))
+		}
+	case read:
+		d.readKeys(now, m.records)
+	case written:
+		d.written(now, m)
+	case inspect:
+		m.use(d.pools)
+	case tick:
+		d.tick(now)
+	}
+}
+
+func (d *Desk) ask(now time.Time, m ask) {
+	p := d.pools[m.pool]
+	if p == nil {
+		m.reply <- notOwner{}
+		return
+	}
+	p.waiting[m.ask.Request] = m.reply
+	d.perform(now, p, p.broker.Ask(now, m.ask))
+}
+
+func (d *Desk) cancel(now time.Time, m cancel) {
+	p := d.pools[m.pool]
+	if p == nil {
+		return
+	}
+	delete(p.waiting, m.request)
+	if slot, ok := p.granted[m.request]; ok {
+		p.done(now, done{slot: slot})
+		d.perform(now, p, p.broker.Done(now, slot, broker.Result{Outcome: broker.NotSent}))
+		return
+	}
+	d.perform(now, p, p.broker.Cancel(now, m.request))
+}
+
+// tick does what time has made due.
+func (d *Desk) tick(now time.Time) {
+	for _, p := range d.pools {
+		if t := p.broker.Next(); !t.IsZero() && !now.Before(t) {
+			d.perform(now, p, p.broker.Tick(now))
+		}
+	}
+	d.flushKeys(now)
+}
+
+// perform carries out what a broker decided.
+func (d *Desk) perform(now time.Time, p *pool, ops []broker.Op) {
+	for _, o := range ops {
+		switch o := o.(type) {
+		case broker.Grant:
+			d.grant(now, p, o)
+		case broker.Refuse:
+			p.reply(o.Request, o)
+		case broker.Repeat:
+			p.reply(o.Request, o)
+		case broker.Journal:
+			d.journal(now, p, o)
+		}
+	}
+}
+
+// grant answers an asker, or takes the slot back where nobody waits any more.
+func (d *Desk) grant(now time.Time, p *pool, g broker.Grant) {
+	if p.reply(g.Request, g) {
+		p.granted[g.Request], p.requests[g.Slot] = g.Slot, g.Request
+		return
+	}
+	d.perform(now, p, p.broker.Done(now, g.Slot, broker.Result{Outcome: broker.NotSent}))
+}
--- /dev/null
+++ b/entry/internal/slots/pool.go
@@ -0,0 +1,213 @@
+package slots
+
+import (
+	"context"
+	"time"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/internal/view"
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/config"
+)
+
+const (
+	_fetchTimeout = 300 * time.Millisecond
+	_fetchPause   = 50 * time.Millisecond
+)
+
+// pool is a pool that this entry owns.
+type pool struct {
+	name   string
+	term   uint64
+	broker broker.Broker
+	stop   context.CancelFunc
+	// former is the owner before this term, where it is known.
+	former broker.Entry
+	// waiting has the reply channel of each request that asked.
+	waiting map[uint64]chan<- broker.Op
+	// granted and requests relate the requests and slots in use.
+	granted  map[uint64]uint64
+	requests map[uint64]uint64
+	// reports gathers what entries reported while the former owner hasn't.
+	reports map[uint64]broker.Hold
+	missing map[broker.Entry]bool
+	config  config.Config
+}
+
+// reply answers a request that waits, once.
+func (p *pool) reply(request uint64, o broker.Op) bool {
+	c, ok := p.waiting[request]
+	if !ok {
+		return false
+	}
+	delete(p.waiting, request)
+	c <- o
+	return true
+}
+
+// done forgets which request had a slot.
+func (p *pool) done(_ time.Time, m done) {
+	if r, ok := p.requests[m.slot]; ok {
+		delete(p.granted, r)
+		delete(p.requests, m.slot)
+	}
+}
+
+// close sends everyone who waits to the next owner.
+func (p *pool) close() {
+	p.stop()
+	for r := range p.waiting {
+		p.reply(r, notOwner{})
+	}
+}
+
+// shown takes up, goes on with, and lets go of pools as a view says.
+func (d *Desk) shown(now time.Time, v *view.View) {
+	if v.Offset() < d.view.Offset() {
+		return
+	}
+	old := d.view
+	d.view = v
+	if t := v.Config().Fleet().KeyWindow(); t > 0 {
+		d.book.journal.SetWindow(t)
+	}
+	for n, p := range d.pools {
+		if o, ok := v.Broker(n); !ok || !d.owns(o) || o.Term() != p.term {
+			p.close()
+			delete(d.pools, n)
+		}
+	}
+	for _, c := range v.Config().Pools() {
+		o, ok := v.Broker(c.Name())
+		if !ok || !d.owns(o) {
+			continue
+		}
+		if p := d.pools[c.Name()]; p != nil {
+			d.update(now, p, v)
+			continue
+		}
+		d.takeOver(now, c.Name(), o, old, v)
+	}
+}
+
+func (d *Desk) owns(o fleet.Owner) bool {
+	return o.Entry() == d.Self.Name && o.Incarnation() == d.Self.Incarnation
+}
+
+// takeOver begins a term: the broker counts every slot as taken until the
+// registered entries have reported what they hold.
+func (d *Desk) takeOver(now time.Time, name string, o fleet.Owner, old, v *view.View) {
+	ctx, stop := context.WithCancel(d.ctx)
+	p := &pool{
+		name: name, term: o.Term(), stop: stop,
+		waiting: map[uint64]chan<- broker.Op{}, granted: map[uint64]uint64{}, requests: map[uint64]uint64{},
+		reports: map[uint64]broker.Hold{}, missing: map[broker.Entry]bool{},
+	}
+	if f, ok := old.Broker(name); ok {
+		p.former = broker.Entry{Name: f.Entry(), Incarnation: f.Incarnation()}
+	}
+	d.pools[name] = p
+	p.broker.SetKeys(&d.book.journal)
+	d.update(now, p, v)
+	t := broker.Takeover{Term: p.term, Owner: d.Self}
+	for _, e := range v.Entries() {
+		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
+		t.Expected = append(t.Expected, b)
+		p.missing[b] = true
+		go d.fetch(ctx, p.name, p.term, b)
+	}
+	d.book.batcher.AddFence(name, p.term)
+	d.perform(now, p, p.broker.Takeover(now, t))
+	if d.Log != nil {
+		d.Log.Info("Pool taken over.", "pool", name, "term", p.term)
+	}
+}
+
+// fetch asks one entry for its holds until it answers or the term ends.
+func (d *Desk) fetch(ctx context.Context, pool string, term uint64, e broker.Entry) {
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, _fetchTimeout)
+		l, err := d.FetchHolds(c, e.Name, pool, term)
+		cancel()
+		if err == nil {
+			d.must(reported{pool: pool, term: term, of: e, holds: l})
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(_fetchPause):
+		}
+	}
+}
+
+// reported takes in one report. Where all but the former owner have reported,
+// what they witnessed for it stands for its own report.
+func (d *Desk) reported(now time.Time, m reported) {
+	p := d.pools[m.pool]
+	if p == nil || p.term != m.term {
+		return
+	}
+	var own []broker.Hold
+	for _, h := range m.holds {
+		p.reports[h.Slot] = h
+		if h.Entry == m.of {
+			own = append(own, h)
+		}
+	}
+	delete(p.missing, m.of)
+	d.perform(now, p, p.broker.Report(now, m.of, own))
+	if len(p.missing) == 1 && p.missing[p.former] {
+		d.perform(now, p, p.broker.Report(now, p.former, p.witnessed(p.former)))
+	}
+}
+
+// witnessed returns what others reported about an entry.
+func (p *pool) witnessed(of broker.Entry) []broker.Hold {
+	var l []broker.Hold
+	for _, h := range p.reports {
+		if h.Entry == of {
+			l = append(l, h)
+		}
+	}
+	return l
+}
+
+// update gives a broker the configuration and the hosts of a view.
+func (d *Desk) update(now time.Time, p *pool, v *view.View) {
+	if c := v.Config(); !c.Equal(p.config) || p.config.Equal(config.Config{}) {
+		p.config = c
+		d.perform(now, p, p.broker.SetLimits(now, limits(c, p.name)))
+	}
+	var hosts []broker.Host
+	for _, h := range v.Pool(p.name) {
+		c, ok := v.Config().Host(h.Name())
+		if !ok {
+			continue
+		}
+		b := broker.Host{Name: h.Name(), Rack: c.Rack(), DataCentre: c.DataCentre(), Slots: c.Slots()}
+		if h.Available() {
+			b.Duty = broker.Serving
+		}
+		hosts = append(hosts, b)
+	}
+	d.perform(now, p, p.broker.SetHosts(now, hosts))
+}
+
+// limits returns what the configuration says about the requests of a pool.
+func limits(c config.Config, name string) broker.Limits {
+	var l broker.Limits
+	if p, ok := c.Pool(name); ok {
+		l.MinAvailable = p.MinAvailable()
+	}
+	for _, k := range c.Classes() {
+		b := broker.Class{Name: k.Name(), StartWithin: k.StartWithin(), Deadline: k.Deadline(), MaxRun: k.MaxRun()}
+		if k.Urgent() {
+			b.Urgency = broker.Urgent
+		}
+		l.Classes = append(l.Classes, b)
+	}
+	for _, t := range c.Teams() {
+		l.Teams = append(l.Teams, broker.Team{Name: t.Name(), Weight: t.Weight(), Quota: t.Quota()})
+	}
+	return l
+}
