--- a/entry/internal/follow/follower.go
+++ b/entry/internal/follow/follower.go
@@ -44,7 +44,7 @@
 	Log *log.Logger
 
 	mu     sync.Mutex
-	state  fleet.State
+	state  *fleet.State
 	recent []platform.Record
 }
 
@@ -84,14 +84,14 @@
 func (f *Follower) Offset() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Offset()
+	return f.current().Offset()
 }
 
 // With calls a function with the state, which it must not keep or change.
 func (f *Follower) With(use func(*fleet.State)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	use(&f.state)
+	use(f.current())
 }
 
 // Recent returns the kept records from an offset on, at most n, and the offsets
@@ -99,7 +99,7 @@
 func (f *Follower) Recent(from uint64, n int) (l []platform.Record, first, head uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	head = f.state.Offset()
+	head = f.current().Offset()
 	first = head + 1
 	if len(f.recent) > 0 {
 		first = f.recent[0].Offset()
@@ -115,6 +115,7 @@
 func (f *Follower) take(l []platform.Record, pass bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.current()
 	n, changed := 0, false
 	for _, r := range l {
 		if r.Offset() <= f.state.Offset() {
@@ -133,7 +134,7 @@
 		f.Push(l)
 	}
 	if changed || f.state.Offset() <= uint64(n) {
-		f.Show(view.New(&f.state))
+		f.Show(view.New(f.state))
 	}
 }
 
@@ -157,6 +158,14 @@
 	return err == nil
 }
 
+// current returns the state, empty at first. The lock is held.
+func (f *Follower) current() *fleet.State {
+	if f.state == nil {
+		f.state = &fleet.State{}
+	}
+	return f.state
+}
+
 func (f *Follower) keep(r platform.Record) {
 	f.recent = append(f.recent, r)
 	if len(f.recent) >= 2*_kept {
--- a/entry/internal/follow/recover.go
+++ b/entry/internal/follow/recover.go
@@ -49,12 +49,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s.Offset() <= f.state.Offset() {
+	if s.Offset() <= f.current().Offset() {
 		return ErrNoCheckpoint
 	}
-	f.state = *s
+	f.state = s
 	f.recent = nil
-	f.Show(view.New(&f.state))
+	f.Show(view.New(s))
 	return nil
 }
 
--- /dev/null
+++ b/entry/internal/remote/convert.go
@@ -0,0 +1,155 @@
+package remote
+
+import (
+	"time"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/keys"
+	"fescuelanding/entry/peer"
+	"fescuelanding/fleet/platform"
+)
+
+// askMessage encodes an ask. Times travel as what is left of them, so that
+// clocks need not agree.
+func askMessage(now time.Time, pool string, a broker.Ask) *peer.Ask {
+	m := &peer.Ask{
+		RequestId: a.Request, Pool: pool, Service: a.Service, Class: a.Class, Team: a.Team,
+		Idempotent: a.Idempotent, DeadlineLeftMs: a.Deadline.Sub(now).Milliseconds(),
+		Attempt: uint32(a.Attempt), ExcludedHosts: a.Exclude,
+	}
+	if !a.Key.IsZero() {
+		m.Key = a.Key[:]
+	}
+	return m
+}
+
+// askFrom decodes an ask of a process.
+func askFrom(now time.Time, from peer.Identity, m *peer.Ask) broker.Ask {
+	return broker.Ask{
+		Request: m.GetRequestId(), Entry: entryOf(from),
+		Service: m.GetService(), Class: m.GetClass(), Team: m.GetTeam(), Key: keyOf(m.GetKey()),
+		Idempotent: m.GetIdempotent(), Deadline: now.Add(milliseconds(m.GetDeadlineLeftMs())),
+		Attempt: int(m.GetAttempt()), Exclude: m.GetExcludedHosts(),
+	}
+}
+
+// opMessage encodes a broker's answer.
+func opMessage(now time.Time, o broker.Op) peer.Message {
+	switch o := o.(type) {
+	case broker.Grant:
+		return &peer.Grant{
+			RequestId: o.Request, Term: o.Term, Host: o.Host, SlotId: o.Slot,
+			LeftMs: o.Until.Sub(now).Milliseconds(),
+		}
+	case broker.Refuse:
+		return &peer.Refuse{
+			RequestId: o.Request, Code: uint32(o.Reason), Never: o.Never,
+			RetryAfterMs: o.RetryAfter.Milliseconds(),
+		}
+	case broker.Repeat:
+		m := &peer.Answered{RequestId: o.Request, Outcome: peer.Outcome(o.Outcome), Stored: o.Answer}
+		return m
+	default:
+		return &peer.Refuse{Reason: peer.RefuseReason_REFUSE_REASON_NOT_OWNER}
+	}
+}
+
+// opFrom decodes a broker's answer to a process; ok is false where the entry
+// is not the broker, or busy.
+func opFrom(now time.Time, self broker.Entry, m peer.Message) (broker.Op, bool) {
+	switch m := m.(type) {
+	case *peer.Grant:
+		return broker.Grant{
+			Request: m.GetRequestId(), Entry: self, Slot: m.GetSlotId(), Host: m.GetHost(),
+			Term: m.GetTerm(), Until: now.Add(milliseconds(m.GetLeftMs())),
+		}, true
+	case *peer.Refuse:
+		if m.GetReason() != peer.RefuseReason_REFUSE_REASON_UNSPECIFIED {
+			return nil, false
+		}
+		return broker.Refuse{
+			Request: m.GetRequestId(), Entry: self, Reason: broker.Reason(m.GetCode()),
+			RetryAfter: milliseconds(m.GetRetryAfterMs()), Never: m.GetNever(),
+		}, true
+	case *peer.Answered:
+		return broker.Repeat{
+			Request: m.GetRequestId(), Entry: self, Outcome: keys.Outcome(m.GetOutcome()), Answer: m.GetStored(),
+		}, true
+	default:
+		return nil, false
+	}
+}
+
+// holdMessage encodes a hold.
+func holdMessage(now time.Time, h broker.Hold) *peer.Hold {
+	m := &peer.Hold{
+		SlotId: h.Slot, RequestId: h.Request, Host: h.Host, Service: h.Service, Class: h.Class, Team: h.Team,
+		Entry: h.Entry.Name, Incarnation: h.Entry.Incarnation, Term: h.Term,
+		LeftMs: h.Until.Sub(now).Milliseconds(),
+	}
+	if !h.Key.IsZero() {
+		m.Key = h.Key[:]
+	}
+	return m
+}
+
+// holdFrom decodes a hold.
+func holdFrom(now time.Time, m *peer.Hold) broker.Hold {
+	return broker.Hold{
+		Slot: m.GetSlotId(), Request: m.GetRequestId(), Host: m.GetHost(),
+		Service: m.GetService(), Class: m.GetClass(), Team: m.GetTeam(),
+		Entry: broker.Entry{Name: m.GetEntry(), Incarnation: m.GetIncarnation()},
+		Key:   keyOf(m.GetKey()), Term: m.GetTerm(), Until: now.Add(milliseconds(m.GetLeftMs())),
+	}
+}
+
+// doneMessage encodes the end of a hold.
+func doneMessage(pool string, slot uint64, r broker.Result) *peer.Done {
+	return &peer.Done{
+		Pool: pool, SlotId: slot, Result: uint32(r.Outcome), RunTimeUs: r.Run.Microseconds(), Stored: r.Answer,
+	}
+}
+
+// resultFrom decodes the end of a hold.
+func resultFrom(m *peer.Done) broker.Result {
+	return broker.Result{
+		Outcome: broker.Outcome(m.GetResult()),
+		Run:     time.Duration(m.GetRunTimeUs()) * time.Microsecond,
+		Answer:  m.GetStored(),
+	}
+}
+
+// Push returns records as they are passed on.
+func Push(l []platform.Record) *peer.Push {
+	return &peer.Push{Stream: _fleetStream, Records: logRecords(l)}
+}
+
+func logRecords(l []platform.Record) []*peer.LogRecord {
+	m := make([]*peer.LogRecord, 0, len(l))
+	for _, r := range l {
+		m = append(m, &peer.LogRecord{Offset: r.Offset(), Data: r.Data()})
+	}
+	return m
+}
+
+func recordsFrom(m []*peer.LogRecord) []platform.Record {
+	l := make([]platform.Record, 0, len(m))
+	for _, r := range m {
+		l = append(l, platform.NewRecord(r.GetOffset(), r.GetData()))
+	}
+	return l
+}
+
+func entryOf(i peer.Identity) broker.Entry {
+	return broker.Entry{Name: i.Entry, Incarnation: i.Incarnation}
+}
+
+// keyOf returns a key, or zero where the bytes are none.
+func keyOf(b []byte) keys.Key {
+	if len(b) != keys.Size {
+		return keys.Key{}
+	}
+	return keys.Key(b)
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/entry/internal/remote/server.go
@@ -0,0 +1,105 @@
+package remote
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"fescuelanding/entry/internal/follow"
+	"fescuelanding/entry/internal/hold"
+	"fescuelanding/entry/internal/slots"
+	"fescuelanding/entry/peer"
+)
+
+const (
+	_maxRecords = 256
+	// _patience is how long an ask is kept beyond its deadline.
+	_patience = time.Second
+)
+
+// Server answers other entries. Its fields are set before use.
+type Server struct {
+	Desk     *slots.Desk
+	Table    *hold.Table
+	Follower *follow.Follower
+}
+
+// Handle takes a message; it never waits.
+func (s *Server) Handle(now time.Time, in peer.Inbound) {
+	switch m := in.Message().(type) {
+	case *peer.Ask:
+		go s.ask(now, in, m)
+	case *peer.Cancel:
+		go s.Desk.Cancel(m.GetPool(), m.GetRequestId())
+	case *peer.Done:
+		go s.done(in, m)
+	case *peer.FetchHolds:
+		reply(in, s.holds(now, in, m))
+	case *peer.Witness:
+		reply(in, s.witness(now, m))
+	case *peer.Push:
+		if m.GetStream() == _fleetStream {
+			go s.Follower.Offer(recordsFrom(m.GetRecords()))
+		}
+	case *peer.Fetch:
+		go s.fetch(in, m)
+	default:
+		reply(in, &peer.Fault{Detail: "not understood"})
+	}
+}
+
+// ask waits for the broker's answer on behalf of the asker.
+func (s *Server) ask(now time.Time, in peer.Inbound, m *peer.Ask) {
+	a := askFrom(now, in.From(), m)
+	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline.Add(_patience))
+	defer cancel()
+	o, err := s.Desk.Ask(ctx, m.GetPool(), a)
+	if err != nil {
+		r := peer.RefuseReason_REFUSE_REASON_NOT_OWNER
+		if errors.Is(err, slots.ErrBusy) {
+			r = peer.RefuseReason_REFUSE_REASON_BUSY
+		}
+		reply(in, &peer.Refuse{RequestId: m.GetRequestId(), Reason: r})
+		return
+	}
+	reply(in, opMessage(time.Now(), o))
+}
+
+func (s *Server) done(in peer.Inbound, m *peer.Done) {
+	s.Desk.Done(m.GetPool(), m.GetSlotId(), resultFrom(m))
+	reply(in, &peer.Ack{})
+}
+
+// holds reports to a new broker. One that is older than another reported to is
+// told nothing.
+func (s *Server) holds(now time.Time, in peer.Inbound, m *peer.FetchHolds) peer.Message {
+	l, ok := s.Table.Report(m.GetPool(), hold.Broker{Entry: in.From().Entry, Term: m.GetTerm()})
+	if !ok {
+		return &peer.Fault{Detail: "term is old"}
+	}
+	r := &peer.Holds{Pool: m.GetPool(), Term: m.GetTerm()}
+	for _, h := range l {
+		r.Holds = append(r.Holds, holdMessage(now, h))
+	}
+	return r
+}
+
+func (s *Server) witness(now time.Time, m *peer.Witness) peer.Message {
+	h := holdFrom(now, m.GetHold())
+	if m.GetReleased() {
+		s.Table.Unwitness(h.Slot)
+		return &peer.Ack{}
+	}
+	if !s.Table.Witness(now, m.GetPool(), h) {
+		return &peer.Fault{Detail: "term is old"}
+	}
+	return &peer.Ack{}
+}
+
+func (s *Server) fetch(in peer.Inbound, m *peer.Fetch) {
+	l, first, head := s.Follower.Recent(m.GetFrom(), _maxRecords)
+	reply(in, &peer.Records{Stream: m.GetStream(), Records: logRecords(l), First: first, Head: head})
+}
+
+// reply answers a call; a reply that can't be sent is as good as a lost one.
+func reply(in peer.Inbound, m peer.Message) { _ = in.Reply(m) }
--- /dev/null
+++ b/entry/internal/serve/send.go
@@ -0,0 +1,142 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/caller"
+	"fescuelanding/entry/upstream"
+)
+
+// send makes the attempt and waits for it, until the caller goes or the
+// deadline passes. The attempt itself goes on until the upstream is done or the
+// hold ends.
+func (r *request) send(ctx context.Context, pool, witness string, h broker.Hold) (end caller.End, again bool) {
+	c := make(chan outcome, 1)
+	p := r.pipe
+	left := r.Deadline().Sub(p.now())
+	host, _ := p.Table.View().Config().Host(h.Host)
+	a := upstream.NewAttempt(r.attemptID(), host.Address().String(), r.Method(), r.Target(), r.Header(), r.Body(), left)
+	p.running.Go(func() {
+		run, cancel := context.WithDeadline(context.WithoutCancel(ctx), h.Until)
+		start := p.now()
+		o := r.judge(p.Sender.Send(run, a), h.Host)
+		o.finish = func() {
+			cancel()
+			o.result.Run = p.now().Sub(start)
+			r.release(pool, witness, h, o.result)
+		}
+		c <- o
+	})
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case o := <-c:
+		return r.received(o)
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	p.running.Go(func() { (<-c).drain() })
+	return caller.Unknown{Status: http.StatusGatewayTimeout, Reason: "deadlineExceeded"}, false
+}
+
+// outcome is a judged result of an attempt.
+type outcome struct {
+	end    caller.End
+	again  bool
+	result broker.Result
+	rest   io.ReadCloser
+	finish func()
+}
+
+// drain reads what nobody waits for any more, so that the upstream is done.
+func (o outcome) drain() {
+	if o.rest != nil {
+		_, _ = io.Copy(io.Discard, o.rest)
+		_ = o.rest.Close()
+	}
+	o.finish()
+}
+
+// received passes an outcome on. A streamed answer gives its slot back at the
+// end of the stream.
+func (r *request) received(o outcome) (caller.End, bool) {
+	if o.rest == nil {
+		o.finish()
+		return o.end, o.again
+	}
+	if a, ok := o.end.(caller.Answered); ok && !o.again {
+		a.Rest = &streamed{outcome: o}
+		return a, false
+	}
+	r.pipe.running.Go(o.drain)
+	return o.end, o.again
+}
+
+// streamed is the rest of an answer on its way to the caller.
+type streamed struct {
+	outcome outcome
+	once    sync.Once
+}
+
+// Read implements io.Reader.
+func (s *streamed) Read(b []byte) (int, error) { return s.outcome.rest.Read(b) }
+
+// Close implements io.Closer. A caller that went away leaves the upstream to
+// finish.
+func (s *streamed) Close() error {
+	s.once.Do(s.outcome.drain)
+	return nil
+}
+
+// judge says what the result of an attempt means for the caller, the slot and
+// a further attempt.
+func (r *request) judge(v upstream.Result, host string) outcome {
+	switch v := v.(type) {
+	case upstream.Answer:
+		return r.judgeAnswer(v, host)
+	case upstream.NotSent:
+		return outcome{
+			end: r.otherwise(caller.NotRun{Reason: "upstreamUnreachable", RetryAfter: _comeBack}), again: true,
+			result: broker.Result{Outcome: broker.Unreachable},
+		}
+	case upstream.Declined:
+		r.left(v.Leaving(), host)
+		return outcome{
+			end: r.otherwise(caller.NotRun{Reason: "upstreamDeclined", RetryAfter: _comeBack}), again: true,
+			result: broker.Result{Outcome: broker.NotSent},
+		}
+	default:
+		return outcome{
+			end: caller.Unknown{Reason: "upstreamLost"}, again: r.Idempotent(),
+			result: broker.Result{Outcome: broker.Lost},
+		}
+	}
+}
+
+func (r *request) judgeAnswer(v upstream.Answer, host string) outcome {
+	r.left(v.Leaving(), host)
+	o := outcome{
+		end:    caller.Answered{Status: v.Status(), Header: v.Header(), Body: v.Body()},
+		result: broker.Result{Outcome: broker.Answered},
+		rest:   v.Rest(),
+	}
+	if v.Status() >= http.StatusInternalServerError {
+		o.result.Outcome = broker.Failed
+		o.again = r.Idempotent()
+	}
+	if !r.key.IsZero() && v.Rest() == nil {
+		o.result.Answer = storeAnswer(v)
+	}
+	return o
+}
+
+func (r *request) left(leaving bool, host string) {
+	if leaving && r.pipe.Leaving != nil {
+		r.pipe.Leaving(host)
+	}
+}
--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/book.go
@@ -117,7 +117,7 @@
 	case s.Verdict == keys.Started && waits:
 		d.settle(now, s.Key, broker.JournalStarted)
 	case s.Verdict == keys.Started:
-		d.book.journal.Release(s.Key)
+		d.book.journal.Finish(s.Key, keys.NotRun, nil)
 	case waits && s.Verdict == keys.Duplicate:
 		d.settle(now, s.Key, broker.JournalDuplicate)
 	case waits:
@@ -136,6 +136,6 @@
 		return
 	}
 	if r == broker.JournalStarted {
-		d.book.journal.Release(k)
+		d.book.journal.Finish(k, keys.NotRun, nil)
 	}
 }
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -160,7 +160,7 @@
 	if p == nil {
 		return
 	}
-	delete(p.waiting, m.request)
+	p.reply(m.request, notOwner{})
 	if slot, ok := p.granted[m.request]; ok {
 		p.done(now, done{slot: slot})
 		d.perform(now, p, p.broker.Done(now, slot, broker.Result{Outcome: broker.NotSent}))
