entry/peer: yamux and protobuf between entries

Cause: entries need calls, one-way pushes and a heartbeat that notices a frozen peer within a second; yamux's keepalive takes tens of seconds.

Change: a handshake with version, name and incarnation before any stream; a control and a bulk lane; calls multiplexed on the control lane; bounded queues, frames and streams; write deadlines; reconnection with backoff. A reply may come at any later time from any goroutine, since an Ask waits in the broker's queue. Both sides dial; the connection dialled by the smaller name is kept.

Ruled out: a stream for each call (a yamux stream costs two more frames and an accept for each call).

Hostile peers and reconnection are not tested yet.

--- /dev/null
+++ b/entry/peer/dial.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	_dialTimeout  = time.Second
+	_firstBackoff = 50 * time.Millisecond
+	_maxBackoff   = time.Second
+	// A connection that lasted this long resets the backoff.
+	_steadyAfter = 2 * time.Second
+)
+
+// SetPeers replaces the entries to stay connected with. This entry itself may
+// be among them. A connection with an entry that is no longer among them, or
+// has a new address, is kept while it lasts.
+func (s *Set) SetPeers(peers []Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = peers
+	for name := range s.errs {
+		if !s.wanted(name) {
+			delete(s.errs, name)
+		}
+	}
+	s.redial()
+}
+
+// wanted reports whether a peer of that name, or that address, is in SetPeers.
+func (s *Set) wanted(name string) bool {
+	return slices.ContainsFunc(s.peers, func(p Peer) bool { return p.Entry == name || p.Address == name })
+}
+
+// redial starts and stops dialers so that there is one for each address. An
+// address that is known with its entry isn't dialled without it.
+func (s *Set) redial() {
+	if s.ctx == nil || s.ctx.Err() != nil {
+		return
+	}
+	want := make(map[Peer]bool)
+	named := make(map[string]bool)
+	for _, p := range s.peers {
+		named[p.Address] = named[p.Address] || p.Entry != ""
+	}
+	for _, p := range s.peers {
+		if p.Entry != s.self.Entry && (p.Entry != "" || !named[p.Address]) {
+			want[p] = true
+		}
+	}
+	for p, cancel := range s.dialers {
+		if !want[p] {
+			cancel()
+			delete(s.dialers, p)
+		}
+	}
+	for p := range want {
+		if s.dialers[p] == nil {
+			ctx, cancel := context.WithCancel(s.ctx)
+			s.dialers[p] = cancel
+			s.wg.Go(func() { s.keep(ctx, p) })
+		}
+	}
+}
+
+// keep stays connected with a peer until ctx ends.
+func (s *Set) keep(ctx context.Context, p Peer) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.Multiplier = _firstBackoff, _maxBackoff, 2
+	entry := p.Entry
+	for ctx.Err() == nil {
+		if k := s.link(entry); k != nil {
+			s.awaitEnd(ctx, k)
+			if s.now().Sub(k.since) > _steadyAfter {
+				b.Reset()
+			}
+		} else if name, err := s.connect(ctx, p); err != nil {
+			s.fail(p, err)
+		} else {
+			entry = name
+			continue
+		}
+		pause(ctx, b.NextBackOff())
+	}
+}
+
+func (s *Set) awaitEnd(ctx context.Context, k *link) {
+	select {
+	case <-ctx.Done():
+	case <-k.done:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// connect dials a peer and returns its name once a link with it stands,
+// whichever side dialled it. The link is served in the background.
+func (s *Set) connect(ctx context.Context, p Peer) (string, error) {
+	c, err := s.dial(ctx, p.Address)
+	if err != nil {
+		return "", fmt.Errorf("dial %s: %w", p.Address, err)
+	}
+	var remote Identity
+	k, err := s.handshake(ctx, c, true, func() (Identity, error) {
+		return dialHello(c, s.self, p.Entry, func(r Identity) error {
+			remote = r
+			return s.decide(r, true)
+		})
+	})
+	if err == nil {
+		err = s.install(k)
+	}
+	switch {
+	case linkedAlready(err):
+		return remote.Entry, nil
+	case err != nil:
+		return "", fmt.Errorf("greet %s: %w", p.Address, err)
+	}
+	s.wg.Go(func() { s.serve(k) })
+	return remote.Entry, nil
+}
+
+// linkedAlready reports whether this side gave up a connection for one that
+// it has.
+func linkedAlready(err error) bool {
+	var r *RefusedError
+	return errors.As(err, &r) && r.code == RefusalCode_REFUSAL_CODE_DUPLICATE && !r.remote
+}
+
+func (s *Set) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, _dialTimeout)
+	defer cancel()
+	if s.Dial != nil {
+		return s.Dial(ctx, address)
+	}
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// fail keeps why a peer can't be reached, and logs it when that changes.
+func (s *Set) fail(p Peer, err error) {
+	name := p.Entry
+	if name == "" {
+		name = p.Address
+	}
+	s.mu.Lock()
+	old := s.errs[name]
+	if s.wanted(name) {
+		s.errs[name] = err
+	}
+	s.mu.Unlock()
+	if old == nil || old.Error() != err.Error() {
+		s.log.Warn("cannot connect", "peer", name, "err", err)
+	}
+}
--- /dev/null
+++ b/entry/peer/frame.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// byteReader reads no further than it is asked to, since the stream protocol
+// begins right behind the handshake.
+type byteReader struct{ io.Reader }
+
+// ReadByte implements io.ByteReader.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r, b[:])
+	return b[0], err
+}
+
+func writeFrame(w io.Writer, m proto.Message) error {
+	_, err := protodelim.MarshalTo(w, m)
+	return err
+}
+
+func readFrame(r io.Reader, m proto.Message) error {
+	o := protodelim.UnmarshalOptions{MaxSize: _maxHelloBytes}
+	return classify(o.UnmarshalFrom(byteReader{r}, m))
+}
+
+// classify adds the typed error to one of a connection or codec.
+func classify(err error) error {
+	var large *protodelim.SizeTooLargeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large), errors.Is(err, proto.Error):
+		return fmt.Errorf("%w: %w", ErrFrame, err)
+	case errors.Is(err, yamux.ErrTimeout), errors.Is(err, yamux.ErrConnectionWriteTimeout),
+		errors.Is(err, os.ErrDeadlineExceeded):
+		return fmt.Errorf("%w: %w", ErrSlow, err)
+	default:
+		return err
+	}
+}
+
+// timedConn gives each write a deadline, so that a peer that reads nothing
+// can't hold up the session's sender.
+type timedConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Write implements net.Conn.
+func (c timedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
