--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -33,8 +33,8 @@
 	for _, n := range s.names {
 		h := s.hosts[n]
 		if _, ok := c.Host(n); !ok {
-			if h.duty == Serving || h.duty == Draining || h.movingTo != "" {
-				return reject(ReasonHostInDuty, "host %s is %s, moving to %q", n, h.duty, h.movingTo)
+			if r := checkRemovable(h); r != nil {
+				return r
 			}
 			continue
 		}
@@ -47,6 +47,15 @@
 	return nil
 }
 
+// checkRemovable rejects the removal of a host that an entry may still send to,
+// or that is between pools.
+func checkRemovable(h Host) *Rejection {
+	if h.duty == Serving || h.duty == Draining || h.movingTo != "" {
+		return reject(ReasonHostInDuty, "host %s is %s, moving to %q", h.name, h.duty, h.movingTo)
+	}
+	return checkConfirmed(h)
+}
+
 // setConfig puts a configuration in force: its sections in the digest, its
 // pools with their budgets in the counts, and no host that it lacks.
 func (s *State) setConfig(c config.Config) {
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -73,8 +73,8 @@
 // CauseID returns the wave or recall of the cause, or "".
 func (h Host) CauseID() string { return h.causeID }
 
-// Step returns the offset of the drain or release that entries are to confirm,
-// or 0.
+// Step returns the offset of the drain, release or loss that entries are to
+// confirm, or 0.
 func (h Host) Step() uint64 { return h.step }
 
 // Basis returns the offset of the last accepted record about the host.
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -38,7 +38,7 @@
 	case *record.Record_HostServe:
 		return s.serve(a, h, b.HostServe)
 	case *record.Record_HostFail:
-		return fail(h), nil
+		return s.fail(a, h), nil
 	case *record.Record_HostRelease:
 		return s.release(a, h, b.HostRelease)
 	case *record.Record_HostAssign:
@@ -164,10 +164,12 @@
 	return h, nil
 }
 
-// fail records a loss. A move that was released goes on.
-func fail(h Host) Host {
-	if h.movingTo == "" {
-		h.step, h.waiting = 0, nil
+// fail records a loss. A move that was released goes on. Entries confirm the loss
+// of a host that served: until they have, one may still send to it, and it can't
+// be removed and come back in another pool.
+func (s *State) fail(a *action, h Host) Host {
+	if h.Available() {
+		h = s.await(a, h)
 	}
 	h.duty = Failed
 	return h
