config: check only what a change can have broken

A change of one team at 3,300 hosts took 1.66 ms, most of it in an index of all addresses that could not have changed. A full index kept in each Config was ruled out: it would be copied with each change of a host.

Keys and kinds are exported for the operator library.

--- a/fleet/config/check.go
+++ b/fleet/config/check.go
@@ -5,13 +5,17 @@
 	"net/netip"
 )
 
-// check notes what is wrong between sections.
+// check notes what is wrong between sections. The configuration before the
+// change was consistent, so it looks only at what the change can have broken.
 func (d *data) check(e *Invalid) {
 	d.checkFleet(e)
 	d.checkClasses(e)
-	d.checkPools(e)
+	if d.pools.touched() || d.hosts.touched() {
+		d.checkPools(e)
+	}
 	d.checkServices(e)
 	d.checkHosts(e)
+	d.checkAddresses(e)
 }
 
 func (d *data) checkFleet(e *Invalid) {
@@ -19,12 +23,12 @@
 	if f == nil || f.bufferWeight+f.rollOutWeight+f.moveWeight > 0 {
 		return
 	}
-	e.add(Problem{reason: ErrValue, kind: _kindFleet, key: "bufferWeight", found: "0", want: "one of the three weights above zero"})
+	e.add(Problem{reason: ErrValue, kind: KindFleet, key: KeyBufferWeight, found: "0", want: "one of the three weights above zero"})
 }
 
 func (d *data) checkClasses(e *Invalid) {
-	for _, c := range d.classes.rows {
-		p := Problem{reason: ErrValue, kind: _kindClass, name: c.name, key: _keyStartWithin}
+	for _, c := range d.classes.changed {
+		p := Problem{reason: ErrValue, kind: KindClass, name: c.name, key: KeyStartWithin}
 		switch {
 		case c.urgent && c.startWithin == 0:
 			p.reason, p.want = ErrMissing, "a value for it, as the class is urgent"
@@ -42,7 +46,7 @@
 		homes[h.home]++
 	}
 	for _, p := range d.pools.rows {
-		b := Problem{reason: ErrBudget, kind: _kindPool, name: p.name, key: _keyMinAvailable, found: fmt.Sprint(p.minAvailable)}
+		b := Problem{reason: ErrBudget, kind: KindPool, name: p.name, key: KeyMinAvailable, found: fmt.Sprint(p.minAvailable)}
 		switch {
 		case p.spare && p.minAvailable > 0:
 			b.want = "0, as the pool is spare"
@@ -55,45 +59,60 @@
 }
 
 func (d *data) checkServices(e *Invalid) {
-	for _, s := range d.services.rows {
-		p := Problem{reason: ErrReference, kind: _kindService, name: s.name, key: _keyPool, found: s.pool}
+	for _, s := range d.services.toCheck(d.pools.touched() || d.classes.removed) {
+		p := Problem{reason: ErrReference, kind: KindService, name: s.name, key: KeyPool, found: s.pool}
 		pool := d.pools.get(s.pool)
 		switch {
 		case pool == nil && s.pool != "":
-			p.want = header(_kindPool, s.pool)
+			p.want = header(KindPool, s.pool)
 			e.add(p)
 		case pool != nil && pool.spare:
 			p.reason, p.want = ErrValue, "a pool that isn't spare"
 			e.add(p)
 		}
 		if s.class != "" && d.classes.get(s.class) == nil {
-			p.reason, p.key, p.found, p.want = ErrReference, _keyClass, s.class, header(_kindClass, s.class)
+			p.reason, p.key, p.found, p.want = ErrReference, KeyClass, s.class, header(KindClass, s.class)
 			e.add(p)
 		}
 	}
 }
 
 func (d *data) checkHosts(e *Invalid) {
-	addresses := make(map[netip.AddrPort]string, len(d.hosts.rows))
-	for _, h := range d.hosts.rows {
-		p := Problem{reason: ErrReference, kind: _kindHost, name: h.name}
+	for _, h := range d.hosts.toCheck(d.dataCentres.removed || d.pools.removed) {
+		p := Problem{reason: ErrReference, kind: KindHost, name: h.name}
 		if h.dataCentre != "" && d.dataCentres.get(h.dataCentre) == nil {
-			p.key, p.found, p.want = _keyDataCentre, h.dataCentre, header(_kindDataCentre, h.dataCentre)
+			p.key, p.found, p.want = KeyDataCentre, h.dataCentre, header(KindDataCentre, h.dataCentre)
 			e.add(p)
 		}
 		if h.home != "" && d.pools.get(h.home) == nil {
-			p.key, p.found, p.want = _keyHome, h.home, header(_kindPool, h.home)
+			p.key, p.found, p.want = KeyHome, h.home, header(KindPool, h.home)
 			e.add(p)
 		}
-		if !h.address.IsValid() {
-			continue
+	}
+}
+
+// checkAddresses notes changed hosts with an address that another host has.
+func (d *data) checkAddresses(e *Invalid) {
+	if len(d.hosts.changed) == 0 {
+		return
+	}
+	owner := make(map[netip.AddrPort]string, len(d.hosts.changed))
+	for _, h := range d.hosts.changed {
+		if h.address.IsValid() {
+			owner[h.address] = ""
 		}
-		if other, ok := addresses[h.address]; ok {
-			p.reason, p.key, p.found = ErrDuplicate, _keyAddress, h.address.String()
-			p.want = fmt.Sprintf("an address of its own, %s has this one", header(_kindHost, other))
-			e.add(p)
-			continue
+	}
+	for _, h := range d.hosts.rows {
+		other, ok := owner[h.address]
+		switch {
+		case !ok:
+		case other == "":
+			owner[h.address] = h.name
+		default:
+			e.add(Problem{
+				reason: ErrDuplicate, kind: KindHost, name: h.name, key: KeyAddress, found: h.address.String(),
+				want: fmt.Sprintf("an address of its own, %s has this one", header(KindHost, other)),
+			})
 		}
-		addresses[h.address] = h.name
 	}
 }
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -91,7 +91,7 @@
 
 // checkSectionName returns what would be right where a name isn't, or "".
 func checkSectionName(s *record.Section) string {
-	if s.GetKind() == _kindFleet {
+	if s.GetKind() == KindFleet {
 		if s.GetName() != "" {
 			return "no name"
 		}
--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -94,6 +94,8 @@
 		{&record.ConfigChange{Removed: []*record.SectionRef{{Kind: "host", Name: "h9"}}}, config.ErrAbsent},
 		{&record.ConfigChange{Removed: []*record.SectionRef{{Kind: "zone", Name: "z"}}}, config.ErrAbsent},
 		{&record.ConfigChange{Removed: []*record.SectionRef{{Kind: "pool", Name: "spare"}}}, config.ErrReference},
+		{&record.ConfigChange{Removed: []*record.SectionRef{{Kind: "dataCentre", Name: "mct1"}}}, config.ErrReference},
+		{&record.ConfigChange{Removed: []*record.SectionRef{{Kind: "class", Name: "counter"}}}, config.ErrReference},
 		{&record.ConfigChange{Removed: []*record.SectionRef{{Kind: "host", Name: "h1"}}}, config.ErrBudget},
 		{&record.ConfigChange{Set: []*record.Section{{Kind: "team", Name: "a"}, {Kind: "team", Name: "a"}}}, config.ErrDuplicate},
 	}
--- a/fleet/config/schema.go
+++ b/fleet/config/schema.go
@@ -7,81 +7,109 @@
 
 // The kinds of section, in the order in which they are printed.
 const (
-	_kindFleet      = "fleet"
-	_kindDataCentre = "dataCentre"
-	_kindClass      = "class"
-	_kindTeam       = "team"
-	_kindPool       = "pool"
-	_kindService    = "service"
-	_kindHost       = "host"
+	KindFleet      = "fleet"
+	KindDataCentre = "dataCentre"
+	KindClass      = "class"
+	KindTeam       = "team"
+	KindPool       = "pool"
+	KindService    = "service"
+	KindHost       = "host"
 )
 
-// Keys that validation across sections names.
+// Keys of the fleet section.
 const (
-	_keyAddress      = "address"
-	_keyDataCentre   = "dataCentre"
-	_keyHome         = "home"
-	_keyPool         = "pool"
-	_keyClass        = "class"
-	_keyMinAvailable = "minAvailable"
-	_keyStartWithin  = "startWithin"
+	KeyMaintenanceEvery = "maintenanceEvery"
+	KeyLiveListLag      = "liveListLag"
+	KeyStalenessBound   = "stalenessBound"
+	KeyKeyWindow        = "keyWindow"
+	KeyBufferWeight     = "bufferWeight"
+	KeyRollOutWeight    = "rollOutWeight"
+	KeyMoveWeight       = "moveWeight"
+)
+
+// Keys of the sections of data centres, classes and teams.
+const (
+	KeyRegion      = "region"
+	KeyUrgent      = "urgent"
+	KeyStartWithin = "startWithin"
+	KeyDeadline    = "deadline"
+	KeyMaxRun      = "maxRun"
+	KeyWeight      = "weight"
+	KeyQuota       = "quota"
+)
+
+// Keys of the sections of pools, services and hosts.
+const (
+	KeyMinAvailable = "minAvailable"
+	KeyTolerate     = "tolerate"
+	KeySpare        = "spare"
+	KeyPool         = "pool"
+	KeyClass        = "class"
+	KeyIdempotent   = "idempotent"
+	KeyAddress      = "address"
+	KeyDataCentre   = "dataCentre"
+	KeyRack         = "rack"
+	KeyBatch        = "batch"
+	KeyHome         = "home"
+	KeySlots        = "slots"
+	KeyConnections  = "connections"
 )
 
 var _fleetFields = []field[Fleet]{
-	durationField("maintenanceEvery", func(f *Fleet) *time.Duration { return &f.maintenanceEvery }),
-	durationField("liveListLag", func(f *Fleet) *time.Duration { return &f.liveListLag }),
-	durationField("stalenessBound", func(f *Fleet) *time.Duration { return &f.stalenessBound }),
-	durationField("keyWindow", func(f *Fleet) *time.Duration { return &f.keyWindow }),
-	countField("bufferWeight", 0, func(f *Fleet) *int { return &f.bufferWeight }),
-	countField("rollOutWeight", 0, func(f *Fleet) *int { return &f.rollOutWeight }),
-	countField("moveWeight", 0, func(f *Fleet) *int { return &f.moveWeight }),
+	durationField(KeyMaintenanceEvery, func(f *Fleet) *time.Duration { return &f.maintenanceEvery }),
+	durationField(KeyLiveListLag, func(f *Fleet) *time.Duration { return &f.liveListLag }),
+	durationField(KeyStalenessBound, func(f *Fleet) *time.Duration { return &f.stalenessBound }),
+	durationField(KeyKeyWindow, func(f *Fleet) *time.Duration { return &f.keyWindow }),
+	countField(KeyBufferWeight, 0, func(f *Fleet) *int { return &f.bufferWeight }),
+	countField(KeyRollOutWeight, 0, func(f *Fleet) *int { return &f.rollOutWeight }),
+	countField(KeyMoveWeight, 0, func(f *Fleet) *int { return &f.moveWeight }),
 }
 
 var _dataCentreFields = []field[DataCentre]{
-	nameField("region", func(d *DataCentre) *string { return &d.region }).need(),
+	nameField(KeyRegion, func(d *DataCentre) *string { return &d.region }).need(),
 }
 
 var _classFields = []field[Class]{
-	flagField("urgent", func(c *Class) *bool { return &c.urgent }),
-	durationField(_keyStartWithin, func(c *Class) *time.Duration { return &c.startWithin }),
-	durationField("deadline", func(c *Class) *time.Duration { return &c.deadline }).need(),
-	durationField("maxRun", func(c *Class) *time.Duration { return &c.maxRun }).need(),
+	flagField(KeyUrgent, func(c *Class) *bool { return &c.urgent }),
+	durationField(KeyStartWithin, func(c *Class) *time.Duration { return &c.startWithin }),
+	durationField(KeyDeadline, func(c *Class) *time.Duration { return &c.deadline }).need(),
+	durationField(KeyMaxRun, func(c *Class) *time.Duration { return &c.maxRun }).need(),
 }
 
 var _teamFields = []field[Team]{
-	countField("weight", 1, func(t *Team) *int { return &t.weight }).need(),
-	countField("quota", 0, func(t *Team) *int { return &t.quota }),
+	countField(KeyWeight, 1, func(t *Team) *int { return &t.weight }).need(),
+	countField(KeyQuota, 0, func(t *Team) *int { return &t.quota }),
 }
 
 var _poolFields = []field[Pool]{
-	countField(_keyMinAvailable, 0, func(p *Pool) *int { return &p.minAvailable }),
-	domainField("tolerate", func(p *Pool) *Domain { return &p.tolerate }),
-	flagField("spare", func(p *Pool) *bool { return &p.spare }),
+	countField(KeyMinAvailable, 0, func(p *Pool) *int { return &p.minAvailable }),
+	domainField(KeyTolerate, func(p *Pool) *Domain { return &p.tolerate }),
+	flagField(KeySpare, func(p *Pool) *bool { return &p.spare }),
 }
 
 var _serviceFields = []field[Service]{
-	nameField(_keyPool, func(s *Service) *string { return &s.pool }).need(),
-	nameField(_keyClass, func(s *Service) *string { return &s.class }).need(),
-	flagField("idempotent", func(s *Service) *bool { return &s.idempotent }),
+	nameField(KeyPool, func(s *Service) *string { return &s.pool }).need(),
+	nameField(KeyClass, func(s *Service) *string { return &s.class }).need(),
+	flagField(KeyIdempotent, func(s *Service) *bool { return &s.idempotent }),
 }
 
 var _hostFields = []field[Host]{
-	addressField(_keyAddress, func(h *Host) *netip.AddrPort { return &h.address }).need(),
-	nameField(_keyDataCentre, func(h *Host) *string { return &h.dataCentre }).need(),
-	nameField("rack", func(h *Host) *string { return &h.rack }).need(),
-	nameField("batch", func(h *Host) *string { return &h.batch }),
-	nameField(_keyHome, func(h *Host) *string { return &h.home }).need(),
-	countField("slots", 1, func(h *Host) *int { return &h.slots }).need(),
-	countField("connections", 1, func(h *Host) *int { return &h.connections }).need(),
+	addressField(KeyAddress, func(h *Host) *netip.AddrPort { return &h.address }).need(),
+	nameField(KeyDataCentre, func(h *Host) *string { return &h.dataCentre }).need(),
+	nameField(KeyRack, func(h *Host) *string { return &h.rack }).need(),
+	nameField(KeyBatch, func(h *Host) *string { return &h.batch }),
+	nameField(KeyHome, func(h *Host) *string { return &h.home }).need(),
+	countField(KeySlots, 1, func(h *Host) *int { return &h.slots }).need(),
+	countField(KeyConnections, 1, func(h *Host) *int { return &h.connections }).need(),
 }
 
 // _kinds lists the kinds of section in the order of print.
 var _kinds = []kind{
-	newKind(_kindFleet, _fleetFields, newFleet, func(d *data) *table[Fleet] { return &d.fleet }),
-	newKind(_kindDataCentre, _dataCentreFields, func(n string) DataCentre { return DataCentre{name: n} }, func(d *data) *table[DataCentre] { return &d.dataCentres }),
-	newKind(_kindClass, _classFields, func(n string) Class { return Class{name: n} }, func(d *data) *table[Class] { return &d.classes }),
-	newKind(_kindTeam, _teamFields, func(n string) Team { return Team{name: n} }, func(d *data) *table[Team] { return &d.teams }),
-	newKind(_kindPool, _poolFields, func(n string) Pool { return Pool{name: n} }, func(d *data) *table[Pool] { return &d.pools }),
-	newKind(_kindService, _serviceFields, func(n string) Service { return Service{name: n} }, func(d *data) *table[Service] { return &d.services }),
-	newKind(_kindHost, _hostFields, func(n string) Host { return Host{name: n} }, func(d *data) *table[Host] { return &d.hosts }),
+	newKind(KindFleet, _fleetFields, newFleet, func(d *data) *table[Fleet] { return &d.fleet }),
+	newKind(KindDataCentre, _dataCentreFields, func(n string) DataCentre { return DataCentre{name: n} }, func(d *data) *table[DataCentre] { return &d.dataCentres }),
+	newKind(KindClass, _classFields, func(n string) Class { return Class{name: n} }, func(d *data) *table[Class] { return &d.classes }),
+	newKind(KindTeam, _teamFields, func(n string) Team { return Team{name: n} }, func(d *data) *table[Team] { return &d.teams }),
+	newKind(KindPool, _poolFields, func(n string) Pool { return Pool{name: n} }, func(d *data) *table[Pool] { return &d.pools }),
+	newKind(KindService, _serviceFields, func(n string) Service { return Service{name: n} }, func(d *data) *table[Service] { return &d.services }),
+	newKind(KindHost, _hostFields, func(n string) Host { return Host{name: n} }, func(d *data) *table[Host] { return &d.hosts }),
 }
--- a/fleet/config/table.go
+++ b/fleet/config/table.go
@@ -16,6 +16,9 @@
 type table[T row] struct {
 	rows  []*T
 	owned bool
+	// changed and removed tell what happened since the copy.
+	changed []*T
+	removed bool
 }
 
 // shared returns a copy that copies its rows before it changes them.
@@ -33,6 +36,7 @@
 // put adds a row or replaces the one with its name.
 func (t *table[T]) put(r *T) {
 	t.own()
+	t.changed = append(t.changed, r)
 	i, ok := t.find((*r).Name())
 	if ok {
 		t.rows[i] = r
@@ -48,10 +52,23 @@
 		return false
 	}
 	t.own()
+	t.removed = true
 	t.rows = slices.Delete(t.rows, i, i+1)
 	return true
 }
 
+// toCheck returns the rows that changed, or all of them where what they refer
+// to may have gone.
+func (t *table[T]) toCheck(all bool) []*T {
+	if all {
+		return t.rows
+	}
+	return t.changed
+}
+
+// touched reports whether a row was changed or removed.
+func (t *table[T]) touched() bool { return t.removed || len(t.changed) > 0 }
+
 // values returns copies of the rows.
 func (t *table[T]) values() []T {
 	r := make([]T, len(t.rows))
