standin: upstreams that count, and callers that check

What the entries promise can only be judged where the work runs. Executors echo a request's body and count runs by idempotency key, request and attempt, and the slots and connections held at a time; they don't refuse the ninth, they count it. Faults come by command or by request: slow, hang, half, crossed, late, fail, close, leaving, ghost.

The caller sends a bounded load, takes the next entry where a connection is refused as a balancer would, compares each answer with its request, and sets what the entries said against the upstreams' counts: untrue refusals, answers that never ran, second runs.

--- /dev/null
+++ b/standin/caller/load.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	_timeout     = 30 * time.Second
+	_maxWorkers  = 256
+	_maxRequests = 100_000
+)
+
+// Load is what is to be sent, and how fast.
+type Load struct {
+	// Entries are the base URLs of the entries' callers' side.
+	Entries []string
+	// Service is the first path segment.
+	Service string
+	// Requests is how many are sent, at most 100,000.
+	Requests int
+	// Workers is how many are under way at the same time, at most 256.
+	Workers int
+	// Rate is the number sent a second, as far as the workers allow; zero is
+	// unlimited.
+	Rate float64
+	// Keyed gives each request an idempotency key of its own.
+	Keyed bool
+	// Key, where set, is the idempotency key of all requests.
+	Key string
+	// Judge are control URLs of the upstream stand-ins.
+	Judge []string
+	// Team, Class, Deadline, Run and Fault become header fields, where set.
+	Team, Class, Deadline, RunFor, Fault string
+}
+
+// Run sends the load, and has it judged where there is a judge. It returns
+// early, with what was counted so far, once the context ends.
+func (l Load) Run(ctx context.Context) (*Report, error) {
+	if len(l.Entries) == 0 || l.Workers < 1 || l.Workers > _maxWorkers || l.Requests > _maxRequests {
+		return nil, fmt.Errorf("want entries, 1 to %d workers and at most %d requests", _maxWorkers, _maxRequests)
+	}
+	outcomes := l.send(ctx)
+	r := &Report{}
+	for _, o := range outcomes {
+		r.add(o)
+	}
+	if len(l.Judge) == 0 {
+		return r, nil
+	}
+	if err := judge(ctx, l.Judge, outcomes, r); err != nil {
+		return nil, fmt.Errorf("judge load: %w", err)
+	}
+	return r, nil
+}
+
+// send makes the requests and returns how each ended.
+func (l Load) send(ctx context.Context) []outcome {
+	limit := rate.NewLimiter(rate.Inf, 0)
+	if l.Rate > 0 {
+		limit = rate.NewLimiter(rate.Limit(l.Rate), 1)
+	}
+	t := &http.Transport{MaxIdleConnsPerHost: l.Workers}
+	defer t.CloseIdleConnections()
+	s := sender{load: l, client: &http.Client{Transport: t, Timeout: _timeout}, nonce: strconv.FormatUint(rand.Uint64(), 36)}
+	todo := make(chan int)
+	var mu sync.Mutex
+	var all []outcome
+	var g sync.WaitGroup
+	for range l.Workers {
+		g.Go(func() {
+			for n := range todo {
+				o := s.send(ctx, n, time.Now())
+				mu.Lock()
+				all = append(all, o)
+				mu.Unlock()
+			}
+		})
+	}
+	for n := range l.Requests {
+		if limit.Wait(ctx) != nil {
+			break
+		}
+		todo <- n
+	}
+	close(todo)
+	g.Wait()
+	return all
+}
--- /dev/null
+++ b/standin/caller/sender.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"fescuelanding/standin/upstream"
+)
+
+const (
+	_endHeader    = "Fescue-End"
+	_reasonHeader = "Fescue-Reason"
+)
+
+// end is how a request ended, as the caller sees it.
+type end int
+
+const (
+	endWrong end = iota
+	endAnswered
+	endNotRun
+	endUnknown
+	endCut
+	endNoEntry
+)
+
+// outcome is the end of one request.
+type outcome struct {
+	id     string
+	key    string
+	end    end
+	reason string
+	took   time.Duration
+}
+
+// sender sends requests of a load.
+type sender struct {
+	load   Load
+	client *http.Client
+	nonce  string // keeps the names of two loads apart
+}
+
+// send makes request n at the next entry that takes the connection.
+func (s sender) send(ctx context.Context, n int, now time.Time) outcome {
+	o := outcome{id: fmt.Sprintf("%s-%d", s.nonce, n), key: s.load.Key}
+	if s.load.Keyed {
+		o.key = o.id
+	}
+	o.end = endNoEntry
+	for i := range s.load.Entries {
+		e := s.load.Entries[(n+i)%len(s.load.Entries)]
+		if s.attempt(ctx, e, &o) {
+			break
+		}
+	}
+	o.took = time.Since(now)
+	return o
+}
+
+// attempt makes the request at an entry and reports whether it was connected.
+func (s sender) attempt(ctx context.Context, entry string, o *outcome) bool {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	body := []byte("body of " + o.id)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/"+s.load.Service+"/"+o.id, bytes.NewReader(body))
+	if err != nil {
+		o.reason = err.Error()
+		return true
+	}
+	// Without GetBody the transport can't repeat the request by itself.
+	r.GetBody = nil
+	s.setHeader(r.Header, o)
+	a, err := s.client.Do(r)
+	if err != nil {
+		o.end = endCut
+		if !connected.Load() {
+			o.end = endNoEntry
+		}
+		return connected.Load()
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		o.end = endCut
+		return true
+	}
+	o.reason = a.Header.Get(_reasonHeader)
+	o.end = s.check(a, b, body)
+	return true
+}
+
+func (s sender) setHeader(h http.Header, o *outcome) {
+	for n, v := range map[string]string{
+		upstream.RequestHeader: o.id,
+		upstream.RunHeader:     s.load.RunFor,
+		upstream.FaultHeader:   s.load.Fault,
+		"Idempotency-Key":      o.key,
+		"Fescue-Team":          s.load.Team,
+		"Fescue-Class":         s.load.Class,
+		"Fescue-Deadline":      s.load.Deadline,
+	} {
+		if v != "" {
+			h.Set(n, v)
+		}
+	}
+}
+
+// check returns the end that an answer tells, if it is this request's own. With
+// one key for all requests, the answer is that of the first to run.
+func (s sender) check(a *http.Response, got, sent []byte) end {
+	switch a.Header.Get(_endHeader) {
+	case "answered":
+		if s.load.Key == "" && a.StatusCode == http.StatusOK && !bytes.Equal(got, sent) {
+			return endWrong
+		}
+		return endAnswered
+	case "notRun":
+		return endNotRun
+	case "unknown":
+		return endUnknown
+	default:
+		return endWrong
+	}
+}
--- /dev/null
+++ b/standin/upstream/executor.go
@@ -0,0 +1,193 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Names of the header fields of requests and answers.
+const (
+	// RequestHeader names a request, the same in all of its attempts.
+	RequestHeader = "Standin-Request"
+	// RunHeader asks for a time to run, as a Go duration.
+	RunHeader = "Standin-Run"
+	// FaultHeader asks for a fault.
+	FaultHeader = "Standin-Fault"
+	// ExecutorHeader names the executor that answered.
+	ExecutorHeader = "Standin-Executor"
+	// SizeHeader is the size of the answer's body in bytes.
+	SizeHeader = "Standin-Size"
+
+	_attemptHeader = "Fescue-Attempt"
+	_endHeader     = "Fescue-End"
+	_leavingHeader = "Fescue-Leaving"
+	_keyHeader     = "Idempotency-Key"
+
+	_slowFactor    = 10
+	_headerTimeout = 5 * time.Second
+)
+
+// Executor runs requests. Like a real one it has slots and connections, but it
+// counts what goes over them instead of refusing it.
+type Executor struct {
+	name  string
+	run   time.Duration
+	tally *tally
+
+	mu    sync.Mutex
+	order order
+	last  attempt
+	gauge Gauge
+}
+
+// attempt is what an executor answers with.
+type attempt struct {
+	id   string
+	body []byte
+}
+
+// NewExecutor returns an executor that runs a request for a time unless the
+// request says how long.
+func NewExecutor(name string, run time.Duration) *Executor {
+	return &Executor{name: name, run: run, tally: &tally{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (e *Executor) Serve(l net.Listener) error {
+	s := http.Server{Handler: e, ConnState: e.countConnection, ReadHeaderTimeout: _headerTimeout}
+	if err := s.Serve(l); err != nil {
+		return fmt.Errorf("serve %s: %w", e.name, err)
+	}
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f := e.nextFault(Fault(r.Header.Get(FaultHeader)))
+	if f == FaultLeaving {
+		w.Header().Set(_endHeader, "notRun")
+		w.Header().Set(_leavingHeader, "true")
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	a := attempt{id: r.Header.Get(_attemptHeader), body: b}
+	before := e.begin(r, a)
+	defer e.end()
+	e.work(r, f)
+	e.answer(w, f, a, before)
+}
+
+func (e *Executor) nextFault(asked Fault) Fault {
+	if asked != FaultNone {
+		return asked
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.order.next()
+}
+
+// begin counts a run and returns the attempt before it.
+func (e *Executor) begin(r *http.Request, a attempt) attempt {
+	e.tally.count(r.Header.Get(_keyHeader), r.Header.Get(RequestHeader), a.id)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gauge.begin()
+	before := e.last
+	e.last = a
+	return before
+}
+
+func (e *Executor) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gauge.Slots--
+}
+
+// work passes the time that the run takes.
+func (e *Executor) work(r *http.Request, f Fault) {
+	d := e.run
+	if t, err := time.ParseDuration(r.Header.Get(RunHeader)); err == nil {
+		d = t
+	}
+	switch f {
+	case FaultFail:
+		return
+	case FaultHang:
+		<-r.Context().Done()
+		return
+	case FaultGhost:
+		time.Sleep(d)
+		return
+	case FaultSlow:
+		d *= _slowFactor
+	default:
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
+func (e *Executor) answer(w http.ResponseWriter, f Fault, a, before attempt) {
+	switch f {
+	case FaultFail:
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	case FaultHang, FaultClose:
+		panic(http.ErrAbortHandler)
+	case FaultCrossed:
+		a = attempt{id: "crossed", body: []byte("crossed")}
+	case FaultLate:
+		a = before
+	default:
+	}
+	w.Header().Set(_attemptHeader, a.id)
+	w.Header().Set(ExecutorHeader, e.name)
+	w.Header().Set(SizeHeader, strconv.Itoa(len(a.body)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	if f != FaultHalf {
+		_, _ = w.Write(a.body)
+		return
+	}
+	_, _ = w.Write(a.body[:len(a.body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (e *Executor) countConnection(_ net.Conn, s http.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		e.gauge.connect()
+	case http.StateClosed, http.StateHijacked:
+		e.gauge.Connections--
+	default:
+	}
+}
+
+// command sets the fault of the requests to come.
+func (e *Executor) command(o order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.order = o
+}
+
+func (e *Executor) read() Gauge {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gauge
+}
