--- /dev/null
+++ b/entry/internal/daemon/admin.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"fescuelanding/entry/peer"
+)
+
+// Status is the page at /status, as JSON.
+type Status struct {
+	Entry         string       `json:"entry"`
+	Incarnation   uint64       `json:"incarnation"`
+	DataCentre    string       `json:"dataCentre"`
+	AppliedOffset uint64       `json:"appliedOffset"`
+	Ready         bool         `json:"ready"`
+	Fresh         bool         `json:"fresh"`
+	Holds         int          `json:"holds"`
+	Owns          []string     `json:"owns"`
+	Planner       string       `json:"planner"`
+	Peers         []PeerStatus `json:"peers"`
+}
+
+// PeerStatus is what /status says of a peer.
+type PeerStatus struct {
+	Entry         string `json:"entry"`
+	Connected     bool   `json:"connected"`
+	Ready         bool   `json:"ready"`
+	AppliedOffset uint64 `json:"appliedOffset"`
+	RTTMicros     int64  `json:"rttMicros"`
+	Problem       string `json:"problem,omitempty"`
+}
+
+// serveAdmin begins to answer status, readiness, liveness and metrics.
+func (d *Daemon) serveAdmin(l net.Listener) *http.Server {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(d.status(time.Now()))
+	})
+	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready(time.Now()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	m.HandleFunc("GET /live", func(http.ResponseWriter, *http.Request) {})
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	s := &http.Server{Handler: m, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout}
+	d.run(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("Admin page can't be served.", "err", err)
+		}
+	})
+	return s
+}
+
+// status gathers the status page.
+func (d *Daemon) status(now time.Time) Status {
+	v := d.table.View()
+	s := Status{
+		Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.settings.DataCentre(),
+		AppliedOffset: d.follower.Offset(), Ready: d.ready(now), Fresh: d.table.IsFresh(now),
+		Holds: d.table.Len(), Owns: []string{}, Peers: []PeerStatus{},
+	}
+	if o, ok := v.Planner(); ok {
+		s.Planner = o.Entry()
+	}
+	for _, p := range v.Config().Pools() {
+		if o, ok := v.Broker(p.Name()); ok && o.Entry() == d.self.Name {
+			s.Owns = append(s.Owns, p.Name())
+		}
+	}
+	for _, p := range d.peers.Peers() {
+		s.Peers = append(s.Peers, peerStatus(p))
+	}
+	return s
+}
+
+func peerStatus(p peer.Status) PeerStatus {
+	s := PeerStatus{
+		Entry: p.Entry(), Connected: p.Connected(), Ready: p.Ready(),
+		AppliedOffset: p.AppliedOffset(), RTTMicros: p.RTT().Microseconds(),
+	}
+	if p.Err() != nil {
+		s.Problem = p.Err().Error()
+	}
+	return s
+}
--- /dev/null
+++ b/entry/internal/daemon/daemon.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/caller"
+	"fescuelanding/entry/internal/duty"
+	"fescuelanding/entry/internal/follow"
+	"fescuelanding/entry/internal/hold"
+	"fescuelanding/entry/internal/remote"
+	"fescuelanding/entry/internal/serve"
+	"fescuelanding/entry/internal/settings"
+	"fescuelanding/entry/internal/slots"
+	"fescuelanding/entry/internal/view"
+	"fescuelanding/entry/peer"
+	"fescuelanding/entry/upstream"
+	"fescuelanding/fleet/platform"
+)
+
+const (
+	_retryFor          = 200 * time.Millisecond
+	_headerTimeout     = 5 * time.Second
+	_idleTimeout       = time.Minute
+	_maxHeaderBytes    = 64 << 10
+	_balancerDelay     = time.Second
+	_handOverTimeout   = 3 * time.Second
+	_unregisterTimeout = 3 * time.Second
+)
+
+// Daemon is one process of an entry.
+type Daemon struct {
+	settings settings.Settings
+	self     broker.Entry
+	log      *log.Logger
+	platform *platform.Client
+	peers    *peer.Set
+	remote   remote.Client
+	table    *hold.Table
+	desk     slots.Desk
+	follower follow.Follower
+	pipe     serve.Pipe
+	sender   upstream.Sender
+	control  control
+	slotsFor chan struct{}
+
+	leaving atomic.Bool
+	proved  atomic.Int64 // nanoseconds from start to the last proof of the log's head
+	start   time.Time
+	threads sync.WaitGroup
+}
+
+// New builds the daemon of checked settings. It opens nothing yet.
+func New(s settings.Settings, l *log.Logger) *Daemon {
+	now := time.Now()
+	d := &Daemon{
+		settings: s, log: l, start: now,
+		self:     broker.Entry{Name: s.Name(), Incarnation: rand.Uint64() | 1},
+		platform: platform.New(s.Platform(), platform.WithCallTimeout(s.Timeout()), platform.WithRetryFor(_retryFor)),
+		slotsFor: make(chan struct{}, s.Requests()),
+	}
+	d.table = hold.New(d.self, now)
+	d.peers = peer.New(peer.Identity{Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: s.DataCentre()}, peer.WithLog(l))
+	d.remote = remote.Client{Self: d.self, Peers: d.peers}
+	d.desk = slots.Desk{Self: d.self, FetchHolds: d.fetchHolds, Append: d.appendKeys, Log: l.WithPrefix("slots")}
+	d.follower = follow.Follower{
+		Read: d.readFleet, Show: d.show, Proved: d.prove, Log: l.WithPrefix("log"),
+		Push: func(r []platform.Record) { d.peers.SendAll(remote.Push(r)) },
+	}
+	d.pipe = serve.Pipe{Self: d.self, Table: d.table, Slots: d.slots(), Sender: &d.sender}
+	d.control.daemon = d
+	server := &remote.Server{Desk: &d.desk, Table: d.table, Follower: &d.follower}
+	d.peers.Handle = server.Handle
+	d.peers.Beat = d.beat
+	return d
+}
+
+// Run serves until the context ends, then shuts down gracefully: no request is
+// cut, and the entry is unregistered last.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	system := duty.System(d.log.WithPrefix("duty"))
+	if err := d.desk.Start(system); err != nil {
+		return err
+	}
+	if err := d.control.begin(system); err != nil {
+		return err
+	}
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.run(func() { d.follower.Run(inner) })
+	d.run(func() { d.followKeys(inner) })
+	d.run(func() { _ = d.peers.Serve(inner, listeners.peer) })
+	admin := d.serveAdmin(listeners.admin)
+	server := d.serveCallers(listeners.caller)
+	d.log.Info("Entry started.", "entry", d.self.Name, "caller", listeners.caller.Addr())
+
+	<-ctx.Done()
+	d.shutDown(server)
+	stop()
+	d.control.end()
+	d.desk.Stop()
+	_ = admin.Close()
+	d.threads.Wait()
+	d.log.Info("Entry stopped.")
+	return nil
+}
+
+// run starts a thread that Run waits for.
+func (d *Daemon) run(f func()) { d.threads.Go(f) }
+
+// listeners are the sockets of an entry.
+type listeners struct{ caller, peer, admin net.Listener }
+
+func (d *Daemon) listen() (l listeners, err error) {
+	s := d.settings
+	if l.caller, err = net.Listen("tcp", s.Caller().String()); err != nil {
+		return l, fmt.Errorf("listen for callers: %w", err)
+	}
+	if l.peer, err = net.Listen("tcp", s.Peer().String()); err != nil {
+		return l, fmt.Errorf("listen for peers: %w", err)
+	}
+	if l.admin, err = net.Listen("tcp", s.Admin().String()); err != nil {
+		return l, fmt.Errorf("listen for admin: %w", err)
+	}
+	return l, nil
+}
+
+// serveCallers begins to take requests.
+func (d *Daemon) serveCallers(l net.Listener) *http.Server {
+	h := &caller.Handler{Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody()}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
+	}
+	d.run(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("Callers can't be served.", "err", err)
+		}
+	})
+	return s
+}
+
+// serve bounds the requests that are open at once.
+func (d *Daemon) serve(ctx context.Context, r caller.Request) caller.End {
+	select {
+	case d.slotsFor <- struct{}{}:
+		defer func() { <-d.slotsFor }()
+		return d.pipe.Serve(ctx, r)
+	default:
+		return caller.NotRun{Reason: "entryBusy", RetryAfter: time.Second}
+	}
+}
+
+// service finds a service and the deadline of a class.
+func (d *Daemon) service(name, class string) (caller.Service, time.Duration, bool) {
+	c := d.table.View().Config()
+	s, ok := c.Service(name)
+	if !ok {
+		return caller.Service{}, 0, false
+	}
+	if class == "" {
+		class = s.Class()
+	}
+	k, ok := c.Class(class)
+	return caller.Service{
+		Name: name, Pool: s.Pool(), Class: s.Class(), Idempotent: s.Idempotent(),
+	}, k.Deadline(), ok
+}
+
+func (d *Daemon) team(name string) bool {
+	_, ok := d.table.View().Config().Team(name)
+	return ok
+}
+
+// shutDown stops in the order that cuts nothing: unready, ownership handed
+// over, no more connections, requests finished, unregistered.
+func (d *Daemon) shutDown(s *http.Server) {
+	d.log.Info("Shutdown begins.")
+	d.leaving.Store(true)
+	s.SetKeepAlivesEnabled(false)
+	time.Sleep(_balancerDelay)
+	d.control.handOver(_handOverTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Shutdown())
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		d.log.Error("Requests were cut.", "err", err)
+	}
+	d.waitForRequests(ctx)
+	d.control.unregister(_unregisterTimeout)
+}
+
+// waitForRequests waits for attempts that go on without their caller.
+func (d *Daemon) waitForRequests(ctx context.Context) {
+	c := make(chan struct{})
+	go func() {
+		d.pipe.Wait()
+		close(c)
+	}()
+	select {
+	case <-c:
+	case <-ctx.Done():
+		d.log.Error("Attempts were cut.", "holds", d.table.Len())
+	}
+}
+
+// show passes a view on: first to the gate, then to those who act by it.
+func (d *Daemon) show(v *view.View) {
+	d.table.Show(v)
+	d.desk.Show(v)
+	d.control.shown()
+}
+
+// prove notes that the state was at the log's head.
+func (d *Daemon) prove(at time.Time) {
+	d.proved.Store(int64(at.Sub(d.start)))
+	d.table.Fresh(at.Add(d.stalenessBound()))
+}
+
+// proof returns when the log's head was last proved; ok is false for never.
+func (d *Daemon) proof() (time.Time, bool) {
+	n := d.proved.Load()
+	return d.start.Add(time.Duration(n)), n != 0
+}
+
+// ready reports whether the balancer may send callers.
+func (d *Daemon) ready(now time.Time) bool {
+	v := d.table.View()
+	e, ok := v.Entry(d.self.Name)
+	return !d.leaving.Load() && ok && e.Incarnation() == d.self.Incarnation &&
+		len(v.Config().Services()) > 0 && d.table.IsFresh(now)
+}
+
+// beat is the next heartbeat.
+func (d *Daemon) beat(now time.Time) *peer.Heartbeat {
+	age := int64(-1)
+	if t, ok := d.proof(); ok {
+		age = now.Sub(t).Milliseconds()
+	}
+	return &peer.Heartbeat{AppliedOffset: d.follower.Offset(), ProofAgeMs: age, Ready: d.ready(now)}
+}
--- /dev/null
+++ b/entry/internal/daemon/log.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/internal/follow"
+	"fescuelanding/entry/internal/hold"
+	"fescuelanding/entry/internal/serve"
+	"fescuelanding/entry/internal/slots"
+	"fescuelanding/entry/keys"
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/platform"
+	"fescuelanding/fleet/record"
+)
+
+const (
+	_keysWait       = 500 * time.Millisecond
+	_keysPause      = 100 * time.Millisecond
+	_idBytes        = 16
+	_stalenessBound = 5 * time.Second
+)
+
+// stalenessBound returns how long the entry may act on a view that it can't
+// prove to be the newest.
+func (d *Daemon) stalenessBound() time.Duration {
+	if t := d.table.View().Config().Fleet().StalenessBound(); t > 0 {
+		return t
+	}
+	return _stalenessBound
+}
+
+func (d *Daemon) readFleet(ctx context.Context, from uint64, wait time.Duration) (platform.Batch, error) {
+	b, err := d.platform.Read(ctx, follow.Stream, from, wait)
+	if err != nil {
+		return b, fmt.Errorf("read fleet: %w", err)
+	}
+	return b, nil
+}
+
+// append writes a record, its basis taken from the present state, and returns
+// once it stands in the log. Whether it was accepted shows when it is applied.
+func (d *Daemon) append(ctx context.Context, r *record.Record) error {
+	r.Id = make([]byte, _idBytes)
+	_, _ = rand.Read(r.Id)
+	r.Writer, r.AtUnixMs = d.self.Name, time.Now().UnixMilli()
+	var after uint64
+	d.follower.With(func(s *fleet.State) {
+		r.Basis, after = s.Basis(r), s.Offset()
+	})
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	_, err = d.platform.AppendRecord(ctx, follow.Stream, after, b, func(data []byte) bool {
+		var m record.Record
+		return proto.Unmarshal(data, &m) == nil && bytes.Equal(m.GetId(), r.GetId())
+	})
+	if err != nil {
+		return fmt.Errorf("append record: %w", err)
+	}
+	return nil
+}
+
+// appendKeys writes a record of the keys stream, once: a key is refused where
+// it isn't known whether its record stands there.
+func (d *Daemon) appendKeys(ctx context.Context, r *keys.Record) error {
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode keys: %w", err)
+	}
+	if _, err := d.platform.Append(ctx, slots.KeysStream, b); err != nil {
+		return fmt.Errorf("append keys: %w", err)
+	}
+	return nil
+}
+
+// followKeys reads the keys stream into the desk. Where its beginning has
+// expired, so have the keys there.
+func (d *Daemon) followKeys(ctx context.Context) {
+	next := uint64(1)
+	for ctx.Err() == nil {
+		b, err := d.platform.Read(ctx, slots.KeysStream, next, _keysWait)
+		var expired *platform.ExpiredError
+		switch {
+		case errors.As(err, &expired):
+			next = expired.First
+		case err != nil:
+			select {
+			case <-ctx.Done():
+			case <-time.After(_keysPause):
+			}
+		case len(b.Records()) > 0:
+			d.desk.Read(b.Records())
+			next = b.Records()[len(b.Records())-1].Offset() + 1
+		}
+	}
+}
+
+// slots asks this entry's desk or another entry, whichever is the broker.
+func (d *Daemon) slots() serve.Slots {
+	return serve.Slots{
+		Ask: func(ctx context.Context, entry, pool string, a broker.Ask) (broker.Op, error) {
+			if entry == d.self.Name {
+				return d.desk.Ask(ctx, pool, a)
+			}
+			return d.remote.Ask(ctx, entry, pool, a)
+		},
+		Cancel: func(entry, pool string, request uint64) {
+			if entry == d.self.Name {
+				d.desk.Cancel(pool, request)
+				return
+			}
+			d.remote.Cancel(entry, pool, request)
+		},
+		Done: func(entry, pool string, slot uint64, r broker.Result) error {
+			if entry == d.self.Name {
+				d.desk.Done(pool, slot, r)
+				return nil
+			}
+			return d.remote.Done(entry, pool, slot, r)
+		},
+		Witness:   d.remote.Witness,
+		Unwitness: d.remote.Unwitness,
+	}
+}
+
+// fetchHolds asks an entry, perhaps this one, what it holds in a pool.
+func (d *Daemon) fetchHolds(ctx context.Context, entry, pool string, term uint64) ([]broker.Hold, error) {
+	if entry != d.self.Name {
+		return d.remote.FetchHolds(ctx, entry, pool, term)
+	}
+	l, ok := d.table.Report(pool, hold.Broker{Entry: entry, Term: term})
+	if !ok {
+		return nil, errTermOver
+	}
+	return l, nil
+}
+
+// errTermOver means that the pool has a newer broker.
+var errTermOver = errors.New("term is over")
--- a/entry/internal/remote/server.go
+++ b/entry/internal/remote/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"fescuelanding/entry/internal/follow"
@@ -28,9 +27,9 @@
 func (s *Server) Handle(now time.Time, in peer.Inbound) {
 	switch m := in.Message().(type) {
 	case *peer.Ask:
-		go s.ask(now, in, m)
+		s.ask(now, in, m)
 	case *peer.Cancel:
-		go s.Desk.Cancel(m.GetPool(), m.GetRequestId())
+		s.Desk.Cancel(m.GetPool(), m.GetRequestId())
 	case *peer.Done:
 		go s.done(in, m)
 	case *peer.FetchHolds:
@@ -48,21 +47,25 @@
 	}
 }
 
-// ask waits for the broker's answer on behalf of the asker.
+// ask asks the broker in the order of the messages, and waits for its answer
+// on behalf of the asker.
 func (s *Server) ask(now time.Time, in peer.Inbound, m *peer.Ask) {
 	a := askFrom(now, in.From(), m)
-	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline.Add(_patience))
-	defer cancel()
-	o, err := s.Desk.Ask(ctx, m.GetPool(), a)
+	w, err := s.Desk.Begin(m.GetPool(), a)
 	if err != nil {
-		r := peer.RefuseReason_REFUSE_REASON_NOT_OWNER
-		if errors.Is(err, slots.ErrBusy) {
-			r = peer.RefuseReason_REFUSE_REASON_BUSY
-		}
-		reply(in, &peer.Refuse{RequestId: m.GetRequestId(), Reason: r})
+		reply(in, &peer.Refuse{RequestId: a.Request, Reason: peer.RefuseReason_REFUSE_REASON_BUSY})
 		return
 	}
-	reply(in, opMessage(time.Now(), o))
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), a.Deadline.Add(_patience))
+		defer cancel()
+		o, err := w.Wait(ctx)
+		if err != nil {
+			reply(in, &peer.Refuse{RequestId: a.Request, Reason: peer.RefuseReason_REFUSE_REASON_NOT_OWNER})
+			return
+		}
+		reply(in, opMessage(time.Now(), o))
+	}()
 }
 
 func (s *Server) done(in peer.Inbound, m *peer.Done) {
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -70,20 +70,20 @@
 // Refuse or a Repeat. Where the context ends first, the request is cancelled and
 // a grant that comes later goes back unused.
 func (d *Desk) Ask(ctx context.Context, pool string, a broker.Ask) (broker.Op, error) {
+	w, err := d.Begin(pool, a)
+	if err != nil {
+		return nil, err
+	}
+	return w.Wait(ctx)
+}
+
+// Begin asks without waiting. A Cancel that follows finds the ask.
+func (d *Desk) Begin(pool string, a broker.Ask) (Wait, error) {
 	c := make(chan broker.Op, 1)
 	if err := d.duty.Post(ask{pool: pool, ask: a, reply: c}); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBusy, err)
-	}
-	select {
-	case o := <-c:
-		if _, ok := o.(notOwner); ok {
-			return nil, ErrNotOwner
-		}
-		return o, nil
-	case <-ctx.Done():
-		d.Cancel(pool, a.Request)
-		return nil, fmt.Errorf("wait for slot: %w", ctx.Err())
+		return Wait{}, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
+	return Wait{desk: d, pool: pool, request: a.Request, reply: c}, nil
 }
 
 // Cancel takes a request out of the queue. The asker must not use a grant of
--- /dev/null
+++ b/entry/internal/slots/wait.go
@@ -0,0 +1,30 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+
+	"fescuelanding/entry/broker"
+)
+
+// Wait is an ask that was begun.
+type Wait struct {
+	desk    *Desk
+	pool    string
+	request uint64
+	reply   <-chan broker.Op
+}
+
+// Wait waits for the broker's answer.
+func (w Wait) Wait(ctx context.Context) (broker.Op, error) {
+	select {
+	case o := <-w.reply:
+		if _, ok := o.(notOwner); ok {
+			return nil, ErrNotOwner
+		}
+		return o, nil
+	case <-ctx.Done():
+		w.desk.Cancel(w.pool, w.request)
+		return nil, fmt.Errorf("wait for slot: %w", ctx.Err())
+	}
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,76 @@
 // Command entry is the daemon of an entry host.
+//
+//	entry run --settings entry.ini
+//	entry check --settings entry.ini
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"fescuelanding/entry/internal/daemon"
+	"fescuelanding/entry/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// command is the daemon's command line.
+func command() *cli.Command {
+	f := &cli.StringFlag{Name: "settings", Usage: "INI `FILE` of this entry", Required: true}
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "serve callers from the pools of a fleet",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run the entry until SIGTERM", Flags: []cli.Flag{f}, Action: run},
+			{Name: "check", Usage: "only check the settings", Flags: []cli.Flag{f}, Action: check},
+			{Name: "reference", Usage: "print the table of settings", Action: reference},
+		},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := settings.Read(c.String("settings"))
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	l, err := log.ParseLevel(s.Level())
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	g := log.NewWithOptions(os.Stderr, log.Options{
+		Level: l, Prefix: "entry", ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
+	})
+	if err := daemon.New(s, g).Run(ctx); err != nil {
+		return fmt.Errorf("run: %w", err)
+	}
+	return nil
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	if _, err := settings.Read(c.String("settings")); err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	fmt.Println("Settings are right.")
+	return nil
+}
+
+func reference(context.Context, *cli.Command) error {
+	if err := settings.Reference(os.Stdout); err != nil {
+		return fmt.Errorf("reference: %w", err)
+	}
+	return nil
+}
