--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,26 @@
+// Command standin runs the stand-ins of platform, upstreams and callers, and
+// the demo. It serves tests and the first run only.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	c := &cli.Command{
+		Name:     "standin",
+		Usage:    "stand-ins of what surrounds the entries",
+		Commands: []*cli.Command{platformCommand(), upstreamCommand(), callCommand(), demoCommand()},
+	}
+	if err := c.Run(ctx, os.Args); err != nil {
+		log.Fatal(err)
+	}
+}
--- /dev/null
+++ b/standin/internal/process/process.go
@@ -0,0 +1,128 @@
+// Package process starts programs, waits until they serve, and stops them. The
+// demo and the sessions of real processes use it.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+const (
+	_poll         = 20 * time.Millisecond
+	_probeTimeout = 500 * time.Millisecond
+)
+
+// ErrStillRunning reports a program that did not exit in time.
+var ErrStillRunning = errors.New("still running")
+
+// Process is a program that was started.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error // of Wait, once done is closed
+}
+
+// Start runs a program with both of its outputs going to out.
+func Start(name, program string, args []string, out io.Writer) (*Process, error) {
+	p := &Process{name: name, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Name returns the name it was started under.
+func (p *Process) Name() string { return p.name }
+
+// Signal sends a signal.
+func (p *Process) Signal(s os.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// Stop asks for a graceful shutdown and waits for it. The error is that of the
+// exit, or ErrStillRunning, after which the program goes on.
+func (p *Process) Stop(limit time.Duration) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	select {
+	case <-p.done:
+		if p.err != nil {
+			return fmt.Errorf("exit of %s: %w", p.name, p.err)
+		}
+		return nil
+	case <-time.After(limit):
+		return fmt.Errorf("stop %s: %w", p.name, ErrStillRunning)
+	}
+}
+
+// Kill ends the program at once, also a frozen one, and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// WaitOK polls a URL until it answers 200 or the context ends.
+func WaitOK(ctx context.Context, url string) error {
+	c := http.Client{Timeout: _probeTimeout}
+	last := error(nil)
+	for {
+		last = probe(ctx, &c, url)
+		if last == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s: %w", url, errors.Join(ctx.Err(), last))
+		case <-time.After(_poll):
+		}
+	}
+}
+
+func probe(ctx context.Context, c *http.Client, url string) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("make probe: %w", err)
+	}
+	a, err := c.Do(q)
+	if err != nil {
+		return fmt.Errorf("probe: %w", err)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("probe: status %s", a.Status)
+	}
+	return nil
+}
+
+// FreeAddresses returns loopback addresses that were free a moment ago. All
+// are held until the last is found, so that none is given twice.
+func FreeAddresses(n int) ([]string, error) {
+	var l []string
+	for range n {
+		s, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find free port: %w", err)
+		}
+		defer s.Close()
+		l = append(l, s.Addr().String())
+	}
+	return l, nil
+}
