--- /dev/null
+++ b/entry/peer/hostile_test.go
@@ -0,0 +1,292 @@
+package peer_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/entry/peer"
+)
+
+const _magic = 0x46534355
+
+// replaced is an incarnation that admit refuses.
+const _replaced = 8
+
+func admit(i peer.Identity) error {
+	if i.Incarnation == _replaced {
+		return errors.New("replaced by a newer process")
+	}
+	return nil
+}
+
+func dialRaw(t testing.TB, address string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(_patience)))
+	return c.(*net.TCPConn)
+}
+
+// greet sends a hello and returns the other side's.
+func greet(t testing.TB, c net.Conn, h *peer.Hello) *peer.Hello {
+	t.Helper()
+	_, err := protodelim.MarshalTo(c, h)
+	assert.NilError(t, err)
+	got := new(peer.Hello)
+	assert.NilError(t, protodelim.UnmarshalFrom(bufio.NewReader(c), got))
+	return got
+}
+
+// raw connects as an entry that speaks the protocol by hand.
+func raw(t testing.TB, address string) (*net.TCPConn, *yamux.Session, []net.Conn) {
+	t.Helper()
+	c := dialRaw(t, address)
+	h := greet(t, c, &peer.Hello{Magic: _magic, Version: 1, Oldest: 1, Entry: "raw", Incarnation: 9})
+	assert.Assert(t, h.GetRefusal() == nil, "%v", h)
+	_, err := protodelim.MarshalTo(c, new(peer.Start))
+	assert.NilError(t, err)
+	conf := yamux.DefaultConfig()
+	conf.EnableKeepAlive, conf.LogOutput = false, io.Discard
+	s, err := yamux.Client(c, conf)
+	assert.NilError(t, err)
+	var lanes []net.Conn
+	for range 2 {
+		l, err := s.Open()
+		assert.NilError(t, err)
+		lanes = append(lanes, l)
+	}
+	return c, s, lanes
+}
+
+// beat keeps a raw connection from being silent.
+func beat(t testing.TB, control net.Conn) {
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	e := &peer.Envelope{Body: &peer.Envelope_Heartbeat{Heartbeat: &peer.Heartbeat{SentUs: 1}}}
+	go func() {
+		for {
+			_, _ = protodelim.MarshalTo(control, e)
+			select {
+			case <-stop:
+				return
+			case <-time.After(_interval):
+			}
+		}
+	}()
+}
+
+func linked(n *node) func() error {
+	return func() error {
+		if !n.status("raw").Connected() {
+			return errors.New("raw is not connected")
+		}
+		return nil
+	}
+}
+
+func expectsRaw(n *node) { n.SetPeers([]peer.Peer{{Entry: "raw", Address: "127.0.0.1:1"}}) }
+
+func TestHello(t *testing.T) {
+	text, err := os.ReadFile("testdata/hello.json")
+	assert.NilError(t, err)
+	var cases []struct {
+		Name  string
+		Hello json.RawMessage
+		Want  string
+	}
+	assert.NilError(t, json.Unmarshal(text, &cases))
+	b := start(t, "b", 2, func(n *node) { n.Admit = admit })
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			h := new(peer.Hello)
+			assert.NilError(t, protojson.Unmarshal(c.Hello, h))
+			got := greet(t, dialRaw(t, b.address), h)
+			assert.Equal(t, got.GetRefusal().GetCode().String(), c.Want, "%v", got)
+		})
+	}
+	assert.Equal(t, len(b.Peers()), 0)
+}
+
+// Whatever a stranger sends, the connection ends and the others go on.
+func TestHostileBeforeHello(t *testing.T) {
+	a, b := pair(t, nil)
+	for name, data := range map[string]string{
+		"http":     "GET / HTTP/1.1\r\nHost: b\r\n\r\n" + string(make([]byte, 100)),
+		"huge":     "\xff\xff\xff\xff\x0f",
+		"overlong": "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff",
+		"nothing":  "",
+		"half":     "\x20abc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := dialRaw(t, b.address)
+			_, err := c.Write([]byte(data))
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, c)
+			assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "still open")
+		})
+	}
+	_, err := a.Call(patience(t), "b", &peer.Ask{})
+	assert.NilError(t, err)
+}
+
+func TestHostileAfterHello(t *testing.T) {
+	b := start(t, "b", 2, expectsRaw)
+	var control, bulk net.Conn
+	write := func(c *net.Conn, data string) func(*yamux.Session) {
+		return func(*yamux.Session) { _, _ = (*c).Write([]byte(data)) }
+	}
+	for _, c := range []struct {
+		name string
+		do   func(*yamux.Session)
+		want error
+	}{
+		{"huge frame", write(&control, "\xff\xff\xff\x0f"), peer.ErrFrame},
+		{"huge bulk frame", write(&bulk, "\xff\xff\xff\x0f"), peer.ErrFrame},
+		{"garbage", write(&control, "\x03\xff\xff\xff"), peer.ErrFrame},
+		{"third stream", func(s *yamux.Session) { _, _ = s.Open() }, peer.ErrStreams},
+		{"closed lane", func(*yamux.Session) { _ = bulk.Close() }, peer.ErrDisconnected},
+		{"silence", func(*yamux.Session) {}, peer.ErrSilent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, s, lanes := raw(t, b.address)
+			control, bulk = lanes[0], lanes[1]
+			eventually(t, linked(b))
+			c.do(s)
+			eventually(t, b.lost("raw", c.want))
+		})
+	}
+}
+
+// An unknown kind of message is answered and ends nothing.
+func TestUnknownMessage(t *testing.T) {
+	b := start(t, "b", 2, nil)
+	_, _, lanes := raw(t, b.address)
+	beat(t, lanes[0])
+	_, err := protodelim.MarshalTo(lanes[0], &peer.Envelope{Call: 4})
+	assert.NilError(t, err)
+	r := bufio.NewReader(lanes[0])
+	for {
+		e := new(peer.Envelope)
+		assert.NilError(t, protodelim.UnmarshalFrom(r, e))
+		if e.GetReply() {
+			assert.Equal(t, e.GetCall(), uint64(4))
+			assert.Equal(t, e.GetFault().GetDetail(), "message of an unknown kind")
+			break
+		}
+	}
+	assert.Assert(t, b.status("raw").Connected())
+}
+
+// A peer that was stopped by a signal keeps its connection open and says
+// nothing; it is noticed within a second with the settings of production.
+func TestFrozenPeerIsNoticed(t *testing.T) {
+	b := start(t, "b", 2, func(n *node) {
+		n.Set = peer.New(peer.Identity{Entry: "b", Incarnation: 2})
+		expectsRaw(n)
+	})
+	raw(t, b.address)
+	eventually(t, linked(b))
+	frozen := time.Now()
+	eventually(t, b.lost("raw", peer.ErrSilent))
+	assert.Assert(t, time.Since(frozen) < time.Second, "took %v", time.Since(frozen))
+}
+
+// slow is a connection that sends heartbeats and reads nothing.
+func slow(t *testing.T) *node {
+	b := start(t, "b", 2, expectsRaw)
+	c := dialRaw(t, b.address)
+	assert.NilError(t, c.SetReadBuffer(1<<12))
+	greet(t, c, &peer.Hello{Magic: _magic, Version: 1, Oldest: 1, Entry: "raw", Incarnation: 9})
+	_, err := protodelim.MarshalTo(c, new(peer.Start))
+	assert.NilError(t, err)
+	conf := yamux.DefaultConfig()
+	conf.EnableKeepAlive, conf.LogOutput = false, io.Discard
+	s, err := yamux.Client(deafConn{c}, conf)
+	assert.NilError(t, err)
+	var control net.Conn
+	for range 2 {
+		l, err := s.Open()
+		assert.NilError(t, err)
+		if control == nil {
+			control = l
+		}
+	}
+	beat(t, control)
+	eventually(t, linked(b))
+	return b
+}
+
+// deafConn never returns from Read until it is closed.
+type deafConn struct{ *net.TCPConn }
+
+func (c deafConn) Read([]byte) (int, error) {
+	time.Sleep(_patience)
+	return 0, io.EOF
+}
+
+func TestSlowReaderIsDropped(t *testing.T) {
+	b := slow(t)
+	push := &peer.Push{Records: []*peer.LogRecord{{Data: make([]byte, 200<<10)}}}
+	full := 0
+	eventually(t, func() error {
+		begun := time.Now()
+		err := b.Send("raw", push)
+		assert.Assert(t, time.Since(begun) < _silent, "send waited")
+		if errors.Is(err, peer.ErrFull) {
+			full++
+		}
+		return b.lost("raw", peer.ErrSlow)()
+	})
+	assert.Assert(t, full > 0, "the lane never was full")
+}
+
+// Bulk fills its stream's window while heartbeats and calls go on.
+func TestControlIsNotBehindBulk(t *testing.T) {
+	hold := make(chan struct{})
+	a, _ := pair(t, func(n *node) {
+		n.Handle = func(now time.Time, in peer.Inbound) {
+			if _, ok := in.Message().(*peer.Push); ok {
+				<-hold
+			}
+			n.handle(now, in)
+		}
+	})
+	t.Cleanup(func() { close(hold) })
+	push := &peer.Push{Records: []*peer.LogRecord{{Data: make([]byte, 200<<10)}}}
+	eventually(t, func() error {
+		if err := a.Send("b", push); !errors.Is(err, peer.ErrFull) {
+			return fmt.Errorf("lane has room: %w", err)
+		}
+		return nil
+	})
+	_, err := a.Call(patience(t), "b", &peer.Ask{})
+	assert.NilError(t, err)
+	assert.Assert(t, a.status("b").Connected())
+}
+
+func TestMaxFrameIsNotExceeded(t *testing.T) {
+	a, b := pair(t, nil)
+	m := &peer.Push{Records: []*peer.LogRecord{{Data: make([]byte, 255<<10)}}}
+	assert.NilError(t, a.Send("b", m))
+	eventually(t, func() error {
+		if got := b.received(); len(got) != 1 || !proto.Equal(got[0], m) {
+			return fmt.Errorf("received %d messages", len(got))
+		}
+		return nil
+	})
+}
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -21,15 +21,15 @@
 
 // link is an established connection to another entry.
 type link struct {
-	remote  Identity
-	dialed  bool
-	session *yamux.Session
-	control lane
-	bulk    lane
-	calls   calls
-	pulse   pulse
-	beat    chan struct{}
-	since   time.Time
+	remote   Identity
+	outbound bool
+	session  *yamux.Session
+	control  lane
+	bulk     lane
+	calls    calls
+	pulse    pulse
+	beat     chan struct{}
+	since    time.Time
 
 	once sync.Once
 	done chan struct{}
@@ -38,14 +38,14 @@
 
 // newLink opens the session and both lanes on a connection whose handshake is
 // complete. It returns within the handshake period.
-func newLink(c net.Conn, remote Identity, dialed bool, now time.Time) (*link, error) {
+func newLink(c net.Conn, remote Identity, outbound bool, now time.Time) (*link, error) {
 	if t, ok := c.(*net.TCPConn); ok {
 		if err := t.SetWriteBuffer(_socketBytes); err != nil {
 			return nil, fmt.Errorf("set write buffer: %w", err)
 		}
 	}
 	k := &link{
-		remote: remote, dialed: dialed, since: now,
+		remote: remote, outbound: outbound, since: now,
 		beat: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	k.control = lane{queue: make(chan *Envelope, _controlQueue), maxFrame: _controlFrameBytes, timeout: _writeTimeout}
@@ -65,7 +65,7 @@
 	conf.ConnectionWriteTimeout = _writeTimeout
 	conf.StreamOpenTimeout = _handshakePeriod
 	create := yamux.Server
-	if k.dialed {
+	if k.outbound {
 		create = yamux.Client
 	}
 	s, err := create(c, conf)
@@ -84,7 +84,7 @@
 
 // stream opens the next lane where this side dialled, and awaits it otherwise.
 func (k *link) stream() (*yamux.Stream, error) {
-	if k.dialed {
+	if k.outbound {
 		return k.session.OpenStream()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), _handshakePeriod)
--- a/entry/peer/set.go
+++ b/entry/peer/set.go
@@ -150,7 +150,7 @@
 }
 
 // handshake turns a connection into a link, or closes it.
-func (s *Set) handshake(ctx context.Context, c net.Conn, dialed bool, hello func() (Identity, error)) (*link, error) {
+func (s *Set) handshake(ctx context.Context, c net.Conn, outbound bool, hello func() (Identity, error)) (*link, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	k, err := func() (*link, error) {
@@ -164,7 +164,7 @@
 		if err := c.SetDeadline(time.Time{}); err != nil {
 			return nil, fmt.Errorf("clear deadline: %w", err)
 		}
-		return newLink(c, remote, dialed, s.now())
+		return newLink(c, remote, outbound, s.now())
 	}()
 	if err != nil {
 		_ = c.Close()
@@ -174,14 +174,14 @@
 
 // serve runs an installed link to its end.
 func (s *Set) serve(k *link) {
-	s.log.Info("connected", "entry", k.remote.Entry, "dialed", k.dialed)
+	s.log.Info("connected", "entry", k.remote.Entry, "outbound", k.outbound)
 	err := k.run(s)
 	s.remove(k, err)
 	s.log.Info("disconnected", "entry", k.remote.Entry, "err", err)
 }
 
 // decide says whether a connection to remote would be kept.
-func (s *Set) decide(remote Identity, dialed bool) error {
+func (s *Set) decide(remote Identity, outbound bool) error {
 	if s.Admit != nil {
 		if err := s.Admit(remote); err != nil {
 			return &RefusedError{code: RefusalCode_REFUSAL_CODE_NOT_ADMITTED, detail: err.Error()}
@@ -189,19 +189,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.decideLocked(remote, dialed)
+	return s.decideLocked(remote, outbound)
 }
 
-func (s *Set) decideLocked(remote Identity, dialed bool) error {
+func (s *Set) decideLocked(remote Identity, outbound bool) error {
 	old := s.links[remote.Entry]
 	if old == nil || old.closed() || old.remote.Incarnation != remote.Incarnation {
 		return nil
 	}
-	if old.dialed != dialed {
-		if s.preferred(remote) == dialed {
+	if old.outbound != outbound {
+		if s.preferred(remote) == outbound {
 			return nil
 		}
-	} else if !dialed {
+	} else if !outbound {
 		// The dialer has lost the old one, or it wouldn't dial again.
 		return nil
 	}
@@ -213,14 +213,14 @@
 
 // preferred reports whether the connection that this side dialled is the one
 // to keep; both sides come to the same.
-func (s *Set) preferred(remote Identity) (dialed bool) { return s.self.Entry < remote.Entry }
+func (s *Set) preferred(remote Identity) (outbound bool) { return s.self.Entry < remote.Entry }
 
 // install makes k the link of its entry and closes the one before it, or
 // closes k.
 func (s *Set) install(k *link) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	err := s.decideLocked(k.remote, k.dialed)
+	err := s.decideLocked(k.remote, k.outbound)
 	if s.ctx.Err() != nil {
 		err = ErrStopped
 	}
