--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -118,7 +119,7 @@
 		if err := f(ctx); err != nil {
 			c.daemon.log.Warn("Job failed.", "job", name, "err", err)
 		}
-		for c.duty.Post(ended{name: name}) == duty.ErrFull {
+		for errors.Is(c.duty.Post(ended{name: name}), duty.ErrFull) {
 			time.Sleep(time.Millisecond)
 		}
 	}()
--- a/entry/internal/follow/follower.go
+++ b/entry/internal/follow/follower.go
@@ -20,9 +20,9 @@
 	// Stream is the platform's stream of the fleet's records.
 	Stream = "fleet"
 
-	_wait      = 500 * time.Millisecond
-	_pause     = 100 * time.Millisecond
-	_kept      = 4096
+	_wait  = 500 * time.Millisecond
+	_pause = 100 * time.Millisecond
+	_kept  = 4096
 )
 
 // Follower applies the records of the log to one state. Its function fields
--- a/entry/main.go
+++ b/entry/main.go
@@ -21,8 +21,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
