caller: an entry without configuration says not ready, not unknown service

Cause: in a trial a fresh entry answered 404 unknownServiceOrClass for two of 3,000 requests, since it had not read the log yet; the balancer's check had not been asked. Change: notReady, 503, with a time to come back. Test: fails without the guard (404).

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -16,11 +16,14 @@
 	// DefaultMaxBody is the largest request body, in bytes.
 	DefaultMaxBody = 1 << 20
 
-	_maxKey = 256
+	_maxKey   = 256
+	_comeBack = time.Second
 )
 
 // Handler identifies requests, has them served, and writes their ends.
 type Handler struct {
+	// Known reports whether there is a configuration to identify requests by.
+	Known func() bool
 	// Services finds a service by the first segment of the path, and the
 	// deadline of a class. ok is false for an unknown service or class.
 	Services func(service, class string) (s Service, deadline time.Duration, ok bool)
@@ -52,6 +55,9 @@
 
 // identify reads a request; a refusal with a reason says why it can't be run.
 func (h *Handler) identify(w http.ResponseWriter, q *http.Request, now time.Time) (Request, NotRun) {
+	if !h.Known() {
+		return Request{}, NotRun{Reason: "notReady", RetryAfter: _comeBack}
+	}
 	n, _, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, "/"), "/")
 	class := q.Header.Get(ClassHeader)
 	s, deadline, ok := h.Services(n, class)
--- a/entry/caller/handler_test.go
+++ b/entry/caller/handler_test.go
@@ -15,6 +15,7 @@
 
 func handler(serve func(context.Context, Request) End) *Handler {
 	return &Handler{
+		Known: func() bool { return true },
 		Services: func(service, class string) (Service, time.Duration, bool) {
 			ok := service == "fitting" && (class == "" || class == "counter")
 			return Service{Name: "fitting", Pool: "fitting", Class: "counter"}, time.Second, ok
@@ -98,6 +99,15 @@
 	assert.Equal(t, p.header.Get(EndHeader), _answered)
 }
 
+func TestNoConfigurationYet(t *testing.T) {
+	h := handler(nil)
+	h.Known = func() bool { return false }
+	p, err := ask(t, h, "/fitting/", nil, "")
+	assert.NilError(t, err)
+	assert.Equal(t, p.status, http.StatusServiceUnavailable)
+	assert.Equal(t, p.header.Get(ReasonHeader), "notReady")
+}
+
 // brokenReader ends early with an error.
 type brokenReader struct{ io.Reader }
 
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -141,7 +141,9 @@
 
 // serveCallers begins to take requests.
 func (d *Daemon) serveCallers(l net.Listener) *http.Server {
-	h := &caller.Handler{Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody()}
+	h := &caller.Handler{
+		Known: d.configured, Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody(),
+	}
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
 	}
@@ -164,6 +166,8 @@
 	}
 }
 
+func (d *Daemon) configured() bool { return len(d.table.View().Config().Services()) > 0 }
+
 // service finds a service and the deadline of a class.
 func (d *Daemon) service(name, class string) (caller.Service, time.Duration, bool) {
 	c := d.table.View().Config()
@@ -240,7 +244,7 @@
 	v := d.table.View()
 	e, ok := v.Entry(d.self.Name)
 	return !d.leaving.Load() && ok && e.Incarnation() == d.self.Incarnation &&
-		len(v.Config().Services()) > 0 && d.table.IsFresh(now)
+		d.configured() && d.table.IsFresh(now)
 }
 
 // beat is the next heartbeat.
