--- /dev/null
+++ b/standin/cmd/standin/layout.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"fescuelanding/operator"
+	"fescuelanding/standin/internal/process"
+)
+
+const (
+	_demoService  = "sizeCheck"
+	_demoTeam     = "counters"
+	_demoEntries  = 3
+	_demoHosts    = 4
+	_entryPorts   = 3
+	_minAvailable = 2
+)
+
+// layout gives every process of the demo its addresses.
+type layout struct {
+	platform string
+	judge    string
+	hosts    []place
+	entries  []entryPlace
+}
+
+// place is a host and its address.
+type place struct {
+	name    string
+	address string
+}
+
+// entryPlace is an entry and its addresses.
+type entryPlace struct {
+	name                string
+	caller, peer, admin string
+}
+
+func newLayout() (layout, error) {
+	a, err := process.FreeAddresses(2 + _demoHosts + _demoEntries*_entryPorts)
+	if err != nil {
+		return layout{}, err
+	}
+	l := layout{platform: a[0], judge: a[1]}
+	a = a[2:]
+	for i := range _demoHosts {
+		l.hosts = append(l.hosts, place{name: fmt.Sprintf("host%d", i+1), address: a[i]})
+	}
+	a = a[_demoHosts:]
+	for i := range _demoEntries {
+		p := a[i*_entryPorts:]
+		l.entries = append(l.entries, entryPlace{
+			name: fmt.Sprintf("entry%d", i+1), caller: p[0], peer: p[1], admin: p[2],
+		})
+	}
+	return l, nil
+}
+
+func (l layout) platformURL() string { return "http://" + l.platform }
+
+func (l layout) judgeURL() string { return "http://" + l.judge }
+
+func (l layout) callerURLs() []string {
+	var u []string
+	for _, e := range l.entries {
+		u = append(u, "http://"+e.caller)
+	}
+	return u
+}
+
+func (l layout) platformArgs() []string {
+	a := []string{"platform", "--listen", l.platform}
+	for _, h := range l.hosts {
+		a = append(a, "--host", h.name)
+	}
+	for _, e := range l.entries {
+		a = append(a, "--host", e.name)
+	}
+	return a
+}
+
+func (l layout) upstreamArgs() []string {
+	a := []string{"upstream", "--control", l.judge}
+	for _, h := range l.hosts {
+		a = append(a, "--executor", h.name+"="+h.address)
+	}
+	return a
+}
+
+// settings returns the INI text for an entry.
+func (l layout) settings(e entryPlace) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[entry]\nname = %s\ndataCentre = mct1\n\n", e.name)
+	fmt.Fprintf(&b, "[listen]\ncaller = %s\npeer = %s\nadmin = %s\n\n", e.caller, e.peer, e.admin)
+	fmt.Fprintf(&b, "[platform]\nurl = %s\n", l.platformURL())
+	for _, o := range l.entries {
+		if o.name != e.name {
+			fmt.Fprintf(&b, "\n[peer %q]\naddress = %s\n", o.name, o.peer)
+		}
+	}
+	return []byte(b.String())
+}
+
+// declare is what an operator would write: a pool of three hosts with a spare
+// one, and two services.
+func (l layout) declare() *operator.Fleet {
+	f := new(operator.Fleet)
+	counter := f.Class("counter", operator.Urgent(time.Second), operator.Deadline(10*time.Second), operator.MaxRun(5*time.Second))
+	f.Team(_demoTeam, 1)
+	fitting := f.Pool("fitting", operator.MinAvailable(_minAvailable))
+	spare := f.Pool("spare", operator.Spare())
+	f.Service(_demoService, fitting, counter, operator.Idempotent())
+	f.Service("kitHold", fitting, counter)
+	centre := f.DataCentre("mct1", "muscat")
+	for i, h := range l.hosts {
+		home := fitting
+		if i == len(l.hosts)-1 {
+			home = spare
+		}
+		f.Host(h.name, home, centre.Rack(fmt.Sprintf("rack%d", i+1)), netip.MustParseAddrPort(h.address))
+	}
+	return f
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -13,6 +13,12 @@
 )
 
 func main() {
+	if err := run(os.Args); err != nil {
+		log.Fatal(err)
+	}
+}
+
+func run(args []string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	c := &cli.Command{
@@ -20,7 +26,5 @@
 		Usage:    "stand-ins of what surrounds the entries",
 		Commands: []*cli.Command{platformCommand(), upstreamCommand(), callCommand(), demoCommand()},
 	}
-	if err := c.Run(ctx, os.Args); err != nil {
-		log.Fatal(err)
-	}
+	return c.Run(ctx, args)
 }
--- a/standin/internal/process/process.go
+++ b/standin/internal/process/process.go
@@ -82,9 +82,8 @@
 // WaitOK polls a URL until it answers 200 or the context ends.
 func WaitOK(ctx context.Context, url string) error {
 	c := http.Client{Timeout: _probeTimeout}
-	last := error(nil)
 	for {
-		last = probe(ctx, &c, url)
+		last := probe(ctx, &c, url)
 		if last == nil {
 			return nil
 		}
