--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -22,6 +22,9 @@
 type Load struct {
 	// Entries are the base URLs of the entries' callers' side.
 	Entries []string
+	// Ready are the URLs of the entries' readiness, in the same order. Entries
+	// that are not ready get no request. None means all are taken for ready.
+	Ready []string
 	// Service is the first path segment.
 	Service string
 	// Requests is how many are sent, at most 100,000.
@@ -47,6 +50,9 @@
 	if len(l.Entries) == 0 || l.Workers < 1 || l.Workers > _maxWorkers || l.Requests > _maxRequests {
 		return nil, fmt.Errorf("want entries, 1 to %d workers and at most %d requests", _maxWorkers, _maxRequests)
 	}
+	if len(l.Ready) != 0 && len(l.Ready) != len(l.Entries) {
+		return nil, fmt.Errorf("want a readiness URL for each of %d entries", len(l.Entries))
+	}
 	outcomes := l.send(ctx)
 	r := &Report{}
 	for _, o := range outcomes {
@@ -69,7 +75,11 @@
 	}
 	t := &http.Transport{MaxIdleConnsPerHost: l.Workers}
 	defer t.CloseIdleConnections()
-	s := sender{load: l, client: &http.Client{Transport: t, Timeout: _timeout}, nonce: strconv.FormatUint(rand.Uint64(), 36)}
+	b := newBalancer(l.Ready)
+	probing, stop := context.WithCancel(ctx)
+	defer stop()
+	go b.run(probing)
+	s := sender{load: l, balancer: b, client: &http.Client{Transport: t, Timeout: _timeout}, nonce: strconv.FormatUint(rand.Uint64(), 36)}
 	todo := make(chan int)
 	var mu sync.Mutex
 	var all []outcome
--- a/standin/caller/load_test.go
+++ b/standin/caller/load_test.go
@@ -80,3 +80,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.NoEntry, 4)
 }
+
+// TestRunLeavesOutUnready sends nothing to an entry whose probe fails.
+func TestRunLeavesOutUnready(t *testing.T) {
+	serve := func(status int, got *atomic.Int32) *httptest.Server {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/ready" {
+				w.WriteHeader(status)
+				return
+			}
+			got.Add(1)
+			w.Header().Set(_endHeader, "unknown")
+		}))
+		t.Cleanup(s.Close)
+		return s
+	}
+	var unready, ready atomic.Int32
+	a := serve(http.StatusServiceUnavailable, &unready)
+	b := serve(http.StatusOK, &ready)
+	l := Load{
+		Entries: []string{a.URL, b.URL}, Ready: []string{a.URL + "/ready", b.URL + "/ready"},
+		Service: "s", Requests: 10, Workers: 1, Rate: 20,
+	}
+	_, err := l.Run(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, unready.Load() <= 1, "the first may come before the probe")
+	assert.Assert(t, ready.Load() >= 9)
+}
--- a/standin/caller/sender.go
+++ b/standin/caller/sender.go
@@ -41,9 +41,10 @@
 
 // sender sends requests of a load.
 type sender struct {
-	load   Load
-	client *http.Client
-	nonce  string // keeps the names of two loads apart
+	load     Load
+	balancer *balancer
+	client   *http.Client
+	nonce    string // keeps the names of two loads apart
 }
 
 // send makes request n at the next entry that takes the connection.
@@ -54,8 +55,8 @@
 	}
 	o.end = endNoEntry
 	for i := range s.load.Entries {
-		e := s.load.Entries[(n+i)%len(s.load.Entries)]
-		if s.attempt(ctx, e, &o) {
+		e := (n + i) % len(s.load.Entries)
+		if s.balancer.takes(e) && s.attempt(ctx, s.load.Entries[e], &o) {
 			break
 		}
 	}
--- /dev/null
+++ b/standin/session/commands_test.go
@@ -0,0 +1,211 @@
+package session
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"fescuelanding/standin/internal/process"
+	"fescuelanding/standin/platform"
+	"fescuelanding/standin/upstream"
+)
+
+const (
+	_waitLimit = 20 * time.Second
+	_stopLimit = 20 * time.Second
+	_poll      = 20 * time.Millisecond
+	_logTail   = 4000 // bytes
+)
+
+// runningKey is the key of a script's processes among its values.
+type runningKey struct{}
+
+// running holds the processes of a script by name.
+type running struct {
+	processes map[string]*process.Process
+}
+
+// end kills what still runs, and shows the logs of a failed script.
+func (r *running) end(e *testscript.Env) {
+	for _, p := range r.processes {
+		p.Kill()
+	}
+	t, ok := e.T().(interface{ Failed() bool })
+	if !ok || !t.Failed() {
+		return
+	}
+	for n := range r.processes {
+		b, _ := os.ReadFile(filepath.Join(e.WorkDir, n+".log"))
+		e.T().Log(fmt.Sprintf("log of %s:\n%s", n, b[max(0, len(b)-_logTail):]))
+	}
+}
+
+func processes(ts *testscript.TestScript) map[string]*process.Process {
+	return ts.Value(runningKey{}).(*running).processes
+}
+
+func withoutNeg(f func(*testscript.TestScript, []string)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg {
+			ts.Fatalf("unsupported: !")
+		}
+		f(ts, args)
+	}
+}
+
+func start(ts *testscript.TestScript, name, program string, args ...string) {
+	f, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, _fileMode)
+	ts.Check(err)
+	defer f.Close()
+	p, err := process.Start(name, filepath.Join(_bin, program), args, f)
+	ts.Check(err)
+	processes(ts)[name] = p
+}
+
+func startStandins(ts *testscript.TestScript, args []string) {
+	if len(args) == 0 {
+		args = []string{"platform", "upstream"}
+	}
+	for _, n := range args {
+		switch n {
+		case "platform":
+			a := []string{"platform", "--listen", ts.Getenv("PLATFORM"), "--journal", ts.MkAbs("journal")}
+			for _, h := range []string{"host1", "host2", "host3", "host4", "a", "b", "c"} {
+				a = append(a, "--host", h)
+			}
+			start(ts, n, "standin", a...)
+			wait(ts, "http://"+ts.Getenv("PLATFORM")+"/control/stats")
+		case "upstream":
+			a := []string{"upstream", "--control", ts.Getenv("JUDGE")}
+			for _, h := range []string{"1", "2", "3", "4"} {
+				a = append(a, "--executor", "host"+h+"="+ts.Getenv("HOST"+h))
+			}
+			start(ts, n, "standin", a...)
+			wait(ts, "http://"+ts.Getenv("JUDGE")+"/control/stats")
+		default:
+			ts.Fatalf("no stand-in %q", n)
+		}
+	}
+}
+
+func startEntries(ts *testscript.TestScript, args []string) {
+	for _, n := range args {
+		start(ts, n, "entry", "run", "--settings", ts.MkAbs(n+".ini"))
+	}
+}
+
+func wait(ts *testscript.TestScript, url string) {
+	ctx, cancel := context.WithTimeout(context.Background(), _waitLimit)
+	defer cancel()
+	ts.Check(process.WaitOK(ctx, url))
+}
+
+func waitReady(ts *testscript.TestScript, args []string) {
+	for _, n := range args {
+		wait(ts, "http://"+ts.Getenv("ADMIN_"+n)+"/ready")
+	}
+}
+
+func waitUnready(ts *testscript.TestScript, args []string) {
+	for _, n := range args {
+		until(ts, n+" unready", func() bool {
+			a, err := http.Get("http://" + ts.Getenv("ADMIN_"+n) + "/ready")
+			if err != nil {
+				return false
+			}
+			return a.Body.Close() == nil && a.StatusCode == http.StatusServiceUnavailable
+		})
+	}
+}
+
+// waitInForce waits until entries have applied what the log held at the start.
+func waitInForce(ts *testscript.TestScript, args []string) {
+	var s platform.Stats
+	ts.Check(get("http://"+ts.Getenv("PLATFORM")+"/control/stats", &s))
+	for _, n := range args {
+		until(ts, fmt.Sprintf("%s at offset %d", n, s.Heads["fleet"]), func() bool {
+			var v struct {
+				AppliedOffset uint64 `json:"appliedOffset"`
+			}
+			err := get("http://"+ts.Getenv("ADMIN_"+n)+"/status", &v)
+			return err == nil && v.AppliedOffset >= s.Heads["fleet"]
+		})
+	}
+}
+
+func until(ts *testscript.TestScript, what string, ok func() bool) {
+	for end := time.Now().Add(_waitLimit); time.Now().Before(end); time.Sleep(_poll) {
+		if ok() {
+			return
+		}
+	}
+	ts.Fatalf("not within %s: %s", _waitLimit, what)
+}
+
+func sendSignal(ts *testscript.TestScript, args []string) {
+	signals := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	if len(args) != 2 || signals[args[0]] == 0 || processes(ts)[args[1]] == nil {
+		ts.Fatalf("usage: signal KILL|TERM|STOP|CONT NAME")
+	}
+	p := processes(ts)[args[1]]
+	if args[0] == "KILL" {
+		p.Kill()
+		return
+	}
+	ts.Check(p.Signal(signals[args[0]]))
+}
+
+func shutDown(ts *testscript.TestScript, args []string) {
+	for _, n := range args {
+		p := processes(ts)[n]
+		if p == nil {
+			ts.Fatalf("no process %q", n)
+		}
+		ts.Check(p.Stop(_stopLimit))
+	}
+}
+
+func post(ts *testscript.TestScript, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: post URL JSON")
+	}
+	a, err := http.Post(args[0], "application/json", strings.NewReader(args[1]))
+	ts.Check(err)
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	ts.Check(err)
+	if a.StatusCode != http.StatusOK {
+		ts.Fatalf("post %s: %s: %s", args[0], a.Status, b)
+	}
+}
+
+func judge(ts *testscript.TestScript, _ []string) {
+	var s upstream.Stats
+	ts.Check(get("http://"+ts.Getenv("JUDGE")+"/control/stats", &s))
+	_, err := fmt.Fprintf(ts.Stdout(), "overSlots %d\noverConnections %d\nkeysRunTwice %d\n",
+		s.Total.OverSlots, s.Total.OverConnections, s.KeysRunTwice)
+	ts.Check(err)
+}
+
+func get(url string, v any) error {
+	a, err := http.Get(url)
+	if err != nil {
+		return fmt.Errorf("get: %w", err)
+	}
+	defer a.Body.Close()
+	if err := json.NewDecoder(a.Body).Decode(v); err != nil {
+		return fmt.Errorf("decode %s: %w", url, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/session/doc.go
@@ -0,0 +1,21 @@
+// Package session holds golden sessions of real processes. Each file in testdata
+// is a script for testscript: it starts stand-ins and entries, commands faults,
+// sends requests and compares what was seen. The counts of the upstream
+// stand-ins are the judge.
+//
+// Before each script every process gets addresses of its own, as environment
+// variables: PLATFORM, JUDGE, HOST1 to HOST4, and CALLER_a, PEER_a and ADMIN_a
+// for entries a, b and c. The files of the folder common are copied to the
+// script's directory with these filled in. Besides the commands of testscript,
+// scripts have:
+//
+//	standins          starts the platform and upstream stand-ins
+//	entry NAME...     starts entries by their settings NAME.ini
+//	ready NAME...     waits until entries are ready
+//	unready NAME...   waits until entries are not ready
+//	inForce NAME...   waits until entries have applied the whole log
+//	signal SIG NAME   sends KILL, TERM, STOP or CONT to a process
+//	shutDown NAME...  asks for a graceful shutdown and waits for exit code 0
+//	post URL JSON     commands a stand-in
+//	judge             prints the promises the upstreams saw broken
+package session
--- /dev/null
+++ b/standin/session/session_test.go
@@ -0,0 +1,106 @@
+package session
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"fescuelanding/standin/internal/process"
+)
+
+const _fileMode = 0o600
+
+var _update = flag.Bool("update", false, "rewrite the golden parts of the scripts")
+
+// _bin is where the programs are built, once for all sessions.
+var _bin string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	d, err := os.MkdirTemp("", "session")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "make directory:", err)
+		return 1
+	}
+	defer os.RemoveAll(d)
+	_bin = d
+	c := exec.Command("go", "build", "-buildvcs=false", "-o", d+string(filepath.Separator),
+		"fescuelanding/entry", "fescuelanding/fescue", "fescuelanding/standin/cmd/standin")
+	if out, err := c.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build programs: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		UpdateScripts:       *_update,
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"standins": withoutNeg(startStandins),
+			"entry":    withoutNeg(startEntries),
+			"ready":    withoutNeg(waitReady),
+			"unready":  withoutNeg(waitUnready),
+			"inForce":  withoutNeg(waitInForce),
+			"signal":   withoutNeg(sendSignal),
+			"shutDown": withoutNeg(shutDown),
+			"post":     withoutNeg(post),
+			"judge":    withoutNeg(judge),
+			"publish":  withoutNeg(publish),
+		},
+	})
+}
+
+// setup gives every process its addresses and fills them into the files of the
+// folder common.
+func setup(e *testscript.Env) error {
+	names := []string{"PLATFORM", "JUDGE", "HOST1", "HOST2", "HOST3", "HOST4"}
+	for _, n := range []string{"a", "b", "c"} {
+		names = append(names, "CALLER_"+n, "PEER_"+n, "ADMIN_"+n)
+	}
+	l, err := process.FreeAddresses(len(names))
+	if err != nil {
+		return fmt.Errorf("find addresses: %w", err)
+	}
+	for i, n := range names {
+		e.Setenv(n, l[i])
+	}
+	e.Setenv("PATH", _bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
+	files, err := filepath.Glob("common/*.ini")
+	if err != nil {
+		return fmt.Errorf("find common files: %w", err)
+	}
+	for _, f := range files {
+		if err := fill(e, f); err != nil {
+			return err
+		}
+	}
+	r := &running{processes: make(map[string]*process.Process)}
+	e.Values[runningKey{}] = r
+	e.Defer(func() { r.end(e) })
+	return nil
+}
+
+func fill(e *testscript.Env, file string) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read common file: %w", err)
+	}
+	to := filepath.Join(e.WorkDir, filepath.Base(file))
+	if err := os.WriteFile(to, []byte(os.Expand(string(b), e.Getenv)), _fileMode); err != nil {
+		return fmt.Errorf("write common file: %w", err)
+	}
+	return nil
+}
