fleet: a host that the platform takes away is drained whatever the budget

Ruled out: HostFail, which would skip the confirmations. Change: that cause is involuntary; other voluntary steps of the pool stay rejected below the budget. The scripts' check counted every drain as voluntary, which was wrong for this cause; it stays for all others. Test: guards/leaving, rejected for budget before the change, accepted after.

--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -217,6 +217,9 @@
 		assert.Equal(t, fmt.Sprint(after), fmt.Sprint(before), prototext.Format(r))
 		return
 	}
+	if r.GetHostDrain().GetCause() == record.Cause_CAUSE_LEAVING {
+		return // The platform takes the host away: an involuntary loss.
+	}
 	for _, h := range before {
 		if h.Name() != r.GetHostDrain().GetHost() && h.Name() != r.GetHostRelease().GetHost() || !h.Available() {
 			continue
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// drain stops new work on a serving host, within the budget.
+// drain stops new work on a serving host, within the budget. A host that the
+// platform takes away is an involuntary loss, which no budget can hold back.
 func (s *State) drain(a *action, h Host, m *record.HostDrain) (Host, *Rejection) {
 	if h.duty != Serving || h.movingTo != "" {
 		return h, reject(ReasonWrongState, "host %s is %s, moving to %q", h.name, h.duty, h.movingTo)
@@ -78,8 +79,10 @@
 	if r := s.checkCause(m); r != nil {
 		return h, r
 	}
-	if r := s.checkBudget(h); r != nil {
-		return h, r
+	if m.GetCause() != record.Cause_CAUSE_LEAVING {
+		if r := s.checkBudget(h); r != nil {
+			return h, r
+		}
 	}
 	h.duty = Draining
 	h.cause, h.causeID = m.GetCause(), m.GetCauseId()
