plan: decide waves, recalls, repair, moves and spares, and explain each

The fleet's decisions are one pure function of state, observations and time. Work is done in place; a host moves only into a pool that is below its budget or has no room at all for its work. A pool below its budget first takes back hosts that still drain, which costs no move. One failure domain of a pool is out at a time unless the reserve covers the loss of a further one. Spares beyond the reserve go to work where buffer weighs more than moves.

--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -22,7 +22,7 @@
 	s.head.configOffset = a.offset
 	s.setConfig(c)
 	s.withdrawMoves(a.offset)
-	s.addHosts(a.offset)
+	s.addHosts(a)
 	s.assignOwners(a.offset)
 	return nil
 }
@@ -88,10 +88,14 @@
 }
 
 // addHosts puts hosts that are seen for the first time into their home pools.
-func (s *State) addHosts(offset uint64) {
+// The period of their maintenance starts then.
+func (s *State) addHosts(a *action) {
 	for _, c := range s.config.Hosts() {
 		if _, ok := s.hosts[c.Name()]; !ok {
-			s.putHost(Host{name: c.Name(), pool: c.Home(), basis: offset, intent: Intent{basis: offset}})
+			s.putHost(Host{
+				name: c.Name(), pool: c.Home(), basis: a.offset, intent: Intent{basis: a.offset},
+				maintainedUnixMs: a.record.GetAtUnixMs(),
+			})
 		}
 	}
 }
--- a/fleet/host.go
+++ b/fleet/host.go
@@ -80,8 +80,9 @@
 // Basis returns the offset of the last accepted record about the host.
 func (h Host) Basis() uint64 { return h.basis }
 
-// MaintainedAt returns when the host's last maintenance was done, by its
-// writer's clock; the zero time if never.
+// MaintainedAt returns when the host's last maintenance was done, or when the
+// host was first declared, by the writer's clock; the zero time if neither is
+// known.
 func (h Host) MaintainedAt() time.Time {
 	if h.maintainedUnixMs == 0 {
 		return time.Time{}
--- /dev/null
+++ b/fleet/plan/domains.go
@@ -0,0 +1,153 @@
+package plan
+
+import (
+	"fescuelanding/fleet/config"
+)
+
+// lean reports whether holding a spare for a maintenance period costs more than
+// moving a host. Then the room of other pools counts as reserve, and spares
+// beyond the reserve are put to work.
+func lean(f config.Fleet) bool { return f.BufferWeight() > f.MoveWeight() }
+
+// domains holds what the loss of each failure domain would cost the pools. It
+// is kept up to date while steps are proposed.
+type domains struct {
+	ids  map[string]int
+	list []domain
+	// spares and room are those of all pools together.
+	spares int
+	room   int
+	lean   bool
+}
+
+// domain is a rack or a data centre.
+type domain struct {
+	name  string
+	kind  config.Domain
+	pools []*pool
+	// lacking is how many hosts the pools that tolerate its loss would lack.
+	lacking int
+	// spares is how many available hosts of spare pools are in it.
+	spares int
+}
+
+// id returns the number of a domain, new where it wasn't known.
+func (d *domains) id(name string, kind config.Domain) int {
+	i, ok := d.ids[name]
+	if !ok {
+		i = len(d.list)
+		d.ids[name] = i
+		d.list = append(d.list, domain{name: name, kind: kind})
+	}
+	return i
+}
+
+// count takes all pools in.
+func (d *domains) count(pools []*pool) {
+	for _, l := range pools {
+		for _, h := range l.hosts {
+			l.touch(d, h.rack)
+			l.touch(d, h.centre)
+		}
+		d.add(l, 1)
+	}
+}
+
+// touch notes that the pool has hosts in a domain.
+func (l *pool) touch(d *domains, id int) {
+	for _, t := range l.touched {
+		if t == id {
+			return
+		}
+	}
+	l.touched = append(l.touched, id)
+	d.list[id].pools = append(d.list[id].pools, l)
+}
+
+// change makes a change to a pool's counts.
+func (d *domains) change(l *pool, f func()) {
+	d.add(l, -1)
+	f()
+	d.add(l, 1)
+}
+
+// add adds what a pool brings to its domains, or takes it off with sign -1.
+func (d *domains) add(l *pool, sign int) {
+	if l.config.Spare() {
+		d.spares += sign * l.available
+		for _, i := range l.touched {
+			d.list[i].spares += sign * l.in[i]
+		}
+		return
+	}
+	d.room += sign * max(0, l.room())
+	for _, i := range l.touched {
+		if l.tolerates(d.list[i].kind) {
+			d.list[i].lacking += sign * l.lacking(i)
+		}
+	}
+}
+
+// tolerates reports whether the pool's budget is to outlast the loss of a
+// domain of a kind.
+func (l *pool) tolerates(kind config.Domain) bool { return l.config.Tolerate() >= kind }
+
+// reserve returns how many hosts could make good the loss of a domain: spares
+// outside of it and, where the policy is lean, the room of pools outside of it.
+func (d *domains) reserve(id int) int {
+	n := d.spares - d.list[id].spares
+	if !d.lean {
+		return n
+	}
+	n += d.room
+	for _, l := range d.list[id].pools {
+		if !l.config.Spare() {
+			n -= max(0, l.room())
+		}
+	}
+	return n
+}
+
+// uncovered returns by how many hosts the reserve falls short of the loss of a
+// domain.
+func (d *domains) uncovered(id int) int {
+	return max(0, d.list[id].lacking-d.reserve(id))
+}
+
+// needed returns how many spares the loss of the worst domain asks for.
+func (d *domains) needed() int {
+	n := 0
+	for i := range d.list {
+		inside := d.list[i].spares
+		others := d.reserve(i) - (d.spares - inside)
+		if want := d.list[i].lacking - others; want > 0 {
+			n = max(n, want+inside)
+		}
+	}
+	return n
+}
+
+// covered reports whether the pool could lose a host without any of its
+// domains becoming less covered than before, or uncovered.
+func (d *domains) covered(h *host) bool {
+	l := h.pool
+	before := make([]int, len(l.touched))
+	for i, id := range l.touched {
+		before[i] = d.uncovered(id)
+	}
+	d.change(l, func() { l.lose(h, 1) })
+	defer d.change(l, func() { l.lose(h, -1) })
+	for i, id := range l.touched {
+		if u := d.uncovered(id); u > 0 && u >= before[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// lose takes n hosts of h's place out of the pool's available ones.
+func (l *pool) lose(h *host, n int) {
+	l.available -= n
+	l.in[h.rack] -= n
+	l.in[h.centre] -= n
+}
--- /dev/null
+++ b/fleet/plan/drain.go
@@ -0,0 +1,134 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+
+	"fescuelanding/fleet/config"
+	"fescuelanding/fleet/record"
+)
+
+// drain takes hosts out for their errands, as many as the rules let go.
+func (p *planner) drain() {
+	for _, l := range p.byUrgency() {
+		var waiting []*host
+		for _, h := range l.hosts {
+			if h.wanted() && h.Available() && !h.acted && h.rule == RuleNone {
+				waiting = append(waiting, h)
+			}
+		}
+		p.drainInTurn(waiting)
+	}
+}
+
+// drainInTurn takes out hosts of one pool. What holds one host back also holds
+// back those beside it.
+func (p *planner) drainInTurn(waiting []*host) {
+	for len(waiting) > 0 {
+		h := waiting[first(waiting)]
+		may := p.mayLeave(h)
+		if may {
+			p.drainHost(h)
+		}
+		waiting = slices.DeleteFunc(waiting, func(o *host) bool {
+			switch {
+			case o == h:
+				return true
+			case may || h.rule == RuleDomain && o.domain() != h.domain():
+				return false
+			default:
+				o.held(h.rule, h.why, h.frees)
+				return true
+			}
+		})
+	}
+}
+
+// first returns the index of the host to be taken out next. It is asked again
+// after each step, as hosts beside those that are out go first.
+func first(hosts []*host) int {
+	best := 0
+	for i, h := range hosts {
+		if before(h, hosts[best]) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *planner) drainHost(h *host) {
+	r := &record.Record{Body: &record.Record_HostDrain{
+		HostDrain: &record.HostDrain{Host: h.Name(), Cause: h.errand.cause, CauseId: h.errand.id},
+	}}
+	if p.propose(h, "drain", r) {
+		p.take(h, true)
+	}
+}
+
+// domainOpen reports whether a host's failure domain may have hosts out: no
+// other domain has, or the reserve makes good the loss of a further one.
+func (p *planner) domainOpen(h *host) bool {
+	l := h.pool
+	if l.config.Tolerate() == config.DomainNone {
+		return true
+	}
+	others := 0
+	for d, n := range l.out {
+		if d != h.domain() {
+			others += n
+		}
+	}
+	return others == 0 || p.domains.covered(h)
+}
+
+// spareMayLeave reports whether a host of a spare pool may go for an errand:
+// the reserve stays large enough, or no other spare is out.
+func (p *planner) spareMayLeave(h *host) bool {
+	if p.domains.spares > p.domains.needed() {
+		return true
+	}
+	for _, l := range p.order {
+		for _, n := range l.out {
+			if l.config.Spare() && n > 0 {
+				h.held(RuleReserve, fmt.Sprintf("%d spares are in reserve, and the worst loss needs %d", p.domains.spares, p.domains.needed()), "the return of the spares that are out")
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func budgetWhy(l *pool) string {
+	return fmt.Sprintf("pool %s has %d available of at least %d", l.config.Name(), l.available, l.config.MinAvailable())
+}
+
+func budgetFrees(l *pool) string {
+	out := 0
+	for _, n := range l.out {
+		out += n
+	}
+	switch {
+	case l.incoming > 0:
+		return fmt.Sprintf("the %d hosts on their way into the pool", l.incoming)
+	case out > 0:
+		return fmt.Sprintf("the return of the %d hosts that are out", out)
+	default:
+		return "a host moved in, a lost one that returns, or a smaller budget"
+	}
+}
+
+func domainWhy(l *pool) string {
+	return fmt.Sprintf("pool %s has hosts of another %v out, and the reserve doesn't cover the loss of a further one", l.config.Name(), l.config.Tolerate())
+}
+
+// worstShortfall returns how many hosts the pool would lack after the loss of
+// the worst domain that it tolerates.
+func (p *planner) worstShortfall(l *pool) int {
+	n := 0
+	for _, i := range l.touched {
+		if l.tolerates(p.domains.list[i].kind) {
+			n = max(n, l.lacking(i))
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/plan/errand.go
@@ -0,0 +1,109 @@
+package plan
+
+import (
+	"slices"
+	"strings"
+
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/record"
+)
+
+// _lead is the part of the maintenance period before its end from which a host
+// is due.
+const _lead = 8
+
+// errand is what a host is to be taken out for. The zero value is nothing.
+type errand struct {
+	cause record.Cause
+	id    string
+	// rank orders the errands of a pool; the lowest goes first.
+	rank int
+}
+
+// The ranks of errands.
+const (
+	_rankLeaving = iota
+	_rankOperator
+	_rankRecall
+	_rankWave
+	_rankDue
+)
+
+// String says what the errand is, or "".
+func (e errand) String() string {
+	switch e.rank {
+	case _rankOperator:
+		return "an operator's drain"
+	case _rankRecall:
+		return "recall " + e.id
+	case _rankWave:
+		return "wave " + e.id
+	case _rankDue:
+		return "periodic maintenance"
+	}
+	if e.cause == record.Cause_CAUSE_LEAVING {
+		return "leaving the platform"
+	}
+	return ""
+}
+
+// errandOf returns the most pressing errand of a host.
+func (p *planner) errandOf(h *host) errand {
+	if h.seen && h.listed && h.leaving {
+		return errand{cause: record.Cause_CAUSE_LEAVING, rank: _rankLeaving}
+	}
+	if h.intent.Drain() {
+		return errand{cause: record.Cause_CAUSE_OPERATOR, rank: _rankOperator}
+	}
+	if b := h.config.Batch(); b != "" && h.RepairedBatch() != b {
+		i := slices.IndexFunc(p.recalls, func(r fleet.Recall) bool { return r.Batch() == b })
+		if i >= 0 {
+			return errand{cause: record.Cause_CAUSE_RECALL, id: p.recalls[i].Name(), rank: _rankRecall}
+		}
+	}
+	return p.maintenanceOf(h)
+}
+
+// maintenanceOf returns the errand of a host that a wave or its age asks to be
+// maintained.
+func (p *planner) maintenanceOf(h *host) errand {
+	for _, w := range p.waves {
+		if h.MaintainedOffset() > w.Offset() {
+			continue
+		}
+		if l := p.waved[w.Name()]; len(l) == 0 || slices.Contains(l, h.Pool()) {
+			return errand{cause: record.Cause_CAUSE_MAINTENANCE, id: w.Name(), rank: _rankWave}
+		}
+	}
+	if p.due(h) {
+		return errand{cause: record.Cause_CAUSE_MAINTENANCE, rank: _rankDue}
+	}
+	return errand{}
+}
+
+// due reports whether the host's maintenance is due by its age.
+func (p *planner) due(h *host) bool {
+	every := p.policy.MaintenanceEvery()
+	return p.now.Sub(h.MaintainedAt()) >= every-every/_lead
+}
+
+// before orders hosts of a pool: by errand, then those whose domain is already
+// out, then by the age of their maintenance, then by their load, then by name.
+func before(a, b *host) int {
+	if a.errand.rank != b.errand.rank {
+		return a.errand.rank - b.errand.rank
+	}
+	if o := b.pool.out[b.domain()] - a.pool.out[a.domain()]; o != 0 {
+		return o
+	}
+	if a.domain() != b.domain() {
+		return a.domain() - b.domain()
+	}
+	if d := a.MaintainedAt().Compare(b.MaintainedAt()); d != 0 {
+		return d
+	}
+	if a.inFlight != b.inFlight {
+		return a.inFlight - b.inFlight
+	}
+	return strings.Compare(a.Name(), b.Name())
+}
--- /dev/null
+++ b/fleet/plan/repair.go
@@ -0,0 +1,148 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/record"
+)
+
+// repair mends pools that are below their budget, the one that lacks most
+// first: with drained hosts put back, with moves given up, and only then with
+// hosts of other pools.
+func (p *planner) repair() {
+	var low []*pool
+	for _, l := range p.order {
+		if l.short() > 0 {
+			low = append(low, l)
+		}
+	}
+	slices.SortStableFunc(low, func(a, b *pool) int { return cmp.Compare(b.short(), a.short()) })
+	for _, l := range low {
+		p.putBack(l)
+	}
+	for _, l := range low {
+		for l.short() > 0 && p.moveIn(l, true) {
+		}
+	}
+}
+
+// putBack returns hosts that the pool has out by its own will and that still
+// run: it costs no move.
+func (p *planner) putBack(l *pool) {
+	for _, h := range l.hosts {
+		if l.short() == 0 {
+			return
+		}
+		switch {
+		case h.acted || h.leaving || h.missing():
+		case h.MovingTo() != "" && h.Duty() == fleet.Serving:
+			p.keep(h, "stay, as its pool is below its budget")
+		case h.Duty() == fleet.Draining:
+			p.serve(h, "return, as its pool is below its budget", &record.HostServe{})
+		}
+	}
+}
+
+// keep gives up a host's move.
+func (p *planner) keep(h *host, step string) {
+	r := &record.Record{Body: &record.Record_HostKeep{HostKeep: &record.HostKeep{Host: h.Name()}}}
+	if !p.propose(h, step, r) {
+		return
+	}
+	if to, ok := p.pools[h.MovingTo()]; ok {
+		to.incoming--
+	}
+	if h.Duty() == fleet.Serving {
+		p.give(h)
+	}
+}
+
+// moveIn releases the best host of another pool to this one and reports whether
+// there was one. Spares go before hosts of pools that have room and no work for
+// it, and in need any room will do.
+func (p *planner) moveIn(l *pool, need bool) bool {
+	h := p.bestFor(l, func(d *pool) bool { return d.config.Spare() })
+	if h == nil {
+		h = p.bestFor(l, func(d *pool) bool { return d.room() > 0 && d.work() == 0 })
+	}
+	if h == nil && need {
+		h = p.bestFor(l, func(d *pool) bool { return d.room() > 0 })
+	}
+	return h != nil && p.release(h, l)
+}
+
+// bestFor returns the host to move into a pool, from pools that may give one:
+// one without errand whose rack has the fewest hosts of the pool, from the pool
+// with the most room.
+func (p *planner) bestFor(l *pool, may func(*pool) bool) *host {
+	var best *host
+	for _, d := range p.order {
+		if d == l || d.available == 0 || !may(d) {
+			continue
+		}
+		for _, h := range d.hosts {
+			if h.usable() && h.flaps(p.now) == 0 && (best == nil || better(l, h, best)) {
+				best = h
+			}
+		}
+	}
+	return best
+}
+
+// better reports whether host a is the better one to move into a pool.
+func better(l *pool, a, b *host) bool {
+	if a.wanted() != b.wanted() {
+		return !a.wanted()
+	}
+	if l.in[a.rack] != l.in[b.rack] {
+		return l.in[a.rack] < l.in[b.rack]
+	}
+	return a.pool.room() > b.pool.room()
+}
+
+// release begins the move of a host.
+func (p *planner) release(h *host, to *pool) bool {
+	r := &record.Record{Body: &record.Record_HostRelease{
+		HostRelease: &record.HostRelease{Host: h.Name(), ToPool: to.config.Name()},
+	}}
+	if !p.propose(h, "release to pool "+to.config.Name(), r) {
+		return false
+	}
+	p.take(h, h.Duty() == fleet.Serving)
+	to.incoming++
+	return true
+}
+
+// moveByIntent moves hosts to the pools that operators want them in.
+func (p *planner) moveByIntent() {
+	for _, h := range p.hosts {
+		to := p.pools[h.intent.ToPool()]
+		switch {
+		case h.acted:
+		case to == nil || h.MovingTo() != "" || h.pool == to || h.Duty() == fleet.Draining || h.Duty() == fleet.Failed:
+		case h.Available() && !p.mayLeave(h):
+		default:
+			p.release(h, to)
+		}
+	}
+}
+
+// mayLeave reports whether the rules let an available host go, and notes the
+// one that doesn't.
+func (p *planner) mayLeave(h *host) bool {
+	l := h.pool
+	switch {
+	case l.room() <= 0:
+		h.held(RuleBudget, budgetWhy(l), budgetFrees(l))
+		return false
+	case l.config.Spare():
+		return p.spareMayLeave(h)
+	case !p.domainOpen(h):
+		h.held(RuleDomain, domainWhy(l), "the return of those hosts")
+		return false
+	default:
+		return true
+	}
+}
