--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,7 @@
 	KeysStream = "keys"
 
 	_appendTimeout = 2 * time.Second
+	_doubtTimeout  = time.Second
 )
 
 // book is the journal of started keys with what waits for it.
@@ -26,6 +28,14 @@
 	waiting map[keys.Key]awaiting
 	// busy is set while an append is under way.
 	busy bool
+	// doubts are the records whose append may have taken effect, oldest first.
+	doubts []doubt
+}
+
+// doubt is a record that is waited for until a time.
+type doubt struct {
+	record *keys.Record
+	until  time.Time
 }
 
 // awaiting is a request that waits for its key.
@@ -65,7 +75,9 @@
 }
 
 // written takes note of an append's end. Keys of a failed one are refused, and
-// its fences are written again before anything else.
+// its fences are written again before anything else. Where only the answer was
+// lost, the keys are waited for: refused and then read back, they would stand
+// for started at every other broker.
 func (d *Desk) written(now time.Time, m written) {
 	d.book.busy = false
 	if m.err == nil {
@@ -79,7 +91,23 @@
 			d.book.batcher.AddFence(f.GetPool(), f.GetTerm())
 		}
 	}
-	for _, b := range m.record.GetBatches() {
+	if errors.Is(m.err, platform.ErrUnknownOutcome) {
+		d.book.doubts = append(d.book.doubts, doubt{record: m.record, until: now.Add(_doubtTimeout)})
+		return
+	}
+	d.refuseKeys(now, m.record)
+}
+
+// endDoubts refuses the keys of records that were not read back in time.
+func (d *Desk) endDoubts(now time.Time) {
+	for len(d.book.doubts) > 0 && !now.Before(d.book.doubts[0].until) {
+		d.refuseKeys(now, d.book.doubts[0].record)
+		d.book.doubts = d.book.doubts[1:]
+	}
+}
+
+func (d *Desk) refuseKeys(now time.Time, r *keys.Record) {
+	for _, b := range r.GetBatches() {
 		for i := 0; i+keys.Size <= len(b.GetKeys()); i += keys.Size {
 			d.settle(now, keys.Key(b.GetKeys()[i:i+keys.Size]), broker.JournalFailed)
 		}
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -176,6 +176,7 @@
 			d.perform(now, p, p.broker.Tick(now))
 		}
 	}
+	d.endDoubts(now)
 	d.flushKeys(now)
 }
 
