--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -43,6 +43,8 @@
 	// aliveAfter is the pause before the next EntryAlive.
 	aliveAfter   time.Duration
 	suspectSince time.Time
+	// silentSince has since when each process was not heard.
+	silentSince map[broker.Entry]time.Time
 }
 
 // message is what the control duty receives.
@@ -69,6 +71,7 @@
 	c.jobs = map[string]*job{}
 	c.seen = map[broker.Entry]time.Time{}
 	c.connected = map[string]bool{}
+	c.silentSince = map[broker.Entry]time.Time{}
 	c.aliveAfter = _aliveFirst
 	u, err := duty.Spawn(s, "control", _controlRing, duty.DropOldest, c.handle, duty.WithTick[message](_controlTick, tick{}))
 	if err != nil {
@@ -149,7 +152,7 @@
 		return
 	}
 	c.suspectSince = time.Time{}
-	c.plan(now, v)
+	c.unregisterLost(now, v, heard)
 }
 
 // heard returns the status of the connected peers, by name.
@@ -294,6 +297,40 @@
 	})
 }
 
+// unregisterLost has the planner's entry unregister suspects that it has not
+// heard for longer than the platform's list lags. By then such an entry, if it
+// runs at all, has found its view stale and sends nothing.
+func (c *control) unregisterLost(now time.Time, v *view.View, heard map[string]peer.Status) {
+	d := c.daemon
+	_, plans := d.mayPlan()
+	lag := v.Config().Fleet().LiveListLag()
+	for _, e := range v.Entries() {
+		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
+		if _, ok := heard[b.Name]; ok || b.Name == d.self.Name {
+			delete(c.silentSince, b)
+			continue
+		}
+		t, ok := c.silentSince[b]
+		if !ok {
+			c.silentSince[b] = now
+			continue
+		}
+		if !plans || !e.Suspect() || now.Sub(t) < lag || !c.majority(v, heard) {
+			continue
+		}
+		c.start(now, "unregister "+b.Name, _registerEvery, func(ctx context.Context) error {
+			return d.append(ctx, unregisterRecord(b, record.UnregisterCause_UNREGISTER_CAUSE_LOST))
+		})
+	}
+}
+
+// unregisterRecord ends the registration of a process.
+func unregisterRecord(b broker.Entry, cause record.UnregisterCause) *record.Record {
+	return &record.Record{Body: &record.Record_EntryUnregister{
+		EntryUnregister: &record.EntryUnregister{Entry: b.Name, Incarnation: b.Incarnation, Cause: cause},
+	}}
+}
+
 // alive lifts a suspicion of this entry once it hears most others again. The
 // pause doubles each time, so that a flapping link doesn't move ownership about.
 func (c *control) alive(now time.Time, v *view.View, heard map[string]peer.Status) {
@@ -362,12 +399,7 @@
 	d := c.daemon
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
-	err := d.append(ctx, &record.Record{Body: &record.Record_EntryUnregister{
-		EntryUnregister: &record.EntryUnregister{
-			Entry: d.self.Name, Incarnation: d.self.Incarnation,
-			Cause: record.UnregisterCause_UNREGISTER_CAUSE_LEFT,
-		},
-	}})
+	err := d.append(ctx, unregisterRecord(d.self, record.UnregisterCause_UNREGISTER_CAUSE_LEFT))
 	if err != nil {
 		d.log.Warn("Entry stays registered.", "err", err)
 	}
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"fescuelanding/entry/internal/duty"
 	"fescuelanding/entry/internal/follow"
 	"fescuelanding/entry/internal/hold"
+	"fescuelanding/entry/internal/planner"
 	"fescuelanding/entry/internal/remote"
 	"fescuelanding/entry/internal/serve"
 	"fescuelanding/entry/internal/settings"
@@ -52,6 +53,7 @@
 	pipe     serve.Pipe
 	sender   upstream.Sender
 	control  control
+	planner  planner.Planner
 	slotsFor chan struct{}
 
 	leaving atomic.Bool
@@ -79,6 +81,9 @@
 	}
 	d.pipe = serve.Pipe{Self: d.self, Table: d.table, Slots: d.slots(), Sender: &d.sender}
 	d.control.daemon = d
+	d.planner = planner.Planner{
+		Owner: d.mayPlan, State: d.follower.With, Live: d.platform.Live, Append: d.appendAs, Log: l.WithPrefix("planner"),
+	}
 	server := &remote.Server{Desk: &d.desk, Table: d.table, Follower: &d.follower}
 	d.peers.Handle = server.Handle
 	d.peers.Beat = d.beat
@@ -99,6 +104,9 @@
 	if err := d.control.begin(system); err != nil {
 		return err
 	}
+	if err := d.planner.Start(system); err != nil {
+		return err
+	}
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.run(func() { d.follower.Run(inner) })
@@ -111,6 +119,7 @@
 	<-ctx.Done()
 	d.shutDown(server)
 	stop()
+	d.planner.Stop()
 	d.control.end()
 	d.desk.Stop()
 	_ = admin.Close()
@@ -247,6 +256,13 @@
 		d.configured() && d.table.IsFresh(now)
 }
 
+// mayPlan reports whether this process owns planning, and under which term.
+func (d *Daemon) mayPlan() (uint64, bool) {
+	o, ok := d.table.View().Planner()
+	ok = ok && o.Entry() == d.self.Name && o.Incarnation() == d.self.Incarnation
+	return o.Term(), ok && !d.leaving.Load() && d.table.IsFresh(time.Now())
+}
+
 // beat is the next heartbeat.
 func (d *Daemon) beat(now time.Time) *peer.Heartbeat {
 	age := int64(-1)
--- a/entry/internal/daemon/log.go
+++ b/entry/internal/daemon/log.go
@@ -48,25 +48,29 @@
 // append writes a record, its basis taken from the present state, and returns
 // once it stands in the log. Whether it was accepted shows when it is applied.
 func (d *Daemon) append(ctx context.Context, r *record.Record) error {
+	d.follower.With(func(s *fleet.State) { r.Basis = s.Basis(r) })
+	r.AtUnixMs = time.Now().UnixMilli()
+	_, err := d.appendAs(ctx, r)
+	return err
+}
+
+// appendAs writes a record whose basis is set, and returns its offset.
+func (d *Daemon) appendAs(ctx context.Context, r *record.Record) (uint64, error) {
 	r.Id = make([]byte, _idBytes)
 	_, _ = rand.Read(r.Id)
-	r.Writer, r.AtUnixMs = d.self.Name, time.Now().UnixMilli()
-	var after uint64
-	d.follower.With(func(s *fleet.State) {
-		r.Basis, after = s.Basis(r), s.Offset()
-	})
+	r.Writer = d.self.Name
 	b, err := proto.Marshal(r)
 	if err != nil {
-		return fmt.Errorf("encode record: %w", err)
+		return 0, fmt.Errorf("encode record: %w", err)
 	}
-	_, err = d.platform.AppendRecord(ctx, follow.Stream, after, b, func(data []byte) bool {
+	o, err := d.platform.AppendRecord(ctx, follow.Stream, d.follower.Offset(), b, func(data []byte) bool {
 		var m record.Record
 		return proto.Unmarshal(data, &m) == nil && bytes.Equal(m.GetId(), r.GetId())
 	})
 	if err != nil {
-		return fmt.Errorf("append record: %w", err)
+		return 0, fmt.Errorf("append record: %w", err)
 	}
-	return nil
+	return o, nil
 }
 
 // appendKeys writes a record of the keys stream, once: a key is refused where
