--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -169,10 +169,10 @@
 
 // submit appends a record, or loses it, or delays it, or appends it twice.
 func (w *world) submit(r *record.Record) {
-	switch fate := rapid.IntRange(0, 9).Draw(w.T, "fate"); {
-	case fate == 0:
+	switch rapid.IntRange(0, 9).Draw(w.T, "fate") {
+	case 0:
 		w.held = append(w.held, r)
-	case fate == 1:
+	case 1:
 		w.append(r)
 		w.held = append(w.held, r)
 	default:
