--- /dev/null
+++ b/entry/internal/hold/table_test.go
@@ -0,0 +1,122 @@
+package hold
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/internal/viewtest"
+)
+
+var (
+	_now  = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	_self = broker.Entry{Name: "e1", Incarnation: 1}
+)
+
+// registered returns a table of e1 with a fresh view, and the fleet behind it.
+func registered(t *testing.T) (*Table, *viewtest.Fleet) {
+	var f viewtest.Fleet
+	f.Configure(t, viewtest.Small)
+	f.Register(t, "e1", 1)
+	f.Register(t, "e2", 2)
+	f.Register(t, "e3", 3)
+	b := New(_self, _now)
+	b.Show(f.View())
+	b.Fresh(_now.Add(time.Second))
+	return b, &f
+}
+
+// grant returns a hold of the pool's present broker.
+func grant(f *viewtest.Fleet, slot uint64, host string) broker.Hold {
+	o, _ := f.View().Broker("fitting")
+	return broker.Hold{Slot: slot, Host: host, Entry: _self, Term: o.Term(), Until: _now.Add(time.Minute)}
+}
+
+func TestGateStaysShut(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(*testing.T, *Table, *viewtest.Fleet)
+		want error
+	}{
+		{"open", func(*testing.T, *Table, *viewtest.Fleet) {}, nil},
+		{"paused longer than the bound", func(_ *testing.T, b *Table, _ *viewtest.Fleet) {
+			b.start = b.start.Add(-2 * time.Second)
+		}, ErrStale},
+		{"unregistered", func(t *testing.T, b *Table, f *viewtest.Fleet) {
+			f.Register(t, "e1", 9)
+			b.Show(f.View())
+		}, ErrUnregistered},
+		{"host drains", func(t *testing.T, b *Table, f *viewtest.Fleet) {
+			f.Drain(t, "h1")
+			b.Show(f.View())
+		}, ErrHost},
+		{"newer broker in the view", func(t *testing.T, b *Table, f *viewtest.Fleet) {
+			o, _ := f.View().Broker("fitting")
+			by := "e1"
+			if o.Entry() == by {
+				by = "e2"
+			}
+			f.Suspect(t, by, o.Entry(), o.Incarnation())
+			b.Show(f.View())
+		}, ErrBroker},
+		{"reported to a newer broker", func(_ *testing.T, b *Table, f *viewtest.Fleet) {
+			o, _ := f.View().Broker("fitting")
+			_, ok := b.Report("fitting", Broker{Entry: "e2", Term: o.Term() + 1})
+			if !ok {
+				panic("newer broker was refused")
+			}
+		}, ErrBroker},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, f := registered(t)
+			h := grant(f, 1, "h1")
+			c.do(t, b, f)
+			assert.Equal(t, b.Enter(_now, "fitting", h), c.want)
+			assert.Equal(t, b.Idle("h1"), c.want != nil)
+		})
+	}
+}
+
+func TestOldViewDoesNotComeBack(t *testing.T) {
+	b, f := registered(t)
+	old := f.View()
+	h := grant(f, 1, "h1")
+	f.Drain(t, "h1")
+	b.Show(f.View())
+	b.Show(old)
+	assert.Equal(t, b.Enter(_now, "fitting", h), ErrHost)
+}
+
+func TestReportHasOwnAndWitnessedHolds(t *testing.T) {
+	b, f := registered(t)
+	h := grant(f, 1, "h1")
+	assert.NilError(t, b.Enter(_now, "fitting", h))
+	other := grant(f, 2, "h2")
+	other.Entry = broker.Entry{Name: "e2", Incarnation: 2}
+	assert.Assert(t, b.Witness(_now, "fitting", other))
+	l, ok := b.Report("fitting", Broker{Entry: "e3", Term: h.Term + 1})
+	assert.Assert(t, ok)
+	assert.Equal(t, len(l), 2)
+
+	_, ok = b.Report("fitting", Broker{Entry: "e2", Term: h.Term})
+	assert.Assert(t, !ok, "an older broker was told")
+	assert.Assert(t, !b.Witness(_now, "fitting", other), "a hold of an old broker was witnessed")
+
+	assert.DeepEqual(t, b.Leave("fitting", 1), Broker{Entry: "e3", Term: h.Term + 1})
+	assert.Assert(t, b.Idle("h1"))
+}
+
+func TestWitnessForgetsWhatHasEnded(t *testing.T) {
+	b, f := registered(t)
+	h := grant(f, 1, "h1")
+	h.Until = _now.Add(time.Second)
+	assert.Assert(t, b.Witness(_now, "fitting", h))
+	later := grant(f, 2, "h1")
+	assert.Assert(t, b.Witness(_now.Add(2*time.Second), "fitting", later))
+	l, _ := b.Report("fitting", Broker{Entry: "e2", Term: h.Term})
+	assert.Equal(t, len(l), 1)
+	assert.Equal(t, l[0].Slot, uint64(2))
+}
