entry: don't close idle connections at the start of a shutdown

A leaving entry now asks for the close in its answers; the server's Shutdown closes the rest after the balancer's delay.

--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -154,7 +154,7 @@
 		Known: d.configured, Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody(),
 	}
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
+		Handler: d.closing(h), ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
 	}
 	d.run(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -164,6 +164,18 @@
 	return s
 }
 
+// closing has a leaving entry's callers close their connections after the next
+// answer. Closing idle ones from this side would cut the requests that are on
+// their way.
+func (d *Daemon) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, q)
+	})
+}
+
 // serve bounds the requests that are open at once.
 func (d *Daemon) serve(ctx context.Context, r caller.Request) caller.End {
 	select {
@@ -203,7 +215,6 @@
 func (d *Daemon) shutDown(s *http.Server) {
 	d.log.Info("Shutdown begins.")
 	d.leaving.Store(true)
-	s.SetKeepAlivesEnabled(false)
 	time.Sleep(_balancerDelay)
 	d.control.handOver(_handOverTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Shutdown())
