entry/peer: keep apart why a link ended and why dialling fails

Cause: -count=10 showed the reason of a lost connection overwritten by the next failed dial, and the slow-reader test taking either reason at random: a side that reads nothing closes its window, and then its heartbeats halt as well.

--- a/entry/peer/dial.go
+++ b/entry/peer/dial.go
@@ -159,10 +159,10 @@
 	s.mu.Lock()
 	old := s.errs[name]
 	if s.wanted(name) {
-		s.errs[name] = err
+		s.errs[name] = trouble{lost: old.lost, failed: err}
 	}
 	s.mu.Unlock()
-	if old == nil || old.Error() != err.Error() {
+	if old.failed == nil || old.failed.Error() != err.Error() {
 		s.log.Warn("cannot connect", "peer", name, "err", err)
 	}
 }
--- a/entry/peer/frame.go
+++ b/entry/peer/frame.go
@@ -4,9 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -49,18 +47,3 @@
 		return err
 	}
 }
-
-// timedConn gives each write a deadline, so that a peer that reads nothing
-// can't hold up the session's sender.
-type timedConn struct {
-	net.Conn
-	timeout time.Duration
-}
-
-// Write implements net.Conn.
-func (c timedConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -50,7 +50,7 @@
 	}
 	k.control = lane{queue: make(chan *Envelope, _controlQueue), maxFrame: _controlFrameBytes, timeout: _writeTimeout}
 	k.bulk = lane{queue: make(chan *Envelope, _bulkQueue), maxFrame: _bulkFrameBytes, timeout: _writeTimeout}
-	if err := k.open(timedConn{Conn: c, timeout: _writeTimeout}); err != nil {
+	if err := k.open(c); err != nil {
 		return nil, err
 	}
 	k.pulse.touch(now)
--- a/entry/peer/set.go
+++ b/entry/peer/set.go
@@ -71,7 +71,7 @@
 	mu      sync.Mutex
 	peers   []Peer
 	links   map[string]*link
-	errs    map[string]error
+	errs    map[string]trouble
 	dialers map[Peer]context.CancelFunc
 	pending int
 	ctx     context.Context
@@ -83,7 +83,7 @@
 	s := &Set{
 		self: self, interval: _heartbeatInterval, silentAfter: _silentAfter,
 		now: time.Now, log: log.New(io.Discard),
-		links: make(map[string]*link), errs: make(map[string]error), dialers: make(map[Peer]context.CancelFunc),
+		links: make(map[string]*link), errs: make(map[string]trouble), dialers: make(map[Peer]context.CancelFunc),
 	}
 	for _, o := range opts {
 		o(s)
@@ -232,7 +232,9 @@
 		go old.close(ErrReplaced)
 	}
 	s.links[k.remote.Entry] = k
-	delete(s.errs, k.remote.Entry)
+	if t, ok := s.errs[k.remote.Entry]; ok {
+		s.errs[k.remote.Entry] = trouble{lost: t.lost}
+	}
 	return nil
 }
 
@@ -242,7 +244,7 @@
 	if s.links[k.remote.Entry] == k {
 		delete(s.links, k.remote.Entry)
 		if s.wanted(k.remote.Entry) {
-			s.errs[k.remote.Entry] = err
+			s.errs[k.remote.Entry] = trouble{lost: err}
 		}
 	}
 }
@@ -364,7 +366,10 @@
 	defer s.mu.Unlock()
 	var all []Status
 	for name, k := range s.links {
-		st := Status{entry: name, dataCentre: k.remote.DataCentre, incarnation: k.remote.Incarnation, connected: !k.closed()}
+		st := Status{
+			entry: name, dataCentre: k.remote.DataCentre, incarnation: k.remote.Incarnation,
+			connected: !k.closed(), trouble: s.errs[name],
+		}
 		k.pulse.fill(&st)
 		all = append(all, st)
 	}
@@ -372,7 +377,7 @@
 		if p.Entry == "" || s.links[p.Entry] != nil || p.Entry == s.self.Entry {
 			continue
 		}
-		all = append(all, Status{entry: p.Entry, err: s.errs[p.Entry]})
+		all = append(all, Status{entry: p.Entry, trouble: s.errs[p.Entry]})
 	}
 	slices.SortFunc(all, func(a, b Status) int { return strings.Compare(a.entry, b.entry) })
 	return all
--- a/entry/peer/status.go
+++ b/entry/peer/status.go
@@ -13,7 +13,7 @@
 	proofAge      time.Duration
 	ready         bool
 	rtt           time.Duration
-	err           error
+	trouble       trouble
 }
 
 // Entry returns the name of the peer.
@@ -45,5 +45,16 @@
 // RTT returns the round trip of the last heartbeat, queues included.
 func (s Status) RTT() time.Duration { return s.rtt }
 
-// Err returns why a wanted peer is not connected; nil where that isn't known.
-func (s Status) Err() error { return s.err }
+// Err returns why a wanted peer could not be connected with the last time it
+// was tried; nil where it was not tried since, or is connected.
+func (s Status) Err() error { return s.trouble.failed }
+
+// Lost returns why the last connection with a wanted peer ended; nil where
+// there was none.
+func (s Status) Lost() error { return s.trouble.lost }
+
+// trouble is what went wrong with a peer.
+type trouble struct {
+	lost   error
+	failed error
+}
