--- /dev/null
+++ b/entry/internal/slots/book_test.go
@@ -0,0 +1,133 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/entry/broker"
+	"fescuelanding/entry/keys"
+	"fescuelanding/fleet/platform"
+)
+
+func TestKeyIsGrantedOnceAndAfterItsFence(t *testing.T) {
+	s := newStand(t)
+	s.Show(s.fleet.View())
+	o, err := s.ask(1, 7, _limit)
+	assert.NilError(t, err)
+	g, is := o.(broker.Grant)
+	assert.Assert(t, is, "%#v", o)
+
+	s.mu.Lock()
+	fenced := false
+	for _, r := range s.records {
+		fenced = fenced || len(r.GetFences()) > 0
+		assert.Assert(t, fenced || len(r.GetBatches()) == 0, "a batch came before the fence")
+	}
+	s.mu.Unlock()
+
+	s.Done("fitting", g.Slot, broker.Result{Outcome: broker.Answered, Answer: []byte("first")})
+	o, err = s.ask(2, 7, _limit)
+	assert.NilError(t, err)
+	r, is := o.(broker.Repeat)
+	assert.Assert(t, is, "%#v", o)
+	assert.Equal(t, string(r.Answer), "first")
+}
+
+func TestKeyStartedElsewhereIsNotRun(t *testing.T) {
+	s := newStand(t)
+	s.Show(s.fleet.View())
+	k := keys.Key{9}
+	s.mu.Lock()
+	s.store(&keys.Record{
+		AtUnixMs: time.Now().UnixMilli(), Entry: "e9", Incarnation: 9,
+		Batches: []*keys.Batch{{Pool: "fitting", Term: 1 << 40, Keys: k[:]}},
+	})
+	s.mu.Unlock()
+	o, err := s.ask(1, 9, _limit)
+	assert.NilError(t, err)
+	r, is := o.(broker.Repeat)
+	assert.Assert(t, is, "%#v", o)
+	assert.Equal(t, r.Outcome, keys.Unknown)
+}
+
+// TestKeyStartedMeanwhileIsNotRun has another broker's batch stand just before
+// the own one.
+func TestKeyStartedMeanwhileIsNotRun(t *testing.T) {
+	s := newStand(t)
+	k := keys.Key{8}
+	s.log = func(r *keys.Record) (bool, error) {
+		if len(r.GetBatches()) > 0 {
+			s.store(&keys.Record{
+				AtUnixMs: r.GetAtUnixMs(), Entry: "e9", Incarnation: 9,
+				Batches: []*keys.Batch{{Pool: "fitting", Term: 1 << 40, Keys: k[:]}},
+			})
+		}
+		return true, nil
+	}
+	s.Show(s.fleet.View())
+	o, err := s.ask(1, 8, _limit)
+	assert.NilError(t, err)
+	_, is := o.(broker.Repeat)
+	assert.Assert(t, is, "%#v", o)
+}
+
+func TestUnavailableLogRefusesAtOnce(t *testing.T) {
+	s := newStand(t)
+	s.log = func(*keys.Record) (bool, error) { return false, platform.ErrUnavailable }
+	s.Show(s.fleet.View())
+	start := time.Now()
+	o, err := s.ask(1, 3, _limit)
+	assert.NilError(t, err)
+	r, is := o.(broker.Refuse)
+	assert.Assert(t, is, "%#v", o)
+	assert.Equal(t, r.Reason, broker.KeysUnavailable)
+	assert.Assert(t, time.Since(start) < time.Second)
+
+	// The log is back: the fence comes first again, and the key may run.
+	s.mu.Lock()
+	s.log = func(*keys.Record) (bool, error) { return true, nil }
+	s.mu.Unlock()
+	o, err = s.ask(2, 3, _limit)
+	assert.NilError(t, err)
+	_, is = o.(broker.Grant)
+	assert.Assert(t, is, "%#v", o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, len(s.records[0].GetFences()) > 0, "the fence was lost with its append")
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	s := newStand(t)
+	s.log = func(r *keys.Record) (bool, error) {
+		time.AfterFunc(_soon/4, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.store(r)
+		})
+		return false, platform.ErrUnknownOutcome
+	}
+	s.Show(s.fleet.View())
+	o, err := s.ask(1, 4, _limit)
+	assert.NilError(t, err)
+	_, is := o.(broker.Grant)
+	assert.Assert(t, is, "%#v", o)
+}
+
+// TestVoidBatchIsNotGranted has a newer broker's fence stand before the batch.
+func TestVoidBatchIsNotGranted(t *testing.T) {
+	s := newStand(t)
+	s.log = func(r *keys.Record) (bool, error) {
+		if len(r.GetBatches()) > 0 {
+			s.store(&keys.Record{Entry: "e9", Fences: []*keys.Fence{{Pool: "fitting", Term: 1 << 40}}})
+		}
+		return true, nil
+	}
+	s.Show(s.fleet.View())
+	o, err := s.ask(1, 5, _limit)
+	assert.NilError(t, err)
+	r, is := o.(broker.Refuse)
+	assert.Assert(t, is, "%#v", o)
+	assert.Equal(t, r.Reason, broker.KeysUnavailable)
+}
