--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net"
@@ -9,21 +10,25 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"fescuelanding/entry/internal/slots"
 	"fescuelanding/entry/peer"
 )
 
+// _statusTimeout bounds the wait for a duty that is behind.
+const _statusTimeout = 200 * time.Millisecond
+
 // Status is the page at /status, as JSON.
 type Status struct {
-	Entry         string       `json:"entry"`
-	Incarnation   uint64       `json:"incarnation"`
-	DataCentre    string       `json:"dataCentre"`
-	AppliedOffset uint64       `json:"appliedOffset"`
-	Ready         bool         `json:"ready"`
-	Fresh         bool         `json:"fresh"`
-	Holds         int          `json:"holds"`
-	Owns          []string     `json:"owns"`
-	Planner       string       `json:"planner"`
-	Peers         []PeerStatus `json:"peers"`
+	Entry         string         `json:"entry"`
+	Incarnation   uint64         `json:"incarnation"`
+	DataCentre    string         `json:"dataCentre"`
+	AppliedOffset uint64         `json:"appliedOffset"`
+	Ready         bool           `json:"ready"`
+	Fresh         bool           `json:"fresh"`
+	Holds         int            `json:"holds"`
+	Planner       string         `json:"planner"`
+	Pools         []slots.Status `json:"pools"`
+	Peers         []PeerStatus   `json:"peers"`
 }
 
 // PeerStatus is what /status says of a peer.
@@ -69,15 +74,15 @@
 	s := Status{
 		Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.settings.DataCentre(),
 		AppliedOffset: d.follower.Offset(), Ready: d.ready(now), Fresh: d.table.IsFresh(now),
-		Holds: d.table.Len(), Owns: []string{}, Peers: []PeerStatus{},
+		Holds: d.table.Len(), Peers: []PeerStatus{},
 	}
 	if o, ok := v.Planner(); ok {
 		s.Planner = o.Entry()
 	}
-	for _, p := range v.Config().Pools() {
-		if o, ok := v.Broker(p.Name()); ok && o.Entry() == d.self.Name {
-			s.Owns = append(s.Owns, p.Name())
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), _statusTimeout)
+	defer cancel()
+	if l, err := d.desk.Status(ctx); err == nil {
+		s.Pools = l
 	}
 	for _, p := range d.peers.Peers() {
 		s.Peers = append(s.Peers, peerStatus(p))
--- a/entry/internal/serve/pipe.go
+++ b/entry/internal/serve/pipe.go
@@ -85,7 +85,9 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline().Add(_patience))
 	defer cancel()
 	for {
+		asked := p.now()
 		g, end := r.slot(ctx)
+		observe("fescue_wait_seconds", r, p.now().Sub(asked))
 		if end != nil {
 			return r.otherwise(end)
 		}
--- a/entry/internal/serve/send.go
+++ b/entry/internal/serve/send.go
@@ -28,6 +28,7 @@
 		o.finish = func() {
 			cancel()
 			o.result.Run = p.now().Sub(start)
+			observe("fescue_run_seconds", r, o.result.Run)
 			r.release(pool, witness, h, o.result)
 		}
 		c <- o
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -139,7 +139,7 @@
 	case written:
 		d.written(now, m)
 	case inspect:
-		m.use(d.pools)
+		m.reply <- d.status()
 	case tick:
 		d.tick(now)
 	}
--- a/entry/internal/slots/message.go
+++ b/entry/internal/slots/message.go
@@ -55,8 +55,8 @@
 	err    error
 }
 
-// inspect runs a function on the duty, for the status page.
-type inspect struct{ use func(map[string]*pool) }
+// inspect asks for the status of the pools.
+type inspect struct{ reply chan<- []Status }
 
 // tick comes at each interval.
 type tick struct{}
