--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -14,8 +14,11 @@
 	"fescuelanding/entry/peer"
 )
 
-// _statusTimeout bounds the wait for a duty that is behind.
-const _statusTimeout = 200 * time.Millisecond
+// Bounds of the wait for a duty that is behind.
+const (
+	_statusTimeout  = 200 * time.Millisecond
+	_explainTimeout = time.Second
+)
 
 // Status is the page at /status, as JSON.
 type Status struct {
@@ -50,6 +53,7 @@
 		e.SetIndent("", "  ")
 		_ = e.Encode(d.status(time.Now()))
 	})
+	m.HandleFunc("GET /explain", d.explain)
 	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !d.ready(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -100,3 +104,39 @@
 	}
 	return s
 }
+
+// Explanation is the page at /explain?host=NAME, as JSON.
+type Explanation struct {
+	Host  string `json:"host"`
+	Pool  string `json:"pool"`
+	Duty  string `json:"duty"`
+	Want  string `json:"want"`
+	Step  string `json:"step"`
+	Rule  string `json:"rule"`
+	Why   string `json:"why"`
+	Frees string `json:"frees"`
+	// Planner is false where this entry doesn't plan, and so has observed less.
+	Planner bool `json:"planner"`
+}
+
+// explain says why a host is where it is.
+func (d *Daemon) explain(w http.ResponseWriter, q *http.Request) {
+	n := q.URL.Query().Get("host")
+	if _, ok := d.table.View().Host(n); !ok {
+		http.Error(w, "unknown host", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), _explainTimeout)
+	defer cancel()
+	e, err := d.planner.Explain(ctx, n)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, plans := d.mayPlan()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Explanation{
+		Host: e.Host(), Pool: e.Pool(), Duty: e.Duty().String(), Want: e.Want(), Step: e.Step(),
+		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), Planner: plans,
+	})
+}
