--- a/entry/peer/hostile_test.go
+++ b/entry/peer/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -85,6 +86,16 @@
 	return s, lanes
 }
 
+// writeFrame sends a frame in one piece, for lanes with several senders.
+func writeFrame(w io.Writer, m proto.Message) error {
+	var b bytes.Buffer
+	if _, err := protodelim.MarshalTo(&b, m); err != nil {
+		return err
+	}
+	_, err := w.Write(b.Bytes())
+	return err
+}
+
 // beat keeps a raw connection from being silent.
 func beat(t testing.TB, control net.Conn) {
 	stop := make(chan struct{})
@@ -92,7 +103,7 @@
 	e := &peer.Envelope{Body: &peer.Envelope_Heartbeat{Heartbeat: &peer.Heartbeat{SentUs: 1}}}
 	go func() {
 		for {
-			_, _ = protodelim.MarshalTo(control, e)
+			_ = writeFrame(control, e)
 			select {
 			case <-stop:
 				return
@@ -174,6 +185,17 @@
 	assert.NilError(t, err)
 }
 
+// Connections that say nothing are bounded, and the next one is told.
+func TestTooManyConnections(t *testing.T) {
+	const limit = 128
+	b := start(t, "b", 2, nil)
+	for range limit {
+		dialRaw(t, b.address)
+	}
+	got := greet(t, dialRaw(t, b.address), _rawHello)
+	assert.Equal(t, got.GetRefusal().GetCode(), peer.RefusalCode_REFUSAL_CODE_FULL)
+}
+
 func TestHostileAfterHello(t *testing.T) {
 	b := start(t, "b", 2, expectsRaw)
 	var control, bulk net.Conn
@@ -188,6 +210,7 @@
 		{"huge frame", write(&control, "\xff\xff\xff\x0f"), peer.ErrFrame},
 		{"huge bulk frame", write(&bulk, "\xff\xff\xff\x0f"), peer.ErrFrame},
 		{"garbage", write(&control, "\x03\xff\xff\xff"), peer.ErrFrame},
+		{"ping", func(s *yamux.Session) { _, _ = s.Ping() }, peer.ErrFrame},
 		{"third stream", func(s *yamux.Session) { _, _ = s.Open() }, peer.ErrStreams},
 		{"closed lane", func(*yamux.Session) { _ = bulk.Close() }, peer.ErrDisconnected},
 		{"silence", func(*yamux.Session) {}, peer.ErrSilent},
@@ -207,8 +230,7 @@
 	b := start(t, "b", 2, nil)
 	_, lanes := raw(t, b.address)
 	beat(t, lanes[0])
-	_, err := protodelim.MarshalTo(lanes[0], &peer.Envelope{Call: 4})
-	assert.NilError(t, err)
+	assert.NilError(t, writeFrame(lanes[0], &peer.Envelope{Call: 4}))
 	r := bufio.NewReader(lanes[0])
 	for {
 		e := new(peer.Envelope)
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -23,6 +23,7 @@
 type link struct {
 	remote   Identity
 	outbound bool
+	screen   *screen
 	session  *yamux.Session
 	control  lane
 	bulk     lane
@@ -45,19 +46,19 @@
 		}
 	}
 	k := &link{
-		remote: remote, outbound: outbound, since: now,
+		remote: remote, outbound: outbound, since: now, screen: &screen{Conn: c},
 		beat: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	k.control = lane{queue: make(chan *Envelope, _controlQueue), maxFrame: _controlFrameBytes, timeout: _writeTimeout}
 	k.bulk = lane{queue: make(chan *Envelope, _bulkQueue), maxFrame: _bulkFrameBytes, timeout: _writeTimeout}
-	if err := k.open(c); err != nil {
+	if err := k.open(); err != nil {
 		return nil, err
 	}
 	k.pulse.touch(now)
 	return k, nil
 }
 
-func (k *link) open(c net.Conn) error {
+func (k *link) open() error {
 	conf := yamux.DefaultConfig()
 	conf.EnableKeepAlive = false
 	conf.LogOutput = io.Discard
@@ -68,7 +69,7 @@
 	if k.outbound {
 		create = yamux.Client
 	}
-	s, err := create(c, conf)
+	s, err := create(k.screen, conf)
 	if err != nil {
 		return fmt.Errorf("open session: %w", err)
 	}
@@ -112,6 +113,9 @@
 // close ends the connection; the first reason is kept.
 func (k *link) close(err error) {
 	k.once.Do(func() {
+		if f := k.screen.fault(); f != nil {
+			err = f
+		}
 		k.err = err
 		close(k.done)
 		_ = k.session.Close()
--- a/entry/peer/reconnect_test.go
+++ b/entry/peer/reconnect_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,28 +187,37 @@
 	})
 }
 
-// A seed's name is learnt, and an address that is also registered isn't
-// dialled twice; the seed that is this entry itself is harmless.
+// A seed's name is learnt, and the seed that is this entry itself is harmless.
 func TestSeeds(t *testing.T) {
-	var w wire
-	a, b := start(t, "a", 1, w.use), start(t, "b", 2, nil)
-	a.SetPeers([]peer.Peer{{Address: b.address}})
+	a, b := start(t, "a", 1, nil), start(t, "b", 2, nil)
+	a.SetPeers([]peer.Peer{{Address: b.address}, {Address: a.address}})
 	eventually(t, a.connected("b"))
-	a.SetPeers([]peer.Peer{{Address: b.address}, {Entry: "b", Address: b.address}})
-	for n := 2; n <= 4; n++ {
-		w.cut()
-		eventually(t, func() error {
-			if w.count() == n-1 {
-				return errors.New("not dialled again")
-			}
-			return nil
-		})
-		eventually(t, a.connected("b"))
-		time.Sleep(2 * _interval)
-		assert.Equal(t, w.count(), n)
-	}
-	a.SetPeers([]peer.Peer{{Address: a.address}})
 	time.Sleep(2 * _interval)
 	assert.Equal(t, len(a.Peers()), 1)
 	assert.NilError(t, a.connected("b")())
 }
+
+// An address that is also registered isn't dialled twice.
+func TestSeedThatIsRegistered(t *testing.T) {
+	var w wire
+	a, b := start(t, "a", 1, w.use), start(t, "b", 2, nil)
+	a.SetPeers([]peer.Peer{{Address: b.address}, {Entry: "b", Address: b.address}})
+	eventually(t, a.connected("b"))
+	assert.Equal(t, w.count(), 1)
+}
+
+func TestDialBacksOff(t *testing.T) {
+	const most = 10
+	var dialled atomic.Int64
+	a := start(t, "a", 1, func(n *node) {
+		n.Dial = func(context.Context, string) (net.Conn, error) {
+			dialled.Add(1)
+			return nil, errors.New("out of order")
+		}
+	})
+	a.SetPeers([]peer.Peer{{Entry: "b", Address: "127.0.0.1:1"}})
+	time.Sleep(_silent)
+	n := dialled.Load()
+	assert.Assert(t, n > 1 && n < most, "dialled %d times", n)
+	assert.ErrorContains(t, a.status("b").Err(), "out of order")
+}
