entry/peer: status tells why a closed connection ended

Cause: with the ping guard out its test still passed: until a closed link is removed, the status showed the reason of the link before it. The status now takes the reason from the closed link. The test fails with the guard out.

--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// status returns what is known of the other side; old is what went wrong
+// before this connection.
+func (k *link) status(old trouble) Status {
+	s := Status{
+		entry: k.remote.Entry, dataCentre: k.remote.DataCentre, incarnation: k.remote.Incarnation,
+		connected: !k.closed(), trouble: old,
+	}
+	if !s.connected {
+		s.trouble = trouble{lost: k.err}
+	}
+	k.pulse.fill(&s)
+	return s
+}
+
 // post queues a message on its lane.
 func (k *link) post(call uint64, reply bool, m Message) error {
 	e := &Envelope{Call: call, Reply: reply}
--- a/entry/peer/set.go
+++ b/entry/peer/set.go
@@ -366,12 +366,7 @@
 	defer s.mu.Unlock()
 	var all []Status
 	for name, k := range s.links {
-		st := Status{
-			entry: name, dataCentre: k.remote.DataCentre, incarnation: k.remote.Incarnation,
-			connected: !k.closed(), trouble: s.errs[name],
-		}
-		k.pulse.fill(&st)
-		all = append(all, st)
+		all = append(all, k.status(s.errs[name]))
 	}
 	for _, p := range s.peers {
 		if p.Entry == "" || s.links[p.Entry] != nil || p.Entry == s.self.Entry {
