--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -139,7 +139,7 @@
 	case written:
 		d.written(now, m)
 	case inspect:
-		m.use(d.pools)
+		m.reply <- d.status()
 	case tick:
 		d.tick(now)
 	}
@@ -176,6 +176,7 @@
 			d.perform(now, p, p.broker.Tick(now))
 		}
 	}
+	d.endDoubts(now)
 	d.flushKeys(now)
 }
 
