--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,6 +55,8 @@
 		_ = e.Encode(d.status(time.Now()))
 	})
 	m.HandleFunc("GET /explain", d.explain)
+	m.HandleFunc("GET /debug/pprof/", pprof.Index)
+	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !d.ready(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -30,6 +30,8 @@
 )
 
 const (
+	_heartbeat         = 200 * time.Millisecond
+	_silentAfter       = 600 * time.Millisecond
 	_retryFor          = 200 * time.Millisecond
 	_headerTimeout     = 5 * time.Second
 	_idleTimeout       = time.Minute
@@ -72,7 +74,8 @@
 		slotsFor: make(chan struct{}, s.Requests()),
 	}
 	d.table = hold.New(d.self, now)
-	d.peers = peer.New(peer.Identity{Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: s.DataCentre()}, peer.WithLog(l))
+	d.peers = peer.New(peer.Identity{Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: s.DataCentre()},
+		peer.WithLog(l), peer.WithHeartbeat(_heartbeat, _silentAfter))
 	d.remote = remote.Client{Self: d.self, Peers: d.peers}
 	d.desk = slots.Desk{Self: d.self, FetchHolds: d.fetchHolds, Append: d.appendKeys, Log: l.WithPrefix("slots")}
 	d.follower = follow.Follower{
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -18,6 +18,7 @@
 const (
 	_ring             = 16
 	_tick             = 500 * time.Millisecond
+	_planEvery        = 2 * time.Second
 	_liveEvery        = time.Second
 	_appendLimit      = 30 * time.Second
 	_settleLimit      = 3 * time.Second
@@ -49,7 +50,10 @@
 	listing  bool
 	listed   time.Time
 	saved    time.Time
-	owned    bool
+	// planned and plannedAt are when, and on which offset, the last plan was made.
+	planned   time.Time
+	plannedAt uint64
+	owned     bool
 }
 
 // message is what the planner's duty receives.
@@ -143,6 +147,10 @@
 	}
 	var l []*record.Record
 	p.State(func(s *fleet.State) {
+		if s.Offset() == p.plannedAt && now.Sub(p.planned) < _planEvery {
+			return // Nothing has changed but the time.
+		}
+		p.planned, p.plannedAt = now, s.Offset()
 		p.observed.Track(s, now)
 		l = append(plan.Plan(s, p.observed, now), p.checkpoint(now, s)...)
 	})
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -31,7 +31,8 @@
 	// reports gathers what entries reported while the former owner hasn't.
 	reports map[uint64]broker.Hold
 	missing map[broker.Entry]bool
-	config  config.Config
+	// configured is the offset of the configuration that the broker has.
+	configured uint64
 }
 
 // reply answers a request that waits, once.
@@ -174,9 +175,9 @@
 
 // update gives a broker the configuration and the hosts of a view.
 func (d *Desk) update(now time.Time, p *pool, v *view.View) {
-	if c := v.Config(); !c.Equal(p.config) || p.config.Equal(config.Config{}) {
-		p.config = c
-		d.perform(now, p, p.broker.SetLimits(now, limits(c, p.name)))
+	if o := v.ConfigOffset(); o != p.configured {
+		p.configured = o
+		d.perform(now, p, p.broker.SetLimits(now, limits(v.Config(), p.name)))
 	}
 	var hosts []broker.Host
 	for _, h := range v.Pool(p.name) {
--- a/entry/internal/view/view.go
+++ b/entry/internal/view/view.go
@@ -21,13 +21,15 @@
 // View is the state after the record at its offset. The zero value is the view
 // of an entry that has read nothing.
 type View struct {
-	offset  uint64
-	config  config.Config
-	hosts   map[string]fleet.Host
-	pools   map[string][]fleet.Host
-	entries []fleet.Entry
-	owners  map[string]fleet.Owner
-	steps   []Step
+	offset uint64
+	config config.Config
+	// configured is the offset of the configuration.
+	configured uint64
+	hosts      map[string]fleet.Host
+	pools      map[string][]fleet.Host
+	entries    []fleet.Entry
+	owners     map[string]fleet.Owner
+	steps      []Step
 }
 
 // Step is a drain or release that waits for confirmations.
@@ -54,7 +56,7 @@
 // New returns the view of a state.
 func New(s *fleet.State) *View {
 	v := &View{
-		offset: s.Offset(), config: s.Config(), entries: s.Entries(),
+		offset: s.Offset(), config: s.Config(), configured: s.ConfigOffset(), entries: s.Entries(),
 		hosts: map[string]fleet.Host{}, pools: map[string][]fleet.Host{}, owners: map[string]fleet.Owner{},
 	}
 	for _, h := range s.Hosts() {
@@ -83,6 +85,10 @@
 // Config returns the configuration in force.
 func (v *View) Config() config.Config { return v.config }
 
+// ConfigOffset returns the offset of the configuration in force, zero where
+// there is none.
+func (v *View) ConfigOffset() uint64 { return v.configured }
+
 // Host returns a host by name.
 func (v *View) Host(name string) (fleet.Host, bool) {
 	h, ok := v.hosts[name]
--- a/fleet/config/configtest/large.go
+++ b/fleet/config/configtest/large.go
@@ -32,7 +32,17 @@
 }
 
 // Sections returns the sections of Large.
-func Sections() []*record.Section {
+func Sections() []*record.Section { return Size{Hosts: Hosts, Pools: Pools}.Sections() }
+
+// Size is a fleet like that of Large with other numbers, to measure slopes.
+type Size struct {
+	// Hosts is the number of hosts, at least 80; Pools that of the pools with
+	// the spare ones, at least 8.
+	Hosts, Pools int
+}
+
+// Sections returns the sections of a fleet of that size.
+func (s Size) Sections() []*record.Section {
 	var r []*record.Section
 	for i := range DataCentres {
 		r = append(r, section(config.KindDataCentre, dataCentre(i), config.KeyRegion, fmt.Sprintf("region%d", i%_regions)))
@@ -42,22 +52,22 @@
 	for i := range Teams {
 		r = append(r, section(config.KindTeam, fmt.Sprintf("team%03d", i), config.KeyWeight, "1", config.KeyQuota, "16"))
 	}
-	homes := make(map[string]int, Pools)
-	for i := range Hosts {
-		h := hostSection(i)
-		homes[home(i)]++
+	homes := make(map[string]int, s.Pools)
+	for i := range s.Hosts {
+		h := s.hostSection(i)
+		homes[s.home(i)]++
 		r = append(r, h)
 	}
-	return append(r, poolSections(homes)...)
+	return append(r, s.poolSections(homes)...)
 }
 
 // poolSections returns the pools with their services, by the hosts they have.
-func poolSections(homes map[string]int) []*record.Section {
+func (s Size) poolSections(homes map[string]int) []*record.Section {
 	var r []*record.Section
 	for i := range SparePools {
 		r = append(r, section(config.KindPool, spare(i), config.KeySpare, "true"))
 	}
-	for i := range Pools - SparePools {
+	for i := range s.Pools - SparePools {
 		n := homes[pool(i)]
 		r = append(r,
 			section(config.KindPool, pool(i), config.KeyMinAvailable, fmt.Sprint(n-(n+9)/10), config.KeyTolerate, "rack"),
@@ -67,24 +77,24 @@
 }
 
 // hostSection returns host i. Hosts go around the data centres in turn.
-func hostSection(i int) *record.Section {
+func (s Size) hostSection(i int) *record.Section {
 	at := i / DataCentres
 	return section(config.KindHost, fmt.Sprintf("host%04d", i),
 		config.KeyAddress, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % DataCentres), byte(at >> 8), byte(at)}), 8080).String(),
 		config.KeyDataCentre, dataCentre(i%DataCentres),
 		config.KeyRack, fmt.Sprintf("r%02d", at/_hostsPerRack),
 		config.KeyBatch, fmt.Sprintf("batch%d", (i*7+i/11)%_batches),
-		config.KeyHome, home(i),
+		config.KeyHome, s.home(i),
 		config.KeySlots, "8",
 		config.KeyConnections, "64")
 }
 
 // home returns the pool of host i: the first of each data centre are spares.
-func home(i int) string {
+func (s Size) home(i int) string {
 	if i < SparePools*_sparesPerDataCentre {
 		return spare(i % DataCentres)
 	}
-	return pool((i - SparePools*_sparesPerDataCentre) % (Pools - SparePools))
+	return pool((i - SparePools*_sparesPerDataCentre) % (s.Pools - SparePools))
 }
 
 func dataCentre(i int) string { return fmt.Sprintf("dc%d", i) }
--- /dev/null
+++ b/standin/capacity/control_test.go
@@ -0,0 +1,95 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/fleet/config"
+	"fescuelanding/fleet/config/configtest"
+	"fescuelanding/fleet/platform"
+	"fescuelanding/fleet/record"
+	"fescuelanding/standin/internal/publish"
+)
+
+const (
+	_settle  = 10 * time.Second
+	_window  = 20 * time.Second
+	_changes = 40
+)
+
+// BenchmarkControl measures entries without requests: at rest, and while the
+// configuration changes.
+func BenchmarkControl(b *testing.B) {
+	const nine = 9
+	for _, c := range []struct{ entries, hosts, pools int }{
+		{nine, 330, 26},
+		{nine, 1100, 87},
+		{nine, configtest.Hosts, configtest.Pools},
+		{3, configtest.Hosts, configtest.Pools},
+		{6, configtest.Hosts, configtest.Pools},
+	} {
+		b.Run(fmt.Sprintf("entries=%d/hosts=%d", c.entries, c.hosts), func(b *testing.B) {
+			control(b, c.entries, configtest.Size{Hosts: c.hosts, Pools: c.pools})
+		})
+	}
+}
+
+func control(b *testing.B, entries int, s configtest.Size) {
+	sections := s.Sections()
+	c, err := config.FromSections(sections)
+	assert.NilError(b, err)
+	r := start(b, entries)
+	p := publish.Publisher{Platform: platform.New(r.platform)}
+	ctx, cancel := context.WithTimeout(b.Context(), 5*time.Minute)
+	defer cancel()
+	_, size, err := p.Publish(ctx, c)
+	assert.NilError(b, err)
+	b.ReportMetric(float64(size), "configBytes")
+	r.ready(b)
+	time.Sleep(_settle)
+	rates(b, r.entries, _window, "rest")
+	changes(ctx, b, r, &p, sections)
+	b.ReportMetric(0, "ns/op")
+}
+
+// changes publishes one changed host after the other, and reports the longest
+// time until all entries had applied it, and the cost of one.
+func changes(ctx context.Context, b *testing.B, r *running, p *publish.Publisher, l []*record.Section) {
+	b.Helper()
+	before := make([]usage, len(r.entries))
+	for i, e := range r.entries {
+		before[i] = use(b, e)
+	}
+	var longest time.Duration
+	var bytes int
+	begin := time.Now()
+	for n := range _changes {
+		for _, s := range l {
+			if s.GetKind() == config.KindTeam {
+				s.Settings[0].Value = fmt.Sprint(2 + n)
+				break
+			}
+		}
+		c, err := config.FromSections(l)
+		assert.NilError(b, err)
+		start := time.Now()
+		o, size, err := p.Publish(ctx, c)
+		assert.NilError(b, err)
+		r.applied(b, o)
+		longest = max(longest, time.Since(start))
+		bytes = size
+	}
+	took := time.Since(begin)
+	var most time.Duration
+	for i, e := range r.entries {
+		most = max(most, use(b, e).processor-before[i].processor)
+	}
+	b.ReportMetric(float64(longest.Milliseconds()), "longestInForceMs")
+	b.ReportMetric(float64(bytes), "changeBytes")
+	b.ReportMetric(float64(most.Microseconds())/_changes, "changeProcessorUs")
+	b.ReportMetric(took.Seconds()/_changes, "changeSeconds")
+}
--- a/standin/internal/process/process.go
+++ b/standin/internal/process/process.go
@@ -51,6 +51,9 @@
 // Name returns the name it was started under.
 func (p *Process) Name() string { return p.name }
 
+// PID returns the number of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal.
 func (p *Process) Signal(s os.Signal) error {
 	if err := p.cmd.Process.Signal(s); err != nil {
