fleet: scripts show the planner and the intents

Cause: with each guard taken out in turn, two mutants survived: ownership by a leaving entry, and the intent to move to a pool that is gone.

--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -52,6 +52,8 @@
 	state *fleet.State
 	made  uint64
 	out   bytes.Buffer
+
+	planner fleet.Owner
 }
 
 // runScript returns the outcomes of a script's records and the state after them.
@@ -133,6 +135,7 @@
 	before := s.state.Hosts()
 	err := s.state.Apply(s.state.Offset()+1, r)
 	fmt.Fprintf(&s.out, "%d %s: %s\n", s.state.Offset(), outcome(err), line)
+	s.showPlanner()
 	checkState(s, s.state)
 	checkStep(s, s.state, before, r, err)
 	o, err := fleet.Restore(s.state.Checkpoint(fleet.MaxChunk))
@@ -141,6 +144,15 @@
 	assert.Equal(s, fmt.Sprint(o.Hosts(), o.Entries(), o.Recalls(), o.Waves()), fmt.Sprint(s.state.Hosts(), s.state.Entries(), s.state.Recalls(), s.state.Waves()))
 }
 
+// showPlanner writes the planner where the last record changed it.
+func (s *script) showPlanner() {
+	o, _ := s.state.Owner(fleet.PlannerKey)
+	if o != s.planner {
+		fmt.Fprintf(&s.out, "  planner %q incarnation %d term %d witness %q\n", o.Entry(), o.Incarnation(), o.Term(), o.Witness())
+	}
+	s.planner = o
+}
+
 // outcome names the result of Apply.
 func outcome(err error) string {
 	var r *fleet.Rejection
@@ -159,11 +171,9 @@
 	for _, e := range s.state.Entries() {
 		fmt.Fprintf(&s.out, "entry %s incarnation %d leaving %t suspect %t\n", e.Name(), e.Incarnation(), e.Leaving(), e.Suspect())
 	}
-	if o, ok := s.state.Owner(fleet.PlannerKey); ok {
-		fmt.Fprintf(&s.out, "planner %s term %d witness %q\n", o.Entry(), o.Term(), o.Witness())
-	}
 	for _, h := range s.state.Hosts() {
-		fmt.Fprintf(&s.out, "host %s in %s moving to %q %s step %d waits for %v\n", h.Name(), h.Pool(), h.MovingTo(), h.Duty(), h.Step(), s.state.Confirmers(h.Name()))
+		w := s.state.Intents(h.Name())
+		fmt.Fprintf(&s.out, "host %s in %s moving to %q %s step %d waits for %v wants drain %t pool %q\n", h.Name(), h.Pool(), h.MovingTo(), h.Duty(), h.Step(), s.state.Confirmers(h.Name()), w.Drain(), w.ToPool())
 	}
 	for _, p := range s.state.Config().Pools() {
 		n, _ := s.state.Pool(p.Name())
