--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -133,7 +133,7 @@
 	if e.suspect {
 		return reject(ReasonWrongState, "entry %s is suspected already", e.name)
 	}
-	if 2*(s.suspects()+1) > len(s.entries) {
+	if a.record.GetWriter() != e.name && 2*(s.suspects()+1) > len(s.entries) {
 		return reject(ReasonSuspect, "less than half of the entries would stay unsuspected")
 	}
 	e.suspect = true
@@ -165,11 +165,14 @@
 	return e, a.checkBasis(e.basis)
 }
 
-// checkAccuser rejects the word of an entry that is unregistered, suspected or
-// the accused itself.
+// checkAccuser rejects the word of an entry that is unregistered or suspected
+// itself. A new process may accuse the one before it of the same entry: where all
+// hosts were replaced at once, nobody else is left to do so.
 func (s *State) checkAccuser(accuser, accused string) *Rejection {
-	e, ok := s.entries[accuser]
-	if !ok || e.suspect || accuser == accused {
+	if accuser == accused {
+		return nil
+	}
+	if e, ok := s.entries[accuser]; !ok || e.suspect {
 		return reject(ReasonSuspect, "%q may not accuse %s", accuser, accused)
 	}
 	return nil
