--- a/fleet/plan/domains.go
+++ b/fleet/plan/domains.go
@@ -15,9 +15,10 @@
 	ids  map[string]int
 	list []domain
 	// spares and room are those of all pools together.
-	spares int
-	room   int
-	lean   bool
+	spares  int
+	room    int
+	lean    bool
+	numbers []int
 }
 
 // domain is a rack or a data centre.
@@ -93,7 +94,8 @@
 func (l *pool) tolerates(kind config.Domain) bool { return l.config.Tolerate() >= kind }
 
 // reserve returns how many hosts could make good the loss of a domain: spares
-// outside of it and, where the policy is lean, the room of pools outside of it.
+// outside of it and, where the policy is lean, the room that pools have left
+// after the loss.
 func (d *domains) reserve(id int) int {
 	n := d.spares - d.list[id].spares
 	if !d.lean {
@@ -102,7 +104,7 @@
 	n += d.room
 	for _, l := range d.list[id].pools {
 		if !l.config.Spare() {
-			n -= max(0, l.room())
+			n -= min(max(0, l.room()), l.in[id])
 		}
 	}
 	return n
@@ -127,22 +129,38 @@
 	return n
 }
 
-// covered reports whether the pool could lose a host without any of its
-// domains becoming less covered than before, or uncovered.
-func (d *domains) covered(h *host) bool {
+// exposed returns a domain whose loss the reserve would cover less well if the
+// pool let a host go, or -1. Where the room of pools is part of the reserve, a
+// step can expose any domain, otherwise only those of the pool.
+func (d *domains) exposed(h *host) int {
 	l := h.pool
-	before := make([]int, len(l.touched))
-	for i, id := range l.touched {
+	ids := l.touched
+	if d.lean {
+		ids = d.all()
+	}
+	before := make([]int, len(ids))
+	for i, id := range ids {
 		before[i] = d.uncovered(id)
 	}
 	d.change(l, func() { l.lose(h, 1) })
 	defer d.change(l, func() { l.lose(h, -1) })
-	for i, id := range l.touched {
-		if u := d.uncovered(id); u > 0 && u >= before[i] {
-			return false
+	for i, id := range ids {
+		if d.uncovered(id) > before[i] {
+			return id
+		}
+	}
+	return -1
+}
+
+// all returns the numbers of all domains.
+func (d *domains) all() []int {
+	if len(d.numbers) != len(d.list) {
+		d.numbers = d.numbers[:0]
+		for i := range d.list {
+			d.numbers = append(d.numbers, i)
 		}
 	}
-	return true
+	return d.numbers
 }
 
 // lose takes n hosts of h's place out of the pool's available ones.
--- a/fleet/plan/drain.go
+++ b/fleet/plan/drain.go
@@ -34,7 +34,7 @@
 			switch {
 			case o == h:
 				return true
-			case may || h.rule == RuleDomain && o.domain() != h.domain():
+			case may || (h.rule == RuleDomain || h.rule == RuleReserve) && o.domain() != h.domain():
 				return false
 			default:
 				o.held(h.rule, h.why, h.frees)
@@ -65,20 +65,36 @@
 	}
 }
 
-// domainOpen reports whether a host's failure domain may have hosts out: no
-// other domain has, or the reserve makes good the loss of a further one.
-func (p *planner) domainOpen(h *host) bool {
+// exposes reports whether letting a host go would leave the loss of a failure
+// domain uncovered where it must not, and notes the rule. To make progress where
+// the reserve is small, one domain of one pool may be out all the same, and a
+// host that leaves or whose maintenance is overdue isn't held.
+func (p *planner) exposes(h *host) bool {
 	l := h.pool
-	if l.config.Tolerate() == config.DomainNone {
+	id := p.domains.exposed(h)
+	if id < 0 || h.errand.rank == _rankLeaving && h.wanted() {
+		return false
+	}
+	if l.outNow() > l.out[h.domain()] && l.config.Tolerate() != config.DomainNone {
+		h.held(RuleDomain, domainWhy(l), "the return of those hosts")
 		return true
 	}
-	others := 0
-	for d, n := range l.out {
-		if d != h.domain() {
-			others += n
-		}
+	if p.overdue(h) || !p.othersWork(l) {
+		return false
 	}
-	return others == 0 || p.domains.covered(h)
+	h.held(RuleReserve, p.exposureWhy(id), "the return of hosts that are out, or more spares")
+	return true
+}
+
+// othersWork reports whether another pool has hosts out that return.
+func (p *planner) othersWork(l *pool) bool {
+	return slices.ContainsFunc(p.order, func(o *pool) bool {
+		return o != l && !o.config.Spare() && o.outNow() > 0
+	})
+}
+
+func (p *planner) exposureWhy(id int) string {
+	return fmt.Sprintf("with it out, the loss of %s would ask for more than the %d hosts in reserve", p.domains.list[id].name, p.domains.reserve(id))
 }
 
 // spareMayLeave reports whether a host of a spare pool may go for an errand:
--- a/fleet/plan/errand.go
+++ b/fleet/plan/errand.go
@@ -87,6 +87,11 @@
 	return p.now.Sub(h.MaintainedAt()) >= every-every/_lead
 }
 
+// overdue reports whether the host's maintenance period has ended.
+func (p *planner) overdue(h *host) bool {
+	return p.now.Sub(h.MaintainedAt()) >= p.policy.MaintenanceEvery()
+}
+
 // before orders hosts of a pool: by errand, then those whose domain is already
 // out, then by the age of their maintenance, then by their load, then by name.
 func before(a, b *host) int {
--- a/fleet/plan/repair.go
+++ b/fleet/plan/repair.go
@@ -139,10 +139,7 @@
 		return false
 	case l.config.Spare():
 		return p.spareMayLeave(h)
-	case !p.domainOpen(h):
-		h.held(RuleDomain, domainWhy(l), "the return of those hosts")
-		return false
 	default:
-		return true
+		return !p.exposes(h)
 	}
 }
--- a/fleet/plan/world_test.go
+++ b/fleet/plan/world_test.go
@@ -43,8 +43,11 @@
 	stuck   map[string]bool
 	linger  map[string]bool
 	mute    map[string]bool
-	frozen  bool
-	reboot  time.Duration
+	// rebooted has the step after which a host that is down was rebooted.
+	rebooted map[string]uint64
+	frozen   bool
+	reboot   time.Duration
+	tick     time.Duration
 	// note is told each record that was accepted.
 	note     func(*record.Record)
 	proposed int
@@ -58,8 +61,8 @@
 // newWorld returns a world in which the configuration and entries are in force.
 func newWorld(t assert.TestingT, c config.Config, p planner) *world {
 	w := &world{
-		TestingT: t, plan: p, state: new(fleet.State), now: _start, reboot: _reboot,
-		offList: map[string]time.Time{}, leaving: map[string]bool{}, stuck: map[string]bool{}, mute: map[string]bool{}, linger: map[string]bool{},
+		TestingT: t, plan: p, state: new(fleet.State), now: _start, reboot: _reboot, tick: _tick,
+		offList: map[string]time.Time{}, leaving: map[string]bool{}, stuck: map[string]bool{}, mute: map[string]bool{}, linger: map[string]bool{}, rebooted: map[string]uint64{},
 		note: func(*record.Record) {},
 	}
 	w.must(&record.Record{Body: &record.Record_ConfigChange{ConfigChange: config.Config{}.Diff(c)}})
@@ -122,7 +125,7 @@
 
 // step lets one tick pass.
 func (w *world) step() {
-	w.now = w.now.Add(_tick)
+	w.now = w.now.Add(w.tick)
 	w.platform()
 	for range _rounds {
 		w.confirm()
@@ -156,11 +159,12 @@
 		switch {
 		case off && !back.IsZero() && !w.now.Before(back):
 			delete(w.offList, h.Name())
-		case off || h.Duty() != fleet.Down || w.linger[h.Name()]:
+		case off || h.Duty() != fleet.Down || w.linger[h.Name()] || w.rebooted[h.Name()] == h.Basis():
 		case w.stuck[h.Name()]:
 			w.offList[h.Name()] = time.Time{}
 		case h.Cause() == record.Cause_CAUSE_MAINTENANCE || h.Cause() == record.Cause_CAUSE_RECALL:
 			w.offList[h.Name()] = w.now.Add(w.reboot)
+			w.rebooted[h.Name()] = h.Basis()
 		}
 	}
 }
