--- a/fleet/plan/repair.go
+++ b/fleet/plan/repair.go
@@ -74,8 +74,8 @@
 }
 
 // bestFor returns the host to move into a pool, from pools that may give one:
-// one without errand whose rack has the fewest hosts of the pool, from the pool
-// with the most room.
+// one without errand that was lost least often of late and whose rack has the
+// fewest hosts of the pool, from the pool with the most room.
 func (p *planner) bestFor(l *pool, may func(*pool) bool) *host {
 	var best *host
 	for _, d := range p.order {
@@ -83,7 +83,7 @@
 			continue
 		}
 		for _, h := range d.hosts {
-			if h.usable() && h.flaps(p.now) == 0 && (best == nil || better(l, h, best)) {
+			if h.usable() && (best == nil || p.better(l, h, best)) {
 				best = h
 			}
 		}
@@ -92,10 +92,13 @@
 }
 
 // better reports whether host a is the better one to move into a pool.
-func better(l *pool, a, b *host) bool {
+func (p *planner) better(l *pool, a, b *host) bool {
 	if a.wanted() != b.wanted() {
 		return !a.wanted()
 	}
+	if x, y := a.flaps(p.now), b.flaps(p.now); x != y {
+		return x < y
+	}
 	if l.in[a.rack] != l.in[b.rack] {
 		return l.in[a.rack] < l.in[b.rack]
 	}
--- a/fleet/plan/world_test.go
+++ b/fleet/plan/world_test.go
@@ -46,6 +46,7 @@
 	// rebooted has the step after which a host that is down was rebooted.
 	rebooted map[string]uint64
 	frozen   bool
+	last     []platform.LiveHost
 	reboot   time.Duration
 	tick     time.Duration
 	// note is told each record that was accepted.
@@ -172,7 +173,7 @@
 // list returns the live list.
 func (w *world) list() []platform.LiveHost {
 	if w.frozen {
-		return nil
+		return w.last
 	}
 	var r []platform.LiveHost
 	for _, h := range w.state.Config().Hosts() {
@@ -185,6 +186,7 @@
 		}
 		r = append(r, platform.NewLiveHost(h.Name(), s, w.now))
 	}
+	w.last = r
 	return r
 }
 
