fescue: the operators' command line

Cause: operators need to publish, see who was first, steer hosts, recalls and waves, and learn why a host waits.

Change: check, diff, publish, status, drain, undrain, move, recall, wave, entry unregister, explain; JSON and documented exit codes. fescue applies the log with the code of the entries and reads its own record back. The tests import the platform's stand-in, hence the requirement on module standin, which no program code uses.

--- /dev/null
+++ b/fescue/entries.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fescuelanding/fleet"
+)
+
+const (
+	_askTimeout     = time.Second
+	_askInterval    = 100 * time.Millisecond
+	_maxStatusBytes = 4 << 20
+)
+
+// entryStatus is what an entry says of itself, or why it can't be asked.
+type entryStatus struct {
+	Entry         string `json:"entry"`
+	Incarnation   uint64 `json:"incarnation"`
+	AppliedOffset uint64 `json:"appliedOffset"`
+	Ready         bool   `json:"ready"`
+	Problem       string `json:"problem,omitempty"`
+}
+
+// applied reports whether the entry said that it has applied an offset.
+func (s entryStatus) applied(offset uint64) bool { return s.AppliedOffset >= offset }
+
+// ask gets the status page of an entry.
+func ask(ctx context.Context, e fleet.Entry) entryStatus {
+	s := entryStatus{Entry: e.Name(), Incarnation: e.Incarnation()}
+	if err := get(ctx, "http://"+e.AdminAddress()+"/status", &s); err != nil {
+		return entryStatus{Entry: e.Name(), Incarnation: e.Incarnation(), Problem: err.Error()}
+	}
+	if s.Entry != e.Name() {
+		problem := fmt.Sprintf("%s answers as entry %q", e.AdminAddress(), s.Entry)
+		return entryStatus{Entry: e.Name(), Incarnation: e.Incarnation(), Problem: problem}
+	}
+	return s
+}
+
+func get(ctx context.Context, url string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, _askTimeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask: status %d", a.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(a.Body, _maxStatusBytes)).Decode(v); err != nil {
+		return fmt.Errorf("read status: %w", err)
+	}
+	return nil
+}
+
+// askAll asks all entries at once, in their order.
+func askAll(ctx context.Context, entries []fleet.Entry) []entryStatus {
+	all := make([]entryStatus, len(entries))
+	var wg sync.WaitGroup
+	for i, e := range entries {
+		wg.Go(func() { all[i] = ask(ctx, e) })
+	}
+	wg.Wait()
+	return all
+}
+
+// awaitEntries waits up to wait until every registered entry has applied an
+// offset, and returns what they said last and the names of those that haven't.
+// An entry that is unregistered meanwhile isn't waited for, and one that has
+// applied the offset isn't asked again, for it never goes back.
+func awaitEntries(ctx context.Context, h *history, offset uint64, wait time.Duration) (all []entryStatus, lag []string) {
+	// The asking itself isn't cut short, so that no entry is blamed for it.
+	end, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	t := time.NewTicker(_askInterval)
+	defer t.Stop()
+	for {
+		all = askAgain(ctx, h.state.Entries(), all, offset)
+		if lag = behind(all, offset); len(lag) == 0 {
+			return all, nil
+		}
+		select {
+		case <-end.Done():
+			return all, lag
+		case <-t.C:
+		}
+		// A log that can't be read now leaves the entries as they were known.
+		_ = h.follow(end, nil)
+	}
+}
+
+// askAgain asks the entries of which old doesn't say that they applied the
+// offset.
+func askAgain(ctx context.Context, entries []fleet.Entry, old []entryStatus, offset uint64) []entryStatus {
+	done := make(map[string]entryStatus)
+	for _, s := range old {
+		if s.applied(offset) {
+			done[s.Entry] = s
+		}
+	}
+	var all []entryStatus
+	var rest []fleet.Entry
+	for _, e := range entries {
+		if s, ok := done[e.Name()]; ok {
+			all = append(all, s)
+			continue
+		}
+		rest = append(rest, e)
+	}
+	all = append(all, askAll(ctx, rest)...)
+	slices.SortFunc(all, func(a, b entryStatus) int { return strings.Compare(a.Entry, b.Entry) })
+	return all
+}
+
+func behind(all []entryStatus, offset uint64) []string {
+	var lag []string
+	for _, s := range all {
+		if !s.applied(offset) {
+			lag = append(lag, s.Entry)
+		}
+	}
+	return lag
+}
--- /dev/null
+++ b/fescue/explain.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"fescuelanding/fleet/plan"
+)
+
+// errAbsent says that the configuration in force lacks what was named.
+var errAbsent = errors.New("isn't in the configuration in force")
+
+// explanationItem says what is wanted of a host and what holds it back.
+type explanationItem struct {
+	Host  string `json:"host"`
+	Pool  string `json:"pool"`
+	Duty  string `json:"duty"`
+	Want  string `json:"want,omitempty"`
+	Step  string `json:"step,omitempty"`
+	Rule  string `json:"rule"`
+	Why   string `json:"why,omitempty"`
+	Frees string `json:"frees,omitempty"`
+	text  string
+}
+
+func newExplanationItem(e plan.Explanation) explanationItem {
+	return explanationItem{
+		Host: e.Host(), Pool: e.Pool(), Duty: e.Duty().String(), Want: e.Want(), Step: e.Step(),
+		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), text: e.String(),
+	}
+}
+
+// String tells the explanation in one line.
+func (e explanationItem) String() string { return strings.TrimRight(e.text, "\n") + "\n" }
+
+// poolExplanation says what a pool can give and what it waits for.
+type poolExplanation struct {
+	Pool      string            `json:"pool"`
+	Available int               `json:"available"`
+	Budget    int               `json:"budget"`
+	Shortfall int               `json:"shortfall"`
+	Waiting   []explanationItem `json:"waiting"`
+	text      string
+}
+
+// String tells the explanation, a line for the pool and one for each host.
+func (e poolExplanation) String() string { return strings.TrimRight(e.text, "\n") + "\n" }
+
+// observe reads the fleet and the live list. What the planner has seen over
+// time, such as a host that flaps, isn't known here.
+func (r *run) observe(ctx context.Context) (*history, plan.Observed, error) {
+	var o plan.Observed
+	ctx, cancel := r.limit(ctx)
+	defer cancel()
+	h, err := r.load(ctx)
+	if err != nil {
+		return nil, o, err
+	}
+	live, err := h.client.Live(ctx)
+	if err != nil {
+		return nil, o, fmt.Errorf("read live list: %w", err)
+	}
+	o.Track(h.state, r.now)
+	o.See(live, r.now)
+	return h, o, nil
+}
+
+func explainHost(ctx context.Context, r *run) error {
+	h, o, err := r.observe(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := h.state.Host(r.args[0]); !ok {
+		return fmt.Errorf("host %q %w", r.args[0], errAbsent)
+	}
+	return r.print(newExplanationItem(plan.Explain(h.state, o, r.args[0], r.now)))
+}
+
+func explainPool(ctx context.Context, r *run) error {
+	h, o, err := r.observe(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := h.state.Pool(r.args[0]); !ok {
+		return fmt.Errorf("pool %q %w", r.args[0], errAbsent)
+	}
+	e := plan.ExplainPool(h.state, o, r.args[0], r.now)
+	p := poolExplanation{
+		Pool: e.Pool(), Available: e.Available(), Budget: e.Budget(), Shortfall: e.Shortfall(),
+		Waiting: []explanationItem{}, text: e.String(),
+	}
+	for _, w := range e.Waiting() {
+		p.Waiting = append(p.Waiting, newExplanationItem(w))
+	}
+	return r.print(p)
+}
--- /dev/null
+++ b/fescue/fescue_test.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"fescuelanding/fleet"
+	client "fescuelanding/fleet/platform"
+	"fescuelanding/fleet/record"
+	"fescuelanding/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"fescue": main})
+}
+
+// TestScripts runs the sessions of operators in testdata, each against a
+// stand-in of its own.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: golden.FlagUpdate(),
+		Setup:         setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"code":       exitCode,
+			"command":    command,
+			"entry":      entry,
+			"checkpoint": checkpoint,
+			"hold":       func(ts *testscript.TestScript, _ bool, _ []string) { standOf(ts).hold() },
+			"held":       func(ts *testscript.TestScript, _ bool, _ []string) { <-standOf(ts).held },
+			"double":     func(ts *testscript.TestScript, _ bool, _ []string) { standOf(ts).double() },
+			"asked":      func(ts *testscript.TestScript, _ bool, _ []string) { <-standOf(ts).asked },
+			"release":    func(ts *testscript.TestScript, _ bool, _ []string) { close(standOf(ts).release) },
+		},
+	})
+}
+
+type standKey struct{}
+
+// stand is the platform of one script. It can hold back the next append until
+// it is told to go on.
+type stand struct {
+	platform.Server
+	url     string
+	mu      sync.Mutex
+	holding bool
+	doubles bool
+	held    chan struct{}
+	release chan struct{}
+	asked   chan struct{}
+}
+
+func setup(e *testscript.Env) error {
+	s := &stand{held: make(chan struct{}), release: make(chan struct{}), asked: make(chan struct{}, 1)}
+	h := httptest.NewServer(s)
+	e.Defer(h.Close)
+	s.url = h.URL
+	e.Values[standKey{}] = s
+	if err := os.CopyFS(e.WorkDir, os.DirFS(filepath.Join("testdata", "common"))); err != nil {
+		return err
+	}
+	e.Setenv("FESCUE_PLATFORM", h.URL)
+	e.Setenv("FESCUE_OPERATOR", "tester")
+	for _, name := range []string{"h1", "h2", "h3"} {
+		s.SetHost(platform.Host{Name: name, State: "live"}, time.Now())
+	}
+	return nil
+}
+
+func standOf(ts *testscript.TestScript) *stand { return ts.Value(standKey{}).(*stand) }
+
+func (s *stand) hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holding = true
+}
+
+// double has the next append take effect twice, as if its answer was lost and
+// it took effect late, after the client had looked for it and tried again.
+func (s *stand) double() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doubles = true
+}
+
+// ServeHTTP implements http.Handler.
+func (s *stand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/streams/") {
+		s.meddle(r)
+	}
+	s.Server.ServeHTTP(w, r)
+}
+
+// meddle holds an append back or performs it once more, as it was told.
+func (s *stand) meddle(r *http.Request) {
+	s.mu.Lock()
+	hold, double := s.holding, s.doubles
+	s.holding, s.doubles = false, false
+	s.mu.Unlock()
+	if hold {
+		close(s.held)
+		<-s.release
+	}
+	if !double {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	first := r.Clone(r.Context())
+	first.Body = io.NopCloser(bytes.NewReader(body))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	s.Server.ServeHTTP(httptest.NewRecorder(), first)
+}
+
+// exitCode runs fescue and compares its exit code: code 2 publish fleet.ini.
+func exitCode(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec("fescue", args[1:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// command posts to the stand-in's control: command faults {"mode":"refuse"}.
+func command(ts *testscript.TestScript, _ bool, args []string) {
+	a, err := http.Post(standOf(ts).url+"/control/"+args[0], "application/json", strings.NewReader(args[1]))
+	ts.Check(err)
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		ts.Fatalf("status %d", a.StatusCode)
+	}
+}
+
+// entry registers an entry whose status page shows an offset, and perhaps
+// another name: entry a 100 b. Without an offset the entry answers nobody. The
+// command asked waits until one was asked since it was last called.
+func entry(ts *testscript.TestScript, _ bool, args []string) {
+	const name = 2
+	s := standOf(ts)
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"entry":%q,"incarnation":1,"appliedOffset":%s,"ready":true}`,
+			append(args, args[0])[name], args[1])
+		select {
+		case s.asked <- struct{}{}:
+		default:
+		}
+	}))
+	if len(args) == 1 {
+		h.Close()
+	} else {
+		ts.Defer(h.Close)
+	}
+	address := strings.TrimPrefix(h.URL, "http://")
+	appendTo(ts, &record.Record{Body: &record.Record_EntryRegister{EntryRegister: &record.EntryRegister{
+		Entry: args[0], Incarnation: 1, DataCentre: "mct1", PeerAddress: address, AdminAddress: address,
+	}}})
+}
+
+// checkpoint appends one of the state so far.
+func checkpoint(ts *testscript.TestScript, _ bool, _ []string) {
+	h, err := load(context.Background(), client.New(standOf(ts).url))
+	ts.Check(err)
+	for _, c := range h.state.Checkpoint(fleet.MaxChunk) {
+		appendTo(ts, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: c}})
+	}
+}
+
+func appendTo(ts *testscript.TestScript, r *record.Record) {
+	c := client.New(standOf(ts).url)
+	h, err := load(context.Background(), c)
+	ts.Check(err)
+	r.Id, r.Writer = fmt.Appendf(nil, "%016d", h.state.Offset()), "script"
+	r.Basis = h.state.Basis(r)
+	data, err := proto.Marshal(r)
+	ts.Check(err)
+	_, err = c.Append(context.Background(), _stream, data)
+	ts.Check(err)
+}
+
+func TestCodeOf(t *testing.T) {
+	for want, err := range map[code]error{
+		_done:        nil,
+		_superseded:  fmt.Errorf("publish: %w", &supersededError{}),
+		_unavailable: fmt.Errorf("read: %w", client.ErrStale),
+		_unknown:     fmt.Errorf("%w: %w", errUnread, client.ErrUnavailable),
+		_stragglers:  errors.Join(nil, &stragglerError{}),
+		_usage:       errors.New("anything else"),
+	} {
+		assert.Equal(t, codeOf(err), want, "%v", err)
+	}
+}
--- /dev/null
+++ b/fescue/history.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fescuelanding/fleet"
+	"fescuelanding/fleet/platform"
+	"fescuelanding/fleet/record"
+)
+
+const (
+	_stream  = "fleet"
+	_idBytes = 16
+)
+
+var (
+	// errLog means that the log can't be made into a state.
+	errLog = errors.New("log can't be read")
+	// errUnread means that a record was appended but its outcome not seen.
+	errUnread = errors.New("appended, but its outcome could not be read back")
+)
+
+// history is the fleet stream as far as it was read, and the state it makes.
+type history struct {
+	client *platform.Client
+	state  *fleet.State
+}
+
+// load reads the stream to its head.
+func load(ctx context.Context, c *platform.Client) (*history, error) {
+	h := &history{client: c, state: new(fleet.State)}
+	err := h.follow(ctx, nil)
+	var expired *platform.ExpiredError
+	if errors.As(err, &expired) {
+		err = h.recover(ctx, expired.First)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read fleet: %w", err)
+	}
+	return h, nil
+}
+
+// follow applies what is new up to the head, and shows each record with the
+// outcome of applying it.
+func (h *history) follow(ctx context.Context, show func(offset uint64, r *record.Record, outcome error)) error {
+	return h.each(ctx, h.state.Offset()+1, func(offset uint64, r *record.Record) error {
+		err := h.state.Apply(offset, r)
+		var rejection *fleet.Rejection
+		if err != nil && !errors.As(err, &rejection) {
+			return fmt.Errorf("%w: apply offset %d: %w", errLog, offset, err)
+		}
+		if show != nil {
+			show(offset, r, err)
+		}
+		return nil
+	})
+}
+
+// recover restores the newest whole checkpoint of what the log retains from an
+// offset on, and applies what follows it.
+func (h *history) recover(ctx context.Context, first uint64) error {
+	var a fleet.Assembler
+	var whole []*record.Checkpoint
+	err := h.each(ctx, first, func(_ uint64, r *record.Record) error {
+		if c := r.GetCheckpoint(); c != nil {
+			if w := a.Add(c); w != nil {
+				whole = w
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if len(whole) == 0 || whole[0].GetAtOffset()+1 < first {
+		return fmt.Errorf("%w: it begins at offset %d and holds no whole checkpoint", errLog, first)
+	}
+	if h.state, err = fleet.Restore(whole); err != nil {
+		return fmt.Errorf("%w: restore: %w", errLog, err)
+	}
+	return h.follow(ctx, nil)
+}
+
+// each calls do with every record from an offset to the head.
+func (h *history) each(ctx context.Context, from uint64, do func(uint64, *record.Record) error) error {
+	for {
+		b, err := h.client.Read(ctx, _stream, from, 0)
+		if err != nil {
+			return err
+		}
+		for _, r := range b.Records() {
+			m := new(record.Record)
+			if err := proto.Unmarshal(r.Data(), m); err != nil {
+				return fmt.Errorf("%w: offset %d: %w", errLog, r.Offset(), err)
+			}
+			if err := do(r.Offset(), m); err != nil {
+				return err
+			}
+			from = r.Offset() + 1
+		}
+		if len(b.Records()) == 0 || from > b.Head() {
+			return nil
+		}
+	}
+}
+
+// submit appends a record with the basis it needs, reads it back, and returns
+// its offset. The error is a *supersededError where the object was changed
+// since it was read, and a *fleet.Rejection where a guard held it back.
+func (h *history) submit(ctx context.Context, writer string, now time.Time, r *record.Record) (uint64, error) {
+	r.Id = make([]byte, _idBytes)
+	_, _ = rand.Read(r.Id)
+	r.Writer, r.AtUnixMs = writer, now.UnixMilli()
+	r.Basis = h.state.Basis(r)
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return 0, fmt.Errorf("marshal record: %w", err)
+	}
+	own := func(d []byte) bool { return bytes.Equal(d, data) }
+	if _, err := h.client.AppendRecord(ctx, _stream, h.state.Offset(), data, own); err != nil {
+		return 0, fmt.Errorf("append: %w", err)
+	}
+	return h.readBack(ctx, r.GetId())
+}
+
+// readBack returns the offset and outcome of the first record with an id; a
+// second one, appended after a lost answer, changes nothing.
+func (h *history) readBack(ctx context.Context, id []byte) (uint64, error) {
+	var offset uint64
+	var outcome error
+	err := h.follow(ctx, func(o uint64, r *record.Record, err error) {
+		if offset == 0 && bytes.Equal(r.GetId(), id) {
+			offset, outcome = o, err
+		}
+	})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", errUnread, err)
+	}
+	if offset == 0 {
+		return 0, errUnread
+	}
+	var rejection *fleet.Rejection
+	if errors.As(outcome, &rejection) && rejection.Reason() == fleet.ReasonStaleBasis {
+		return offset, &supersededError{detail: rejection.Detail()}
+	}
+	return offset, outcome
+}
--- /dev/null
+++ b/fescue/run.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"fescuelanding/fleet/platform"
+)
+
+const _anyNumber = -1
+
+// run is one invocation of a command.
+type run struct {
+	args     []string
+	flags    *cli.Command
+	out      io.Writer
+	json     bool
+	operator string
+	now      time.Time
+}
+
+// action checks the number of arguments and runs do, within the time limit for
+// the platform and the wait for entries.
+func action(fewest, most int, do func(context.Context, *run) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		args := c.Args().Slice()
+		if len(args) < fewest || most != _anyNumber && len(args) > most {
+			return usagef("usage: %s %s", c.FullName(), c.ArgsUsage)
+		}
+		r := &run{
+			args: args, flags: c, out: c.Root().Writer,
+			json: c.Bool(_flagJSON), operator: c.String(_flagOperator), now: time.Now(),
+		}
+		return do(ctx, r)
+	}
+}
+
+// load reads the fleet within the time limit.
+func (r *run) load(ctx context.Context) (*history, error) {
+	url := r.flags.String(_flagPlatform)
+	if url == "" {
+		return nil, usagef("no platform: give --%s or set FESCUE_PLATFORM", _flagPlatform)
+	}
+	return load(ctx, platform.New(url))
+}
+
+func (r *run) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, r.flags.Duration(_flagTimeout))
+}
+
+// print prints v as JSON, or else its text.
+func (r *run) print(v fmt.Stringer) error {
+	if !r.json {
+		_, err := io.WriteString(r.out, v.String())
+		return err
+	}
+	e := json.NewEncoder(r.out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
