fescue: explain a host by the entry that plans

Cause: explain decided from the live list alone; the planning entry knows for how long a host was lost or flapped, and now has a page for it.

Change: explain host asks that page and decides itself where no planning entry answers. The page gains the one-line text (entry/internal/daemon, as does the reason why a peer isn't connected, which left out lost ones).

The test fails where the page of an entry that doesn't plan is believed.

--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -94,13 +94,25 @@
 	return s
 }
 
+// problem says why a peer isn't connected.
+func problem(p peer.Status) string {
+	switch {
+	case p.Err() != nil:
+		return p.Err().Error()
+	case p.Lost() != nil:
+		return p.Lost().Error()
+	default:
+		return "not dialled yet"
+	}
+}
+
 func peerStatus(p peer.Status) PeerStatus {
 	s := PeerStatus{
 		Entry: p.Entry(), Connected: p.Connected(), Ready: p.Ready(),
 		AppliedOffset: p.AppliedOffset(), RTTMicros: p.RTT().Microseconds(),
 	}
-	if p.Err() != nil {
-		s.Problem = p.Err().Error()
+	if !p.Connected() {
+		s.Problem = problem(p)
 	}
 	return s
 }
@@ -117,6 +129,8 @@
 	Frees string `json:"frees"`
 	// Planner is false where this entry doesn't plan, and so has observed less.
 	Planner bool `json:"planner"`
+	// Text is the explanation in one line.
+	Text string `json:"text"`
 }
 
 // explain says why a host is where it is.
@@ -137,6 +151,6 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Explanation{
 		Host: e.Host(), Pool: e.Pool(), Duty: e.Duty().String(), Want: e.Want(), Step: e.Step(),
-		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), Planner: plans,
+		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), Planner: plans, Text: e.String(),
 	})
 }
--- a/fescue/explain.go
+++ b/fescue/explain.go
@@ -4,14 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/url"
 	"strings"
 
+	"fescuelanding/fleet"
 	"fescuelanding/fleet/plan"
 )
 
 // errAbsent says that the configuration in force lacks what was named.
 var errAbsent = errors.New("isn't in the configuration in force")
 
+// errNoPlanner says that no entry explains as the one that plans.
+var errNoPlanner = errors.New("no planning entry answers")
+
 // explanationItem says what is wanted of a host and what holds it back.
 type explanationItem struct {
 	Host  string `json:"host"`
@@ -22,18 +27,20 @@
 	Rule  string `json:"rule"`
 	Why   string `json:"why,omitempty"`
 	Frees string `json:"frees,omitempty"`
-	text  string
+	// Planner is whether the planning entry said so.
+	Planner bool   `json:"planner"`
+	Text    string `json:"text"`
 }
 
 func newExplanationItem(e plan.Explanation) explanationItem {
 	return explanationItem{
 		Host: e.Host(), Pool: e.Pool(), Duty: e.Duty().String(), Want: e.Want(), Step: e.Step(),
-		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), text: e.String(),
+		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), Text: e.String(),
 	}
 }
 
 // String tells the explanation in one line.
-func (e explanationItem) String() string { return strings.TrimRight(e.text, "\n") + "\n" }
+func (e explanationItem) String() string { return strings.TrimRight(e.Text, "\n") + "\n" }
 
 // poolExplanation says what a pool can give and what it waits for.
 type poolExplanation struct {
@@ -72,10 +79,30 @@
 	if err != nil {
 		return err
 	}
-	if _, ok := h.state.Host(r.args[0]); !ok {
-		return fmt.Errorf("host %q %w", r.args[0], errAbsent)
+	name := r.args[0]
+	if _, ok := h.state.Host(name); !ok {
+		return fmt.Errorf("host %q %w", name, errAbsent)
+	}
+	if e, err := askPlanner(ctx, h.state, name); err == nil {
+		return r.print(e)
+	}
+	return r.print(newExplanationItem(plan.Explain(h.state, o, name, r.now)))
+}
+
+// askPlanner gets the explanation of the entry that plans, which has observed
+// the hosts for longer.
+func askPlanner(ctx context.Context, s *fleet.State, host string) (explanationItem, error) {
+	var e explanationItem
+	o, _ := s.Owner(fleet.PlannerKey)
+	p, ok := s.Entry(o.Entry())
+	if !ok {
+		return e, errNoPlanner
+	}
+	err := get(ctx, "http://"+p.AdminAddress()+"/explain?"+url.Values{"host": {host}}.Encode(), &e)
+	if err == nil && (e.Host != host || e.Text == "" || !e.Planner) {
+		err = errNoPlanner
 	}
-	return r.print(newExplanationItem(plan.Explain(h.state, o, r.args[0], r.now)))
+	return e, err
 }
 
 func explainPool(ctx context.Context, r *run) error {
--- a/fescue/fescue_test.go
+++ b/fescue/fescue_test.go
@@ -158,13 +158,20 @@
 	}
 }
 
+// _planner is an entry that explains as the one that plans.
+const _planner = "p"
+
 // entry registers an entry whose status page shows an offset, and perhaps
 // another name: entry a 100 b. Without an offset the entry answers nobody. The
 // command asked waits until one was asked since it was last called.
 func entry(ts *testscript.TestScript, _ bool, args []string) {
 	const name = 2
 	s := standOf(ts)
-	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/explain" {
+			fmt.Fprintf(w, `{"host":%q,"planner":%t,"text":"the planner's word"}`, r.FormValue("host"), args[0] == _planner)
+			return
+		}
 		fmt.Fprintf(w, `{"entry":%q,"incarnation":1,"appliedOffset":%s,"ready":true}`,
 			append(args, args[0])[name], args[1])
 		select {
