--- a/entry/broker/admit.go
+++ b/entry/broker/admit.go
@@ -13,6 +13,9 @@
 	_overloadStep    = 0.25
 	// _returnShare is the share of the pool that returning requests may fill.
 	_returnShare = 0.5
+	// _refill is how much of another team's work may be served before a
+	// request, relative to what waits now, as more of it arrives meanwhile.
+	_refill = 1.5
 )
 
 // admit says whether a request may wait, or why it is refused at once.
@@ -23,17 +26,17 @@
 	if r.startBy.Before(now) {
 		return Overload
 	}
-	if b.waiting() >= _maxQueue {
-		return QueueFull
-	}
 	left := r.startBy.Sub(now)
 	if b.quotaWait(r) > left {
 		return Overload
 	}
-	if b.missing.any() || b.wait(now, r) <= left {
-		return ReasonNone
+	if !b.missing.any() && b.wait(now, r) > left {
+		return Overload
+	}
+	if b.waiting() >= _maxQueue {
+		return b.displace(now, r)
 	}
-	return b.displace(now, r)
+	return ReasonNone
 }
 
 func (b *Broker) waiting() int {
@@ -57,20 +60,41 @@
 // wait returns the expected wait of a request that is asked for now.
 func (b *Broker) wait(now time.Time, r *request) time.Duration {
 	if r.class.Urgency == Urgent {
-		return b.urgentWait()
+		return b.urgentWait(r)
+	}
+	return b.relaxedWait(now, r)
+}
+
+// ahead returns the work of the request's band that is served before it. Of
+// its own class that is, for each team that waits, at most as much for its
+// weight as the asking team waits with.
+func (b *Broker) ahead(r *request, s band) time.Duration {
+	own := r.cost
+	if l := r.class.byTeam[r.team]; l != nil {
+		own += l.work
 	}
-	return b.relaxedWait(now)
+	share := own / time.Duration(r.team.weight())
+	work := s.work - r.class.work
+	for _, l := range r.class.lanes {
+		if l.team == r.team {
+			work += l.work
+			continue
+		}
+		most := time.Duration(_refill * float64(l.work))
+		work += min(most, share*time.Duration(l.team.weight()))
+	}
+	return work
 }
 
 // urgentWait expects that slots come free at the rates at which urgent and
 // relaxed work end, and that a slot freed by relaxed work then serves urgent
 // work. With a the starts in a second now and c their growth in a second, n
 // requests have started after t where a*t + c*t*t/2 = n.
-func (b *Broker) urgentWait() time.Duration {
+func (b *Broker) urgentWait(r *request) time.Duration {
 	u, l := b.band(Urgent), b.band(Relaxed)
 	run := u.run.Seconds()
 	unused := b.hosts.unused()
-	n := u.work.Seconds()/run + 1 - float64(unused)
+	n := b.ahead(r, u).Seconds()/run + 1 - float64(unused)
 	if n <= 0 {
 		return 0
 	}
@@ -87,18 +111,18 @@
 	return seconds(t)
 }
 
-// relaxedWait expects that relaxed work has the slots it may hold, less those
-// that urgent work keeps busy on average.
-func (b *Broker) relaxedWait(now time.Time) time.Duration {
+// relaxedWait expects that relaxed work has the slots it may hold now, less
+// those that urgent work keeps busy on average, or as many as it had lately.
+func (b *Broker) relaxedWait(now time.Time, r *request) time.Duration {
 	l := b.band(Relaxed)
 	most := b.relaxedCap(now)
 	if l.work == 0 && l.held < most && b.hosts.unused() > 0 {
 		return 0
 	}
 	s := float64(b.hosts.slots())
-	share := min(float64(most), s-b.demand.steady.now(now, _relaxedTau))
-	share = max(share, s*_relaxedLeast, 1)
-	return seconds(l.work.Seconds() / share)
+	share := min(float64(most), s-b.demand.steady.now(now, _steadyTau))
+	share = max(share, b.demand.done.now(now, _steadyTau), s*_relaxedLeast, 1)
+	return seconds(b.ahead(r, l).Seconds() / share)
 }
 
 // seconds turns seconds into a duration, within its range.
@@ -122,7 +146,7 @@
 		}
 	}
 	if worst == nil {
-		return Overload
+		return QueueFull
 	}
 	v := worst.waiting[len(worst.waiting)-1]
 	b.leave(now, v)
--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -39,6 +39,7 @@
 	overload overload
 	retries  retries
 	faults   faults
+	wake     time.Time
 	ops      []Op
 }
 
@@ -67,7 +68,7 @@
 	if b.repeated(now, r) {
 		return b.flush()
 	}
-	b.demand.asked(now, r)
+	b.demand.asked(now, r, b.hosts.slots())
 	if reason := b.admit(now, r); reason != ReasonNone {
 		b.refuse(now, r, reason)
 		return b.flush()
@@ -164,6 +165,7 @@
 		b.free(h)
 		b.ended(now, h, Result{})
 	}
+	b.missing.expire(now)
 	b.expire(now)
 	b.faults.expire(now)
 	b.hosts.tick(now)
@@ -177,6 +179,7 @@
 	for _, c := range b.classes.all {
 		t = earliest(t, c.line.first())
 	}
+	t = earliest(t, b.wake)
 	t = earliest(t, b.holds.next())
 	t = earliest(t, b.hosts.next())
 	return earliest(t, b.missing.until)
--- a/entry/broker/class.go
+++ b/entry/broker/class.go
@@ -6,6 +6,8 @@
 	"time"
 )
 
+const _unseenRelaxedRun = 10 * time.Second
+
 // classes are the configured classes of a pool.
 type classes struct {
 	byName map[string]*class
@@ -56,6 +58,15 @@
 	return c.MaxRun
 }
 
+// typicalRun returns the mean run. Relaxed work that hasn't been seen yet is
+// taken for long.
+func (c *class) typicalRun() time.Duration {
+	if c.Urgency == Relaxed && c.runs.all.n == 0 {
+		return _unseenRelaxedRun
+	}
+	return c.runs.typical()
+}
+
 func (c *class) push(r *request) {
 	l := c.byTeam[r.team]
 	if l == nil {
--- a/entry/broker/dispatch.go
+++ b/entry/broker/dispatch.go
@@ -6,6 +6,10 @@
 // host that they may go to has a slot.
 const _maxParked = 8
 
+// _recheck is how soon relaxed work that waits beside unused slots is looked
+// at again, as the reserve changes with time.
+const _recheck = 100 * time.Millisecond
+
 // dispatch grants slots to queued requests as far as there are any.
 func (b *Broker) dispatch(now time.Time) {
 	if b.missing.any() {
@@ -38,6 +42,10 @@
 	for _, r := range parked {
 		r.class.push(r)
 	}
+	b.wake = time.Time{}
+	if b.relaxedWaits() && b.hosts.unused() > 0 {
+		b.wake = now.Add(_recheck)
+	}
 }
 
 // nextRequest takes the next request out of the queue: relaxed work that has
--- /dev/null
+++ b/entry/broker/pattern_test.go
@@ -0,0 +1,455 @@
+package broker_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fescuelanding/entry/broker"
+)
+
+// The load of the brief: five services, each on a pool of its own, ask in turn
+// for five times their mean for some seconds and for a twentieth in between.
+const (
+	_pools         = 5
+	_hostsOfPool   = 10
+	_slotsOfHost   = 8
+	_slotsOfPool   = _hostsOfPool * _slotsOfHost
+	_entries       = 9
+	_burst         = 4 * time.Second
+	_cycle         = _pools * _burst
+	_cycles        = 15
+	_burstFactor   = 5.0
+	_quietFactor   = 1.0 / 20
+	_urgentRun     = 150 * time.Millisecond
+	_urgentLoad    = 0.4 // mean load of urgent work, as a share of the pool
+	_startWithin   = 1100 * time.Millisecond
+	_urgentTime    = 2500 * time.Millisecond
+	_relaxedRun    = 5 * time.Second
+	_relaxedTime   = 10 * time.Minute
+	_relaxedMaxRun = 2 * time.Minute
+	_sigma         = 0.5 // of the logarithm of run times
+	_teams         = 120
+)
+
+// job is one recorded request.
+type job struct {
+	at       time.Duration
+	run      time.Duration
+	urgent   bool
+	team     int
+	returned bool
+	started  time.Duration
+	state    jobState
+}
+
+type jobState int
+
+const (
+	_waits jobState = iota
+	_runs
+	_inTime
+	_late
+	_refusedAtOnce
+	_refusedLater
+)
+
+func (j *job) deadline() time.Duration {
+	if j.urgent {
+		return j.at + _urgentTime
+	}
+	return j.at + _relaxedTime
+}
+
+// record draws the arrivals of one pool.
+func record(seed uint64, pool int, relaxedLoad float64) []*job {
+	r := rand.New(rand.NewPCG(seed, uint64(pool)))
+	js := draw(r, true, _urgentRun, func(t time.Duration) float64 {
+		if int(t/_burst)%_pools == pool {
+			return _urgentLoad * _burstFactor
+		}
+		return _urgentLoad * _quietFactor
+	})
+	js = append(js, draw(r, false, _relaxedRun, func(time.Duration) float64 { return relaxedLoad })...)
+	slices.SortFunc(js, func(a, b *job) int { return int(a.at - b.at) })
+	return js
+}
+
+func draw(r *rand.Rand, urgent bool, run time.Duration, load func(time.Duration) float64) []*job {
+	var js []*job
+	for t := time.Duration(0); t < _cycles*_cycle; {
+		l := load(t)
+		if l == 0 {
+			return js
+		}
+		t += time.Duration(r.ExpFloat64() * run.Seconds() / (l * _slotsOfPool) * float64(time.Second))
+		d := time.Duration(float64(run) * math.Exp(r.NormFloat64()*_sigma-_sigma*_sigma/2))
+		js = append(js, &job{at: t, run: d, urgent: urgent, team: r.IntN(_teams)})
+	}
+	return js
+}
+
+// queue is a way to schedule the jobs of a pool.
+type queue struct {
+	ask  func(now time.Duration, j int)
+	done func(now time.Duration, j int)
+	tick func(now time.Duration)
+	next func() time.Duration
+}
+
+// replay drives a queue with recorded jobs.
+type replay struct {
+	jobs    []*job
+	returns bool
+	ends    ends
+	busy    time.Duration
+	now     time.Duration
+	pending []int
+}
+
+type end struct {
+	at  time.Duration
+	job int
+}
+
+type ends []end
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(end)) }
+func (e *ends) Pop() any {
+	n := len(*e) - 1
+	x := (*e)[n]
+	*e = (*e)[:n]
+	return x
+}
+
+const _never = time.Duration(math.MaxInt64)
+
+func (r *replay) run(q queue) {
+	arrivals := &ends{}
+	for i, j := range r.jobs {
+		heap.Push(arrivals, end{at: j.at, job: i})
+	}
+	for {
+		a, e, n := first(*arrivals), first(r.ends), q.next()
+		r.now = min(a, e, n)
+		switch {
+		case r.now == _never:
+			return
+		case e == r.now:
+			x := heap.Pop(&r.ends).(end)
+			r.end(x)
+			q.done(r.now, x.job)
+		case a == r.now:
+			q.ask(r.now, heap.Pop(arrivals).(end).job)
+		default:
+			q.tick(r.now)
+		}
+		for _, i := range r.pending {
+			heap.Push(arrivals, end{at: r.jobs[i].at, job: i})
+		}
+		r.pending = r.pending[:0]
+	}
+}
+
+func first(e ends) time.Duration {
+	if len(e) == 0 {
+		return _never
+	}
+	return e[0].at
+}
+
+func (r *replay) start(i int) {
+	j := r.jobs[i]
+	j.started, j.state = r.now, _runs
+	heap.Push(&r.ends, end{at: r.now + j.run, job: i})
+}
+
+func (r *replay) end(e end) {
+	j := r.jobs[e.job]
+	j.state = _late
+	if e.at <= j.deadline() {
+		j.state = _inTime
+	}
+	r.busy += max(0, min(e.at, _cycles*_cycle)-j.started)
+}
+
+func (r *replay) refuse(i int, back time.Duration) {
+	j := r.jobs[i]
+	j.state = _refusedAtOnce
+	if r.now > j.at {
+		j.state = _refusedLater
+	}
+	if r.returns && !j.returned && back > 0 {
+		k := &job{at: r.now + back, run: j.run, urgent: j.urgent, team: j.team, returned: true}
+		r.jobs = append(r.jobs, k)
+		r.pending = append(r.pending, len(r.jobs)-1)
+	}
+}
+
+var _epoch = time.Unix(1_000_000, 0)
+
+// brokerQueue schedules with the broker.
+func brokerQueue(r *replay, teams int) queue {
+	var b broker.Broker
+	b.SetLimits(_epoch, patternLimits(teams))
+	b.SetHosts(_epoch, patternHosts(_hostsOfPool))
+	slots := make(map[int]uint64)
+	apply := func(os []broker.Op) {
+		for _, o := range os {
+			switch o := o.(type) {
+			case broker.Grant:
+				slots[int(o.Request)] = o.Slot
+				r.start(int(o.Request))
+			case broker.Refuse:
+				r.refuse(int(o.Request), o.RetryAfter)
+			default:
+				panic(fmt.Sprintf("unexpected %T", o))
+			}
+		}
+	}
+	return queue{
+		ask: func(now time.Duration, i int) {
+			apply(b.Ask(_epoch.Add(now), askOf(i, r.jobs[i], teams)))
+		},
+		done: func(now time.Duration, i int) {
+			apply(b.Done(_epoch.Add(now), slots[i], broker.Result{Outcome: broker.Answered, Run: r.jobs[i].run}))
+		},
+		tick: func(now time.Duration) { apply(b.Tick(_epoch.Add(now))) },
+		next: func() time.Duration {
+			if t := b.Next(); !t.IsZero() {
+				return max(t.Sub(_epoch), r.now)
+			}
+			return _never
+		},
+	}
+}
+
+func askOf(i int, j *job, teams int) broker.Ask {
+	a := broker.Ask{
+		Request: uint64(i), Entry: broker.Entry{Name: "e1", Incarnation: 1},
+		Service: "service", Class: "relaxed", Team: fmt.Sprintf("team%d", j.team%teams),
+		Idempotent: true, Deadline: _epoch.Add(j.deadline()),
+	}
+	if j.urgent {
+		a.Class = "urgent"
+	}
+	return a
+}
+
+func patternLimits(teams int) broker.Limits {
+	l := broker.Limits{MinAvailable: 8, Classes: []broker.Class{
+		{Name: "urgent", Urgency: broker.Urgent, StartWithin: _startWithin, Deadline: _urgentTime, MaxRun: 10 * time.Second},
+		{Name: "relaxed", Deadline: _relaxedTime, MaxRun: _relaxedMaxRun},
+	}}
+	for i := range teams {
+		l.Teams = append(l.Teams, broker.Team{Name: fmt.Sprintf("team%d", i), Weight: 1 + i%3})
+	}
+	return l
+}
+
+func patternHosts(n int) []broker.Host {
+	var hs []broker.Host
+	for i := range n {
+		hs = append(hs, broker.Host{
+			Name: fmt.Sprintf("host%d", i), Rack: fmt.Sprintf("rack%d", i/4),
+			Slots: _slotsOfHost, Duty: broker.Serving,
+		})
+	}
+	return hs
+}
+
+// fifoQueue serves jobs in the order they come, from shares of the slots; a
+// job whose caller has given up is passed over.
+func fifoQueue(r *replay, shares []int) queue {
+	free := slices.Clone(shares)
+	waits := make([][]int, len(shares))
+	share := func(i int) int { return i % len(shares) }
+	serve := func(s int) {
+		for free[s] > 0 && len(waits[s]) > 0 {
+			i := waits[s][0]
+			waits[s] = waits[s][1:]
+			if r.now > r.jobs[i].deadline() {
+				r.refuse(i, 0)
+				continue
+			}
+			free[s]--
+			r.start(i)
+		}
+	}
+	return queue{
+		ask: func(_ time.Duration, i int) {
+			waits[share(i)] = append(waits[share(i)], i)
+			serve(share(i))
+		},
+		done: func(_ time.Duration, i int) {
+			free[share(i)]++
+			serve(share(i))
+		},
+		tick: func(time.Duration) {},
+		next: func() time.Duration { return _never },
+	}
+}
+
+func staticShares() []int {
+	s := make([]int, _entries)
+	for i := range _slotsOfPool {
+		s[i%_entries]++
+	}
+	return s
+}
+
+// tally sums up the jobs of one class over all pools.
+type tally struct {
+	offered, inTime, late, atOnce, later int
+	returned, returnedInTime             int
+	bound, boundKnowing                  int
+	waits                                *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	return &tally{waits: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
+}
+
+func (t *tally) add(js []*job, urgent bool) {
+	for _, j := range js {
+		if j.urgent != urgent {
+			continue
+		}
+		if j.returned {
+			t.returned++
+			if j.state == _inTime {
+				t.returnedInTime++
+			}
+			continue
+		}
+		t.offered++
+		switch j.state {
+		case _inTime:
+			t.inTime++
+		case _late:
+			t.late++
+		case _refusedAtOnce:
+			t.atOnce++
+		default:
+			t.later++
+		}
+		if j.state == _inTime || j.state == _late {
+			_ = t.waits.RecordValue(int64((j.started-j.at)/time.Microsecond) + 1)
+		}
+	}
+}
+
+// bound counts what a perfect scheduler answers in time at most: per cycle, the
+// work that all slots do from the first arrival of the burst until the last
+// moment to start, with nothing else to run. Knowing says whether it knows the
+// run time of each job and leaves the longest out, or takes them as they come.
+func (t *tally) bounds(js []*job, urgent bool, pool int) {
+	byCycle := make(map[int][]*job)
+	for _, j := range js {
+		if j.urgent == urgent && !j.returned {
+			// The pool's burst opens its cycle.
+			k := int((j.at - time.Duration(pool)*_burst + _cycle) / _cycle)
+			byCycle[k] = append(byCycle[k], j)
+		}
+	}
+	for _, c := range byCycle {
+		t.bound += fit(c, urgent, false)
+		t.boundKnowing += fit(c, urgent, true)
+	}
+}
+
+func fit(js []*job, urgent, knowing bool) int {
+	var sum, in time.Duration
+	begin := js[0].at
+	for _, j := range js {
+		sum += j.run
+	}
+	mean := sum / time.Duration(len(js))
+	last := begin + _burst + _startWithin + mean
+	if !urgent {
+		last = begin + _cycle
+	}
+	room := time.Duration(_slotsOfPool) * (last - begin)
+	js = slices.Clone(js)
+	if urgent {
+		js = slices.DeleteFunc(js, func(j *job) bool { return j.at > begin+_burst })
+	}
+	quiet := 0
+	if knowing {
+		slices.SortFunc(js, func(a, b *job) int { return int(a.run - b.run) })
+	}
+	for i, j := range js {
+		if in += j.run; in > room {
+			return i + quiet
+		}
+	}
+	return len(js) + quiet
+}
+
+var _ways = []struct {
+	name  string
+	queue func(*replay) queue
+}{
+	{"broker", func(r *replay) queue { return brokerQueue(r, _teams) }},
+	{"staticShares", func(r *replay) queue { return fifoQueue(r, staticShares()) }},
+	{"fifo", func(r *replay) queue { return fifoQueue(r, []int{_slotsOfPool}) }},
+}
+
+// BenchmarkPattern reports, for each class, what was answered in time.
+func BenchmarkPattern(b *testing.B) {
+	for _, load := range []float64{0, 0.25, 0.5, 1} {
+		for _, w := range _ways {
+			b.Run(fmt.Sprintf("relaxed=%v/%s", load, w.name), func(b *testing.B) {
+				for range b.N {
+					measure(b, load, w.queue)
+				}
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, load float64, q func(*replay) queue) {
+	urgent, relaxed := newTally(), newTally()
+	var busy, span time.Duration
+	for pool := range _pools {
+		js := record(1, pool, load)
+		urgent.bounds(js, true, pool)
+		r := &replay{jobs: js, returns: true}
+		r.run(q(r))
+		urgent.add(r.jobs, true)
+		relaxed.add(r.jobs, false)
+		busy += r.busy
+		span += _slotsOfPool * _cycles * _cycle
+	}
+	urgent.report(b, "urgent")
+	relaxed.report(b, "relaxed")
+	b.ReportMetric(100*float64(busy)/float64(span), "slotUse-%")
+}
+
+func (t *tally) report(b *testing.B, class string) {
+	if t.offered == 0 {
+		return
+	}
+	share := func(n int, of int, name string) { b.ReportMetric(100*float64(n)/float64(max(of, 1)), class+name) }
+	share(t.inTime, t.offered, "InTime-%")
+	share(t.atOnce, t.offered, "RefusedAtOnce-%")
+	share(t.later, t.offered, "RefusedLater-%")
+	share(t.late, t.offered, "Late-%")
+	if t.bound > 0 {
+		b.ReportMetric(100*float64(t.bound)/float64(t.offered), class+"Bound-%")
+		b.ReportMetric(100*float64(t.boundKnowing)/float64(t.offered), class+"BoundKnowing-%")
+	}
+	share(t.returnedInTime, t.returned, "BackInTime-%")
+	for _, p := range []float64{50, 99, 99.9} {
+		b.ReportMetric(float64(t.waits.ValueAtQuantile(p))/1000, fmt.Sprintf("%sWaitP%v-ms", class, p))
+	}
+}
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -7,18 +7,24 @@
 
 const (
 	// _burstTau is the time over which the urgent demand of a burst is seen.
-	_burstTau = time.Second
+	_burstTau = 500 * time.Millisecond
 	// _peakTau is how slowly the memory of a burst fades.
 	_peakTau = 10 * time.Minute
-	// _relaxedTau is the time over which the demand of relaxed work is seen.
-	_relaxedTau = time.Minute
+	// _steadyTau is the time over which the mean demand is seen.
+	_steadyTau = time.Minute
 	// _relaxedHeadroom is what relaxed work may hold above its demand.
 	_relaxedHeadroom = 1.25
-	// _relaxedMost is the share of slots that the demand of relaxed work may
-	// claim against the reserve.
-	_relaxedMost = 0.5
+	// _relaxedMost is the share of slots that relaxed work which is pressed
+	// for time may claim against the reserve.
+	_relaxedMost = 0.25
 	// _relaxedLeast is the share that aged relaxed work gets before urgent work.
-	_relaxedLeast       = 1.0 / 8
+	_relaxedLeast = 1.0 / 8
+	// _quietShare is the share that relaxed work may hold in a quiet that is
+	// expected to last.
+	_quietShare = 0.9
+	// Relaxed work is pressed for time between these shares of its wait.
+	_pressedFrom        = 0.25
+	_pressedTo          = 0.75
 	_defaultStartWithin = 1100 * time.Millisecond
 )
 
@@ -27,46 +33,86 @@
 	urgent  load
 	steady  load
 	relaxed load
-	peak    float64
-	peakAt  time.Time
+	// done is the relaxed work that ended.
+	done   load
+	peak   float64
+	peakAt time.Time
+	bursts bursts
 }
 
 // asked counts an ask, whether it is admitted or not.
-func (d *demand) asked(now time.Time, r *request) {
+func (d *demand) asked(now time.Time, r *request, slots int) {
 	if r.class.Urgency == Relaxed {
-		d.relaxed.add(now, r.cost, _relaxedTau)
+		d.relaxed.add(now, r.cost, _steadyTau)
 		return
 	}
 	d.urgent.add(now, r.cost, _burstTau)
-	d.steady.add(now, r.cost, _relaxedTau)
-	if v := d.urgent.now(now, _burstTau); v > d.peakNow(now) {
+	d.steady.add(now, r.cost, _steadyTau)
+	v := d.urgent.now(now, _burstTau)
+	if v > d.peakNow(now) {
 		d.peak, d.peakAt = v, now
 	}
+	d.bursts.see(now, v/float64(max(slots, 1)))
+}
+
+// ended counts work that was done.
+func (d *demand) ended(now time.Time, c *class, run time.Duration) {
+	if c.Urgency == Relaxed {
+		d.done.add(now, run, _steadyTau)
+	}
 }
 
 func (d *demand) peakNow(now time.Time) float64 {
 	return fade(d.peak, now.Sub(d.peakAt), _peakTau)
 }
 
-// relaxedCap returns how many slots relaxed work may hold. The reserve is what
+// relaxedCap returns how many slots relaxed work may hold. In a quiet that is
+// expected to outlast it that is most of the pool. Else there is a reserve: what
 // an urgent burst like the largest one remembered needs beyond the slots that
 // relaxed work gives back within the time urgent work may wait. A new broker
-// remembers none and expects one that fills the pool.
+// remembers none and expects one that fills the pool. Relaxed work that is
+// pressed for time claims what its demand needs against the reserve.
 func (b *Broker) relaxedCap(now time.Time) int {
 	s := float64(b.hosts.slots())
 	within, urgent := b.startWithin()
 	if !urgent {
 		return int(s)
 	}
-	peak := max(b.demand.peakNow(now), fade(s, now.Sub(b.since), _peakTau))
-	freed := min(1, within.Seconds()/b.relaxedRun().Seconds())
-	reserve := 0.0
-	if freed < 1 {
-		reserve = (min(peak, s) - s*freed) / (1 - freed)
+	run := b.relaxedRun()
+	asked := b.demand.urgent.now(now, _burstTau)
+	b.demand.bursts.see(now, asked/max(s, 1))
+	c := s - b.reserved(now, s, within, run)
+	if b.demand.bursts.quietFor(now, _runMargin*run) {
+		c = max(c, s*_quietShare-asked)
+	}
+	if p := b.pressure(now); p > 0 {
+		c = max(c, p*min(b.demand.relaxed.now(now, _steadyTau)*_relaxedHeadroom, s*_relaxedMost))
+	}
+	return int(math.Ceil(min(s, c)))
+}
+
+// reserved returns the slots that relaxed work, which runs for the time given,
+// must leave to urgent work.
+func (b *Broker) reserved(now time.Time, slots float64, within, run time.Duration) float64 {
+	peak := max(b.demand.peakNow(now), fade(slots, now.Sub(b.since), _peakTau))
+	freed := within.Seconds() / run.Seconds()
+	if freed >= 1 {
+		return 0
+	}
+	return max(0, (min(peak, slots)-slots*freed)/(1-freed))
+}
+
+// pressure returns how far relaxed work is pressed for time, from 0 to 1.
+func (b *Broker) pressure(now time.Time) float64 {
+	p := 0.0
+	for _, c := range b.classes.all {
+		if c.Urgency == Urgent || len(c.line) == 0 {
+			continue
+		}
+		r := c.line[0]
+		p = max(p, now.Sub(r.asked).Seconds()/r.startBy.Sub(r.asked).Seconds())
 	}
-	need := min(b.demand.relaxed.now(now, _relaxedTau)*_relaxedHeadroom, s*_relaxedMost)
-	least := s * _relaxedLeast
-	return int(math.Ceil(min(s, max(s-reserve, need, least))))
+	return min(max((p-_pressedFrom)/(_pressedTo-_pressedFrom), 0), 1)
 }
 
 // startWithin returns how long urgent work may wait for a slot, and whether
@@ -105,7 +151,7 @@
 			continue
 		}
 		k := c.held + len(c.line) + 1
-		s.run += c.runs.typical() * time.Duration(k)
+		s.run += c.typicalRun() * time.Duration(k)
 		n += k
 		s.held += c.held
 		s.work += c.work
--- a/entry/broker/retry.go
+++ b/entry/broker/retry.go
@@ -93,6 +93,7 @@
 	case Answered:
 		if h.class != nil {
 			h.class.runs.add(h.Service, res.Run)
+			b.demand.ended(now, h.class, res.Run)
 		}
 		if k != nil {
 			k.health.succeed()
--- a/entry/broker/takeover.go
+++ b/entry/broker/takeover.go
@@ -14,6 +14,21 @@
 	return len(m.entries) > 0
 }
 
+// reported notes that an entry's holds are known.
+func (m *missing) reported(e Entry) {
+	delete(m.entries, e)
+	if !m.any() {
+		m.until = time.Time{}
+	}
+}
+
+// expire gives up on entries whose holds must have ended by now.
+func (m *missing) expire(now time.Time) {
+	if m.any() && !now.Before(m.until) {
+		*m = missing{}
+	}
+}
+
 // Takeover makes this process the pool's broker under a new term. Until every
 // expected entry has reported, or as long as a request of theirs may run, every
 // slot counts as taken: any of them may be theirs.
@@ -54,10 +69,7 @@
 	for _, h := range hs {
 		b.learn(h)
 	}
-	delete(b.missing.entries, of)
-	if !b.missing.any() {
-		b.missing.until = time.Time{}
-	}
+	b.missing.reported(of)
 	b.dispatch(now)
 	return b.flush()
 }
