broker: properties of slots, ends, quotas and keys

The property of slots through takeovers found that a former broker which hasn't heard of the takeover goes on granting to entries that haven't either. A takeover now waits for the staleness bound before it counts how long such a run may take.

--- a/entry/broker/ask.go
+++ b/entry/broker/ask.go
@@ -162,7 +162,11 @@
 	Term uint64
 	// Owner is this process.
 	Owner Entry
-	// Expected are the registered entries, which must report their holds
-	// before slots are free.
+	// Expected are the processes of entries that must report their holds before
+	// slots are free: those that are registered, and those that were lost or
+	// replaced so lately that their runs may go on.
 	Expected []Entry
+	// Staleness is how long a former broker may go on granting after this
+	// takeover without having heard of it.
+	Staleness time.Duration
 }
--- a/entry/broker/op.go
+++ b/entry/broker/op.go
@@ -14,7 +14,9 @@
 }
 
 // Grant hands a slot to an entry. An entry must drop a grant whose term is
-// older than one it has reported to, and answer every other with Done.
+// older than one it has reported to, and answer every other with Done. As
+// clocks differ and grants may be late, the wire carries the time from the ask
+// until Until, and the entry counts it from when it sent the ask.
 type Grant struct {
 	Request uint64
 	Entry   Entry
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -82,13 +82,18 @@
 	asked := b.demand.urgent.now(now, _burstTau)
 	b.demand.bursts.see(now, asked/max(s, 1))
 	c := s - b.reserved(now, s, within, run)
+	if s*_relaxedLeast >= 1 {
+		// One slot at least, so that its run time gets known.
+		c = max(c, 1)
+	}
 	if b.demand.bursts.quietFor(now, _runMargin*run) {
 		c = max(c, s*_quietShare-asked)
 	}
 	if p := b.pressure(now); p > 0 {
-		c = max(c, p*min(b.demand.relaxed.now(now, _steadyTau)*_relaxedHeadroom, s*_relaxedMost))
+		need := p * min(b.demand.relaxed.now(now, _steadyTau)*_relaxedHeadroom, s*_relaxedMost)
+		c = max(c, math.Ceil(need))
 	}
-	return int(math.Ceil(min(s, c)))
+	return int(min(s, c))
 }
 
 // reserved returns the slots that relaxed work, which runs for the time given,
--- a/entry/broker/takeover.go
+++ b/entry/broker/takeover.go
@@ -31,7 +31,9 @@
 
 // Takeover makes this process the pool's broker under a new term. Until every
 // expected entry has reported, or as long as a request of theirs may run, every
-// slot counts as taken: any of them may be theirs.
+// slot counts as taken: any of them may be theirs. A former broker that hasn't
+// heard of this one may grant to an entry that hasn't either, so that time
+// begins only once no such broker grants any more.
 func (b *Broker) Takeover(now time.Time, t Takeover) []Op {
 	b.start(now)
 	b.term, b.owner = t.Term, t.Owner
@@ -40,7 +42,7 @@
 		b.missing.entries[e] = struct{}{}
 	}
 	if b.missing.any() {
-		b.missing.until = now.Add(b.longestRun() + _holdGrace)
+		b.missing.until = now.Add(t.Staleness + b.longestRun() + _holdGrace)
 	}
 	b.dispatch(now)
 	return b.flush()
@@ -60,8 +62,9 @@
 }
 
 // Report takes in the holds of an entry, as told by itself or, where it was
-// the former broker, by its witness. With it the teller promises to drop
-// grants of older terms. What the entry itself reports replaces what others
+// the former broker, by its witness. The holds include those that it told a
+// former broker to be lost. With it the teller promises to drop grants of older
+// terms. What the entry itself reports replaces what others
 // said about it under older terms.
 func (b *Broker) Report(now time.Time, of Entry, hs []Hold) []Op {
 	b.start(now)
@@ -74,6 +77,16 @@
 	return b.flush()
 }
 
+// Holds returns every hold that the broker counts, for the report of an entry
+// that was the broker until now.
+func (b *Broker) Holds() []Hold {
+	hs := make([]Hold, 0, len(b.holds.heap))
+	for _, h := range b.holds.heap {
+		hs = append(hs, h.Hold)
+	}
+	return hs
+}
+
 // dropStale frees holds of an entry from older terms that its report lacks.
 func (b *Broker) dropStale(of Entry, hs []Hold) {
 	reported := make(map[uint64]struct{}, len(hs))
--- /dev/null
+++ b/entry/keys/journal_test.go
@@ -0,0 +1,233 @@
+package keys_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fescuelanding/entry/keys"
+)
+
+var _epoch = time.UnixMilli(1_000_000_000)
+
+// writer is a process that is a pool's broker, maybe without knowing that it
+// has been replaced. It reads the log at its own pace.
+type writer struct {
+	journal keys.Journal
+	entry   string
+	term    uint64
+	pending []keys.Key
+	ran     map[keys.Key]int
+}
+
+// read applies the next records, and runs what they started for this writer.
+func (w *writer) read(log []*keys.Record, n int) {
+	for range n {
+		at := w.journal.Offset()
+		if at == uint64(len(log)) {
+			return
+		}
+		ss, _ := w.journal.Apply(at+1, log[at])
+		for _, s := range ss {
+			own := s.Entry == w.entry && s.Term == w.term
+			if own && s.Verdict == keys.Started {
+				w.run(s.Key)
+			}
+		}
+	}
+}
+
+// run grants the key, unless its request has been refused meanwhile.
+func (w *writer) run(k keys.Key) {
+	i := slices.Index(w.pending, k)
+	if i < 0 {
+		w.journal.Finish(k, keys.NotRun, nil)
+		return
+	}
+	w.pending = slices.Delete(w.pending, i, i+1)
+	w.ran[k]++
+}
+
+func (w *writer) record(ks []keys.Key) *keys.Record {
+	b := &keys.Batch{Pool: "p", Term: w.term}
+	for _, k := range ks {
+		b.Keys = append(b.Keys, k[:]...)
+	}
+	return &keys.Record{AtUnixMs: _epoch.UnixMilli(), Entry: w.entry, Batches: []*keys.Batch{b}}
+}
+
+// TestKeyRunsOnce lets brokers replace one another while batches are lost,
+// repeated, and read late.
+func TestKeyRunsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []*keys.Record
+		ws := []*writer{{entry: "e0", term: 1, ran: make(map[keys.Key]int)}}
+		one := func() *writer { return ws[rapid.IntRange(0, len(ws)-1).Draw(t, "writer")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				w, k := one(), keys.Key{byte(rapid.IntRange(1, 4).Draw(t, "key"))}
+				switch {
+				case w.journal.Reuse(k):
+					w.ran[k]++
+				case !w.journal.Started(k) && !slices.Contains(w.pending, k):
+					w.pending = append(w.pending, k)
+				}
+			},
+			"append": func(t *rapid.T) {
+				w := one()
+				log = append(log, w.record(w.pending))
+				// The answer is lost: the same batch again.
+				if rapid.Bool().Draw(t, "again") {
+					log = append(log, w.record(w.pending))
+				}
+			},
+			"refuse": func(*rapid.T) { one().pending = nil },
+			"takeover": func(*rapid.T) {
+				w := &writer{entry: "e" + string(rune('0'+len(ws)%3)), term: uint64(len(ws) + 1), ran: make(map[keys.Key]int)}
+				log = append(log, &keys.Record{AtUnixMs: _epoch.UnixMilli(), Fences: []*keys.Fence{{Pool: "p", Term: w.term}}})
+				w.read(log, len(log))
+				ws = append(ws, w)
+			},
+			"read": func(t *rapid.T) { one().read(log, rapid.IntRange(1, 5).Draw(t, "records")) },
+			"": func(t *rapid.T) {
+				for k := range byte(5) {
+					n := 0
+					for _, w := range ws {
+						n += w.ran[keys.Key{k}]
+					}
+					if n > 1 {
+						t.Fatalf("key %d ran %d times", k, n)
+					}
+				}
+			},
+		})
+	})
+}
+
+func batch(term uint64, at time.Time, ks ...keys.Key) *keys.Record {
+	w := writer{entry: "e1", term: term}
+	r := w.record(ks)
+	r.AtUnixMs = at.UnixMilli()
+	return r
+}
+
+func TestBatchAfterFenceIsVoid(t *testing.T) {
+	var j keys.Journal
+	_, err := j.Apply(1, &keys.Record{Fences: []*keys.Fence{{Pool: "p", Term: 7}}})
+	assert.NilError(t, err)
+	assert.Assert(t, j.Fenced("p", 7))
+	ss, err := j.Apply(2, batch(6, _epoch, keys.Key{1}))
+	assert.NilError(t, err)
+	assert.Equal(t, ss[0].Verdict, keys.Void)
+	assert.Assert(t, !j.Started(keys.Key{1}))
+}
+
+func TestBrokenBatchCountsForNothing(t *testing.T) {
+	var j keys.Journal
+	r := batch(1, _epoch, keys.Key{1})
+	r.Batches[0].Keys = r.Batches[0].Keys[:keys.Size-1]
+	_, err := j.Apply(1, r)
+	var bad *keys.BadKeysError
+	assert.Assert(t, errors.As(err, &bad))
+	assert.Equal(t, j.Len(), 0)
+}
+
+func TestKeysExpireByTheWindowOnly(t *testing.T) {
+	var j keys.Journal
+	j.SetWindow(time.Hour)
+	first, late := keys.Key{1}, keys.Key{2}
+	_, err := j.Apply(1, batch(1, _epoch, first))
+	assert.NilError(t, err)
+	// A writer whose clock is a day behind doesn't make its key expire early.
+	_, err = j.Apply(2, batch(1, _epoch.Add(30*time.Minute)))
+	assert.NilError(t, err)
+	_, err = j.Apply(3, batch(1, _epoch.Add(-24*time.Hour), late))
+	assert.NilError(t, err)
+	j.Expire(_epoch.Add(time.Hour))
+	assert.Assert(t, j.Started(first))
+	j.Expire(_epoch.Add(70 * time.Minute))
+	assert.Assert(t, !j.Started(first))
+	assert.Assert(t, j.Started(late))
+	j.Expire(_epoch.Add(3 * time.Hour))
+	assert.Equal(t, j.Len(), 0)
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	var j keys.Journal
+	j.SetAnswerBytes(1000)
+	j.Finish(keys.Key{1}, keys.Answered, make([]byte, 400))
+	j.Finish(keys.Key{2}, keys.Answered, make([]byte, 400))
+	o, _ := j.Outcome(keys.Key{1})
+	assert.Equal(t, o, keys.Unknown)
+	o, body := j.Outcome(keys.Key{2})
+	assert.Equal(t, o, keys.Answered)
+	assert.Equal(t, len(body), 400)
+	j.Finish(keys.Key{3}, keys.Answered, make([]byte, 2000))
+	o, _ = j.Outcome(keys.Key{3})
+	assert.Equal(t, o, keys.Unknown)
+}
+
+func TestBatcherBoundsAppends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			b       keys.Batcher
+			now     = _epoch
+			flushes []time.Time
+			added   int
+			written int
+		)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 3).Draw(t, "keys") {
+				added++
+				b.Add(keys.Pending{Pool: "p", Key: keys.Key{byte(added)}})
+			}
+			if r := b.Flush(now); r != nil {
+				flushes = append(flushes, now)
+				written += len(r.Batches[0].Keys) / keys.Size
+			}
+		}
+		for i := 20; i < len(flushes); i++ {
+			if d := flushes[i].Sub(flushes[i-20]); d < time.Second {
+				t.Fatalf("21 appends within %v", d)
+			}
+		}
+		if n := b.Next(); !n.IsZero() {
+			if n.Sub(now) > 50*time.Millisecond {
+				t.Fatalf("key waits for %v", n.Sub(now))
+			}
+			written += len(b.Flush(n).Batches[0].Keys) / keys.Size
+		}
+		if written != added {
+			t.Fatalf("%d keys added, %d written", added, written)
+		}
+	})
+}
+
+func TestFirstKeyOfAnIdleTimeIsDueAtOnce(t *testing.T) {
+	var b keys.Batcher
+	assert.Assert(t, b.Next().IsZero())
+	b.Add(keys.Pending{Pool: "p", Term: 1, Key: keys.Key{1}})
+	b.AddFence("p", 1)
+	r := b.Flush(_epoch)
+	assert.Equal(t, len(r.Fences), 1)
+	assert.Equal(t, len(r.Batches), 1)
+	b.Add(keys.Pending{Pool: "p", Term: 1, Key: keys.Key{2}})
+	b.Add(keys.Pending{Pool: "q", Term: 1, Key: keys.Key{3}})
+	assert.Assert(t, b.Flush(_epoch.Add(10*time.Millisecond)) == nil)
+	assert.Equal(t, len(b.Flush(_epoch.Add(50*time.Millisecond)).Batches), 2)
+}
+
+// BenchmarkJournal gives the time and memory of a remembered key.
+func BenchmarkJournal(b *testing.B) {
+	var j keys.Journal
+	b.ReportAllocs()
+	for i := range b.N {
+		k := keys.Key{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
+		_, _ = j.Apply(uint64(i+1), batch(1, _epoch, k))
+	}
+}
