--- a/entry/peer/hello.go
+++ b/entry/peer/hello.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 )
@@ -15,6 +16,8 @@
 	_maxHelloBytes   = 1 << 10
 	_maxNameBytes    = 128
 	_handshakePeriod = time.Second
+	_lingerPeriod    = 100 * time.Millisecond
+	_lingerBytes     = 4 << 10
 )
 
 // Identity names a process of an entry.
@@ -129,3 +132,14 @@
 	}
 	return err
 }
+
+// linger closes a connection once the other side has stopped sending, or soon:
+// closed at once with bytes unread, it would be reset and the refusal lost.
+func linger(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(_lingerPeriod))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c, _lingerBytes))
+	_ = c.Close()
+}
--- a/entry/peer/set.go
+++ b/entry/peer/set.go
@@ -131,7 +131,7 @@
 func (s *Set) acceptConn(ctx context.Context, c net.Conn) {
 	if !s.reserve() {
 		_ = refuse(c, &RefusedError{code: RefusalCode_REFUSAL_CODE_FULL, detail: "too many connections"})
-		_ = c.Close()
+		linger(c)
 		return
 	}
 	defer s.unreserve()
