--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"fescuelanding/entry/internal/duty"
 	"fescuelanding/entry/internal/follow"
 	"fescuelanding/entry/internal/hold"
+	"fescuelanding/entry/internal/planner"
 	"fescuelanding/entry/internal/remote"
 	"fescuelanding/entry/internal/serve"
 	"fescuelanding/entry/internal/settings"
@@ -52,6 +53,7 @@
 	pipe     serve.Pipe
 	sender   upstream.Sender
 	control  control
+	planner  planner.Planner
 	slotsFor chan struct{}
 
 	leaving atomic.Bool
@@ -79,6 +81,9 @@
 	}
 	d.pipe = serve.Pipe{Self: d.self, Table: d.table, Slots: d.slots(), Sender: &d.sender}
 	d.control.daemon = d
+	d.planner = planner.Planner{
+		Owner: d.mayPlan, State: d.follower.With, Live: d.platform.Live, Append: d.appendAs, Log: l.WithPrefix("planner"),
+	}
 	server := &remote.Server{Desk: &d.desk, Table: d.table, Follower: &d.follower}
 	d.peers.Handle = server.Handle
 	d.peers.Beat = d.beat
@@ -99,6 +104,9 @@
 	if err := d.control.begin(system); err != nil {
 		return err
 	}
+	if err := d.planner.Start(system); err != nil {
+		return err
+	}
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.run(func() { d.follower.Run(inner) })
@@ -111,6 +119,7 @@
 	<-ctx.Done()
 	d.shutDown(server)
 	stop()
+	d.planner.Stop()
 	d.control.end()
 	d.desk.Stop()
 	_ = admin.Close()
@@ -145,7 +154,7 @@
 		Known: d.configured, Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody(),
 	}
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
+		Handler: d.closing(h), ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
 	}
 	d.run(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -155,6 +164,18 @@
 	return s
 }
 
+// closing has a leaving entry's callers close their connections after the next
+// answer. Closing idle ones from this side would cut the requests that are on
+// their way.
+func (d *Daemon) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, q)
+	})
+}
+
 // serve bounds the requests that are open at once.
 func (d *Daemon) serve(ctx context.Context, r caller.Request) caller.End {
 	select {
@@ -194,7 +215,6 @@
 func (d *Daemon) shutDown(s *http.Server) {
 	d.log.Info("Shutdown begins.")
 	d.leaving.Store(true)
-	s.SetKeepAlivesEnabled(false)
 	time.Sleep(_balancerDelay)
 	d.control.handOver(_handOverTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Shutdown())
@@ -247,6 +267,13 @@
 		d.configured() && d.table.IsFresh(now)
 }
 
+// mayPlan reports whether this process owns planning, and under which term.
+func (d *Daemon) mayPlan() (uint64, bool) {
+	o, ok := d.table.View().Planner()
+	ok = ok && o.Entry() == d.self.Name && o.Incarnation() == d.self.Incarnation
+	return o.Term(), ok && !d.leaving.Load() && d.table.IsFresh(time.Now())
+}
+
 // beat is the next heartbeat.
 func (d *Daemon) beat(now time.Time) *peer.Heartbeat {
 	age := int64(-1)
