--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -1,29 +1,38 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"fescuelanding/entry/internal/slots"
 	"fescuelanding/entry/peer"
 )
 
+// Bounds of the wait for a duty that is behind.
+const (
+	_statusTimeout  = 200 * time.Millisecond
+	_explainTimeout = time.Second
+)
+
 // Status is the page at /status, as JSON.
 type Status struct {
-	Entry         string       `json:"entry"`
-	Incarnation   uint64       `json:"incarnation"`
-	DataCentre    string       `json:"dataCentre"`
-	AppliedOffset uint64       `json:"appliedOffset"`
-	Ready         bool         `json:"ready"`
-	Fresh         bool         `json:"fresh"`
-	Holds         int          `json:"holds"`
-	Owns          []string     `json:"owns"`
-	Planner       string       `json:"planner"`
-	Peers         []PeerStatus `json:"peers"`
+	Entry         string         `json:"entry"`
+	Incarnation   uint64         `json:"incarnation"`
+	DataCentre    string         `json:"dataCentre"`
+	AppliedOffset uint64         `json:"appliedOffset"`
+	Ready         bool           `json:"ready"`
+	Fresh         bool           `json:"fresh"`
+	Holds         int            `json:"holds"`
+	Planner       string         `json:"planner"`
+	Pools         []slots.Status `json:"pools"`
+	Peers         []PeerStatus   `json:"peers"`
 }
 
 // PeerStatus is what /status says of a peer.
@@ -45,6 +54,9 @@
 		e.SetIndent("", "  ")
 		_ = e.Encode(d.status(time.Now()))
 	})
+	m.HandleFunc("GET /explain", d.explain)
+	m.HandleFunc("GET /debug/pprof/", pprof.Index)
+	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !d.ready(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -69,15 +81,15 @@
 	s := Status{
 		Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.settings.DataCentre(),
 		AppliedOffset: d.follower.Offset(), Ready: d.ready(now), Fresh: d.table.IsFresh(now),
-		Holds: d.table.Len(), Owns: []string{}, Peers: []PeerStatus{},
+		Holds: d.table.Len(), Peers: []PeerStatus{},
 	}
 	if o, ok := v.Planner(); ok {
 		s.Planner = o.Entry()
 	}
-	for _, p := range v.Config().Pools() {
-		if o, ok := v.Broker(p.Name()); ok && o.Entry() == d.self.Name {
-			s.Owns = append(s.Owns, p.Name())
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), _statusTimeout)
+	defer cancel()
+	if l, err := d.desk.Status(ctx); err == nil {
+		s.Pools = l
 	}
 	for _, p := range d.peers.Peers() {
 		s.Peers = append(s.Peers, peerStatus(p))
@@ -85,13 +97,63 @@
 	return s
 }
 
+// problem says why a peer isn't connected.
+func problem(p peer.Status) string {
+	switch {
+	case p.Err() != nil:
+		return p.Err().Error()
+	case p.Lost() != nil:
+		return p.Lost().Error()
+	default:
+		return "not dialled yet"
+	}
+}
+
 func peerStatus(p peer.Status) PeerStatus {
 	s := PeerStatus{
 		Entry: p.Entry(), Connected: p.Connected(), Ready: p.Ready(),
 		AppliedOffset: p.AppliedOffset(), RTTMicros: p.RTT().Microseconds(),
 	}
-	if p.Err() != nil {
-		s.Problem = p.Err().Error()
+	if !p.Connected() {
+		s.Problem = problem(p)
 	}
 	return s
 }
+
+// Explanation is the page at /explain?host=NAME, as JSON.
+type Explanation struct {
+	Host  string `json:"host"`
+	Pool  string `json:"pool"`
+	Duty  string `json:"duty"`
+	Want  string `json:"want"`
+	Step  string `json:"step"`
+	Rule  string `json:"rule"`
+	Why   string `json:"why"`
+	Frees string `json:"frees"`
+	// Planner is false where this entry doesn't plan, and so has observed less.
+	Planner bool `json:"planner"`
+	// Text is the explanation in one line.
+	Text string `json:"text"`
+}
+
+// explain says why a host is where it is.
+func (d *Daemon) explain(w http.ResponseWriter, q *http.Request) {
+	n := q.URL.Query().Get("host")
+	if _, ok := d.table.View().Host(n); !ok {
+		http.Error(w, "unknown host", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), _explainTimeout)
+	defer cancel()
+	e, err := d.planner.Explain(ctx, n)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, plans := d.mayPlan()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Explanation{
+		Host: e.Host(), Pool: e.Pool(), Duty: e.Duty().String(), Want: e.Want(), Step: e.Step(),
+		Rule: e.Rule().String(), Why: e.Why(), Frees: e.Frees(), Planner: plans, Text: e.String(),
+	})
+}
