plan: drain at once what the platform takes away

A pool without room kept sending work to a host that the platform listed as leaving, since its drain waited for the budget; the state takes such a drain for involuntary now. Leaving hosts are drained first, whatever the budget, and repair fills the gap in the same plan (leavingWithoutRoom).

--- a/fleet/plan/drain.go
+++ b/fleet/plan/drain.go
@@ -61,7 +61,7 @@
 		HostDrain: &record.HostDrain{Host: h.Name(), Cause: h.errand.cause, CauseId: h.errand.id},
 	}}
 	if p.propose(h, "drain", r) {
-		p.take(h, true)
+		p.take(h, comesBack(h.errand.cause))
 	}
 }
 
--- a/fleet/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -33,6 +33,7 @@
 	}
 	p.owner = owner
 	p.lose()
+	p.evacuate()
 	p.bringBack()
 	p.repair()
 	p.advance()
--- a/fleet/plan/view.go
+++ b/fleet/plan/view.go
@@ -62,7 +62,7 @@
 func (h *host) returns() bool {
 	switch h.Duty() {
 	case fleet.Draining, fleet.Down:
-		return h.Cause() != record.Cause_CAUSE_OPERATOR && h.Cause() != record.Cause_CAUSE_LEAVING
+		return comesBack(h.Cause())
 	case fleet.Serving:
 		return h.MovingTo() != ""
 	case fleet.Failed:
@@ -70,6 +70,11 @@
 	return false
 }
 
+// comesBack reports whether the planner itself ends what a cause takes out.
+func comesBack(c record.Cause) bool {
+	return c != record.Cause_CAUSE_OPERATOR && c != record.Cause_CAUSE_LEAVING
+}
+
 // usable reports whether the host can be moved to another pool for work there.
 func (h *host) usable() bool {
 	return !h.acted && h.Available() && !h.missing() && h.intent.ToPool() == "" &&
