entry/peer: keep the registered process's connection

Cause: a paused process that was replaced and wakes late takes its successor's connections, which dials again, and so on in turns. Admit left the judgement to the daemon, which didn't use it, and an incarnation alone doesn't tell old from new.

Change: SetPeers carries the registered incarnation (wired in entry/internal/daemon), and a connected registered process is not displaced. Peers that are set anew without a change cost nothing.

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -173,7 +173,7 @@
 	var l []peer.Peer
 	for _, e := range v.Entries() {
 		if e.Name() != c.daemon.self.Name {
-			l = append(l, peer.Peer{Entry: e.Name(), Address: e.PeerAddress()})
+			l = append(l, peer.Peer{Entry: e.Name(), Address: e.PeerAddress(), Incarnation: e.Incarnation()})
 		}
 	}
 	for _, s := range c.daemon.settings.Seeds() {
--- a/entry/peer/dial.go
+++ b/entry/peer/dial.go
@@ -25,7 +25,10 @@
 func (s *Set) SetPeers(peers []Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers = peers
+	if slices.Equal(s.peers, peers) {
+		return
+	}
+	s.peers = slices.Clone(peers)
 	for name := range s.errs {
 		if !s.wanted(name) {
 			delete(s.errs, name)
@@ -45,44 +48,47 @@
 	if s.ctx == nil || s.ctx.Err() != nil {
 		return
 	}
-	want := make(map[Peer]bool)
+	want := make(map[target]bool)
 	named := make(map[string]bool)
 	for _, p := range s.peers {
 		named[p.Address] = named[p.Address] || p.Entry != ""
 	}
 	for _, p := range s.peers {
 		if p.Entry != s.self.Entry && (p.Entry != "" || !named[p.Address]) {
-			want[p] = true
+			want[target{p.Entry, p.Address}] = true
 		}
 	}
-	for p, cancel := range s.dialers {
-		if !want[p] {
+	for t, cancel := range s.dialers {
+		if !want[t] {
 			cancel()
-			delete(s.dialers, p)
+			delete(s.dialers, t)
 		}
 	}
-	for p := range want {
-		if s.dialers[p] == nil {
+	for t := range want {
+		if s.dialers[t] == nil {
 			ctx, cancel := context.WithCancel(s.ctx)
-			s.dialers[p] = cancel
-			s.wg.Go(func() { s.keep(ctx, p) })
+			s.dialers[t] = cancel
+			s.wg.Go(func() { s.keep(ctx, t) })
 		}
 	}
 }
 
+// target is whom a dialler dials; the name may be empty.
+type target struct{ entry, address string }
+
 // keep stays connected with a peer until ctx ends.
-func (s *Set) keep(ctx context.Context, p Peer) {
+func (s *Set) keep(ctx context.Context, t target) {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval, b.Multiplier = _firstBackoff, _maxBackoff, 2
-	entry := p.Entry
+	entry := t.entry
 	for ctx.Err() == nil {
 		if k := s.link(entry); k != nil {
 			s.awaitEnd(ctx, k)
 			if s.now().Sub(k.since) > _steadyAfter {
 				b.Reset()
 			}
-		} else if name, err := s.connect(ctx, p); err != nil {
-			s.fail(p, err)
+		} else if name, err := s.connect(ctx, t); err != nil {
+			s.fail(t, err)
 		} else {
 			entry = name
 			continue
@@ -109,14 +115,14 @@
 
 // connect dials a peer and returns its name once a link with it stands,
 // whichever side dialled it. The link is served in the background.
-func (s *Set) connect(ctx context.Context, p Peer) (string, error) {
-	c, err := s.dial(ctx, p.Address)
+func (s *Set) connect(ctx context.Context, t target) (string, error) {
+	c, err := s.dial(ctx, t.address)
 	if err != nil {
-		return "", fmt.Errorf("dial %s: %w", p.Address, err)
+		return "", fmt.Errorf("dial %s: %w", t.address, err)
 	}
 	var remote Identity
 	k, err := s.handshake(ctx, c, true, func() (Identity, error) {
-		return dialHello(c, s.self, p.Entry, func(r Identity) error {
+		return dialHello(c, s.self, t.entry, func(r Identity) error {
 			remote = r
 			return s.decide(r, true)
 		})
@@ -128,7 +134,7 @@
 	case linkedAlready(err):
 		return remote.Entry, nil
 	case err != nil:
-		return "", fmt.Errorf("greet %s: %w", p.Address, err)
+		return "", fmt.Errorf("greet %s: %w", t.address, err)
 	}
 	s.wg.Go(func() { s.serve(k) })
 	return remote.Entry, nil
@@ -151,10 +157,10 @@
 }
 
 // fail keeps why a peer can't be reached, and logs it when that changes.
-func (s *Set) fail(p Peer, err error) {
-	name := p.Entry
+func (s *Set) fail(t target, err error) {
+	name := t.entry
 	if name == "" {
-		name = p.Address
+		name = t.address
 	}
 	s.mu.Lock()
 	old := s.errs[name]
--- a/entry/peer/hostile_test.go
+++ b/entry/peer/hostile_test.go
@@ -23,16 +23,6 @@
 
 const _magic = 0x46534355
 
-// replaced is an incarnation that admit refuses.
-const _replaced = 8
-
-func admit(i peer.Identity) error {
-	if i.Incarnation == _replaced {
-		return errors.New("replaced by a newer process")
-	}
-	return nil
-}
-
 func dialRaw(t testing.TB, address string) *net.TCPConn {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
@@ -139,7 +129,7 @@
 		Want  string
 	}
 	assert.NilError(t, json.Unmarshal(text, &cases))
-	b := start(t, "b", 2, func(n *node) { n.Admit = admit })
+	b := start(t, "b", 2, nil)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			h := new(peer.Hello)
@@ -192,7 +182,9 @@
 	for range limit {
 		dialRaw(t, b.address)
 	}
-	got := greet(t, dialRaw(t, b.address), _rawHello)
+	// It is refused before it says a word, and the connection is closed.
+	got := new(peer.Hello)
+	assert.NilError(t, protodelim.UnmarshalFrom(bufio.NewReader(dialRaw(t, b.address)), got))
 	assert.Equal(t, got.GetRefusal().GetCode(), peer.RefusalCode_REFUSAL_CODE_FULL)
 }
 
--- a/entry/peer/reconnect_test.go
+++ b/entry/peer/reconnect_test.go
@@ -145,6 +145,27 @@
 	})
 }
 
+// A process that was replaced and wakes late can't take the connection of the
+// registered one, but a new one can once the registered one is gone.
+func TestRegisteredProcessIsKept(t *testing.T) {
+	a, b := pair(t, nil)
+	a.SetPeers([]peer.Peer{{Entry: "b", Address: b.address, Incarnation: 2}})
+	late := start(t, "b", 3, nil)
+	late.SetPeers([]peer.Peer{{Entry: "a", Address: a.address}})
+	var refused *peer.RefusedError
+	eventually(t, func() error {
+		if err := late.status("a").Err(); !errors.As(err, &refused) {
+			return fmt.Errorf("not refused: %w", err)
+		}
+		return nil
+	})
+	assert.Equal(t, refused.Code(), peer.RefusalCode_REFUSAL_CODE_REPLACED)
+	assert.Equal(t, a.status("b").Incarnation(), uint64(2))
+	assert.NilError(t, a.connected("b")())
+	b.stop()
+	eventually(t, late.connected("a"))
+}
+
 func TestAddressChange(t *testing.T) {
 	a, b := pair(t, nil)
 	b.stop()
--- a/entry/peer/set.go
+++ b/entry/peer/set.go
@@ -25,6 +25,8 @@
 	Entry string
 	// Address is IP:port.
 	Address string
+	// Incarnation is the entry's registered process; zero where none is known.
+	Incarnation uint64
 }
 
 // Option changes how a Set works.
@@ -54,10 +56,6 @@
 	Handle func(now time.Time, in Inbound)
 	// Beat returns the next heartbeat. It must not wait. Set it before Serve.
 	Beat func(now time.Time) *Heartbeat
-	// Admit returns why a process is not to be connected with, as one that
-	// another process of its name has replaced; nil admits all. It must not
-	// wait. Set it before Serve.
-	Admit func(remote Identity) error
 	// Dial connects to an address; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -72,7 +70,7 @@
 	peers   []Peer
 	links   map[string]*link
 	errs    map[string]trouble
-	dialers map[Peer]context.CancelFunc
+	dialers map[target]context.CancelFunc
 	pending int
 	ctx     context.Context
 	wg      sync.WaitGroup
@@ -83,7 +81,7 @@
 	s := &Set{
 		self: self, interval: _heartbeatInterval, silentAfter: _silentAfter,
 		now: time.Now, log: log.New(io.Discard),
-		links: make(map[string]*link), errs: make(map[string]trouble), dialers: make(map[Peer]context.CancelFunc),
+		links: make(map[string]*link), errs: make(map[string]trouble), dialers: make(map[target]context.CancelFunc),
 	}
 	for _, o := range opts {
 		o(s)
@@ -182,11 +180,6 @@
 
 // decide says whether a connection to remote would be kept.
 func (s *Set) decide(remote Identity, outbound bool) error {
-	if s.Admit != nil {
-		if err := s.Admit(remote); err != nil {
-			return &RefusedError{code: RefusalCode_REFUSAL_CODE_NOT_ADMITTED, detail: err.Error()}
-		}
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.decideLocked(remote, outbound)
@@ -194,15 +187,15 @@
 
 func (s *Set) decideLocked(remote Identity, outbound bool) error {
 	old := s.links[remote.Entry]
-	if old == nil || old.closed() || old.remote.Incarnation != remote.Incarnation {
+	switch {
+	case old == nil || old.closed():
 		return nil
-	}
-	if old.outbound != outbound {
-		if s.preferred(remote) == outbound {
-			return nil
-		}
-	} else if !outbound {
-		// The dialer has lost the old one, or it wouldn't dial again.
+	case old.remote.Incarnation != remote.Incarnation:
+		return s.decideProcess(old.remote)
+	case old.outbound != outbound && s.preferred(remote) == outbound:
+		return nil
+	case !old.outbound && !outbound:
+		// The dialler has lost the old one, or it wouldn't dial again.
 		return nil
 	}
 	return &RefusedError{
@@ -211,6 +204,20 @@
 	}
 }
 
+// decideProcess says whether another process of the entry may take the place of
+// old. It may not while old is the registered one and connected: what was
+// replaced and wakes late would otherwise cut its successor off.
+func (s *Set) decideProcess(old Identity) error {
+	registered := func(p Peer) bool { return p.Entry == old.Entry && p.Incarnation == old.Incarnation }
+	if !slices.ContainsFunc(s.peers, registered) {
+		return nil
+	}
+	return &RefusedError{
+		code:   RefusalCode_REFUSAL_CODE_REPLACED,
+		detail: "the registered process of " + old.Entry + " is connected",
+	}
+}
+
 // preferred reports whether the connection that this side dialled is the one
 // to keep; both sides come to the same.
 func (s *Set) preferred(remote Identity) (outbound bool) { return s.self.Entry < remote.Entry }
