standin/session: operators with fescue against real entries

Publishing, a race forced by slowing one operator's platform, a paused entry, a lost answer, a killed entry given up, an outage.

--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -42,16 +42,17 @@
 	return m.Run()
 }
 
-func TestFirst(t *testing.T)    { session(t, "first") }
-func TestOutage(t *testing.T)   { session(t, "outage") }
-func TestRolling(t *testing.T)  { session(t, "rolling") }
-func TestHandover(t *testing.T) { session(t, "handover") }
-func TestKill(t *testing.T)     { session(t, "kill") }
-func TestFreeze(t *testing.T)   { session(t, "freeze") }
-func TestKeys(t *testing.T)     { session(t, "keys") }
-func TestSlots(t *testing.T)    { session(t, "slots") }
-func TestFaults(t *testing.T)   { session(t, "faults") }
-func TestLeaving(t *testing.T)  { session(t, "leaving") }
+func TestFirst(t *testing.T)     { session(t, "first") }
+func TestOutage(t *testing.T)    { session(t, "outage") }
+func TestRolling(t *testing.T)   { session(t, "rolling") }
+func TestHandover(t *testing.T)  { session(t, "handover") }
+func TestKill(t *testing.T)      { session(t, "kill") }
+func TestFreeze(t *testing.T)    { session(t, "freeze") }
+func TestKeys(t *testing.T)      { session(t, "keys") }
+func TestSlots(t *testing.T)     { session(t, "slots") }
+func TestFaults(t *testing.T)    { session(t, "faults") }
+func TestOperators(t *testing.T) { session(t, "operators") }
+func TestLeaving(t *testing.T)   { session(t, "leaving") }
 
 // session runs one script. Each has a test of its own, so that KNOWN-RED.txt
 // can name it.
