--- a/standin/session/commands_test.go
+++ b/standin/session/commands_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -142,6 +143,40 @@
 	}
 }
 
+// findOwner sets the variables OWNER, OTHER1 and OTHER2 to the names of the
+// entry that owns a pool and of the two others, and CALLER_owner, CALLER_other1
+// and CALLER_other2 to their callers' addresses.
+func findOwner(ts *testscript.TestScript, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: owner POOL")
+	}
+	var owner string
+	until(ts, "pool "+args[0]+" has one owner", func() bool {
+		var l []string
+		for _, n := range _entries {
+			var v struct {
+				Owns []string `json:"owns"`
+			}
+			err := get("http://"+ts.Getenv("ADMIN_"+n)+"/status", &v)
+			if err == nil && slices.Contains(v.Owns, args[0]) {
+				l = append(l, n)
+			}
+		}
+		owner = strings.Join(l, " ")
+		return len(l) == 1
+	})
+	ts.Setenv("OWNER", owner)
+	ts.Setenv("CALLER_owner", ts.Getenv("CALLER_"+owner))
+	i := 0
+	for _, n := range _entries {
+		if n != owner {
+			i++
+			ts.Setenv(fmt.Sprintf("OTHER%d", i), n)
+			ts.Setenv(fmt.Sprintf("CALLER_other%d", i), ts.Getenv("CALLER_"+n))
+		}
+	}
+}
+
 func until(ts *testscript.TestScript, what string, ok func() bool) {
 	for end := time.Now().Add(_waitLimit); time.Now().Before(end); time.Sleep(_poll) {
 		if ok() {
--- a/standin/session/doc.go
+++ b/standin/session/doc.go
@@ -18,4 +18,6 @@
 //	shutDown NAME...  asks for a graceful shutdown and waits for exit code 0
 //	post URL JSON     commands a stand-in
 //	judge             prints the promises the upstreams saw broken
+//	owner POOL        sets OWNER to the entry that owns a pool, OTHER1 and OTHER2
+//	                  to the others, and CALLER_owner and so on to addresses
 package session
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -17,6 +17,9 @@
 
 var _update = flag.Bool("update", false, "rewrite the golden parts of the scripts")
 
+// _entries are the names of the entries.
+var _entries = []string{"a", "b", "c"}
+
 // _bin is where the programs are built, once for all sessions.
 var _bin string
 
@@ -72,6 +75,7 @@
 			"shutDown": withoutNeg(shutDown),
 			"post":     withoutNeg(post),
 			"judge":    withoutNeg(judge),
+			"owner":    withoutNeg(findOwner),
 			"publish":  withoutNeg(publish),
 		},
 	})
@@ -81,7 +85,7 @@
 // folder common.
 func setup(e *testscript.Env) error {
 	names := []string{"PLATFORM", "JUDGE", "HOST1", "HOST2", "HOST3", "HOST4"}
-	for _, n := range []string{"a", "b", "c"} {
+	for _, n := range _entries {
 		names = append(names, "CALLER_"+n, "PEER_"+n, "ADMIN_"+n)
 	}
 	l, err := process.FreeAddresses(len(names))
