--- a/entry/peer/set.go
+++ b/entry/peer/set.go
@@ -122,16 +122,22 @@
 		if err != nil {
 			return fmt.Errorf("accept peer: %w", err)
 		}
+		// Places are given in the order of arrival.
+		if !s.reserve() {
+			s.wg.Go(func() { turnAway(c) })
+			continue
+		}
 		s.wg.Go(func() { s.acceptConn(ctx, c) })
 	}
 }
 
+// turnAway refuses a connection there is no place for.
+func turnAway(c net.Conn) {
+	_ = refuse(c, &RefusedError{code: RefusalCode_REFUSAL_CODE_FULL, detail: "too many connections"})
+	linger(c)
+}
+
 func (s *Set) acceptConn(ctx context.Context, c net.Conn) {
-	if !s.reserve() {
-		_ = refuse(c, &RefusedError{code: RefusalCode_REFUSAL_CODE_FULL, detail: "too many connections"})
-		linger(c)
-		return
-	}
 	defer s.unreserve()
 	k, err := s.handshake(ctx, c, false, func() (Identity, error) {
 		return acceptHello(c, s.self, func(r Identity) error { return s.decide(r, false) })
