fleet: a configuration change costs what changed

Change: the digest and the hosts follow config.Diff, which compares by pointer; the checks of removals look at what is removed.

Ruled out: keeping every section's hash beside the configuration, a second copy of its names.

The goldens, digests among them, are the same.

Conclusion: each of the eleven guards of a change still fails a test when it is taken out (tried one by one).

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -139,12 +139,12 @@
 	}
 }
 
-// BenchmarkConfigChange publishes one section.
+// BenchmarkConfigChange publishes a section with another value each time.
 func BenchmarkConfigChange(b *testing.B) {
 	forSizes(b, func(b *testing.B, s *fleet.State) {
-		c := s.Config().Sections()[0]
+		changes := []*record.ConfigChange{batchOf(s, "one"), batchOf(s, "two")}
 		for b.Loop() {
-			r := &record.Record{Basis: s.ConfigOffset(), Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{Set: []*record.Section{c}}}}
+			r := &record.Record{Basis: s.ConfigOffset(), Body: &record.Record_ConfigChange{ConfigChange: changes[s.Offset()%2]}}
 			if err := s.Apply(s.Offset()+1, r); err != nil {
 				b.Fatal(err)
 			}
@@ -152,6 +152,19 @@
 	})
 }
 
+// batchOf returns the change of a host's batch.
+func batchOf(s *fleet.State, batch string) *record.ConfigChange {
+	for _, c := range s.Config().Sections() {
+		for _, k := range c.GetSettings() {
+			if c.GetKind() == "host" && k.GetKey() == "batch" {
+				k.Value = batch
+				return &record.ConfigChange{Set: []*record.Section{c}}
+			}
+		}
+	}
+	return nil
+}
+
 // BenchmarkCheckpoint writes the chunks of a checkpoint.
 func BenchmarkCheckpoint(b *testing.B) {
 	forSizes(b, func(b *testing.B, s *fleet.State) {
--- a/fleet/checkpoint.go
+++ b/fleet/checkpoint.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return fmt.Errorf("read configuration: %w", err)
 	}
-	s.setConfig(c)
+	s.setConfig(c, s.offset)
 	for _, h := range m.GetHosts() {
 		s.putHost(hostOf(h))
 	}
--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -16,58 +16,90 @@
 	if err != nil {
 		return &Rejection{reason: ReasonInvalidConfig, detail: err.Error(), err: err}
 	}
-	if r := s.checkRemoved(c); r != nil {
+	removed := s.config.Diff(c).GetRemoved()
+	if r := s.checkHostsRemoved(removed); r != nil {
+		return r
+	}
+	pools := namesOf(removed, config.KindPool)
+	if r := s.checkPoolsRemoved(c, pools); r != nil {
 		return r
 	}
 	s.head.configOffset = a.offset
-	s.setConfig(c)
-	s.withdrawMoves(a.offset)
-	s.addHosts(a.offset)
+	s.setConfig(c, a.offset)
+	s.withdrawMoves(pools, a.offset)
 	s.assignOwners(a.offset)
 	return nil
 }
 
-// checkRemoved rejects a configuration without a host that is in duty or
-// between pools, or without a pool that a remaining host is in or moves to.
-func (s *State) checkRemoved(c config.Config) *Rejection {
-	for _, n := range s.names {
+// namesOf returns the names of the sections of a kind.
+func namesOf(all []*record.SectionRef, kind string) []string {
+	var names []string
+	for _, r := range all {
+		if r.GetKind() == kind {
+			names = append(names, r.GetName())
+		}
+	}
+	return names
+}
+
+// checkHostsRemoved rejects the removal of a host that an entry may still send
+// to, or that is between pools.
+func (s *State) checkHostsRemoved(removed []*record.SectionRef) *Rejection {
+	for _, n := range namesOf(removed, config.KindHost) {
 		h := s.hosts[n]
-		if _, ok := c.Host(n); !ok {
-			if r := checkRemovable(h); r != nil {
-				return r
-			}
-			continue
+		if h.duty == Serving || h.duty == Draining || h.movingTo != "" {
+			return reject(ReasonHostInDuty, "host %s is %s, moving to %q", n, h.duty, h.movingTo)
 		}
-		for _, p := range []string{h.pool, h.movingTo} {
-			if _, ok := c.Pool(p); !ok && p != "" {
-				return reject(ReasonPoolInUse, "pool %s has or gets host %s", p, n)
-			}
+		if r := checkConfirmed(h); r != nil {
+			return r
 		}
 	}
 	return nil
 }
 
-// checkRemovable rejects the removal of a host that an entry may still send to,
-// or that is between pools.
-func checkRemovable(h Host) *Rejection {
-	if h.duty == Serving || h.duty == Draining || h.movingTo != "" {
-		return reject(ReasonHostInDuty, "host %s is %s, moving to %q", h.name, h.duty, h.movingTo)
+// checkPoolsRemoved rejects the removal of a pool that a remaining host is in or
+// moves to.
+func (s *State) checkPoolsRemoved(c config.Config, pools []string) *Rejection {
+	if len(pools) == 0 {
+		return nil
 	}
-	return checkConfirmed(h)
+	for _, n := range s.names {
+		h := s.hosts[n]
+		if _, ok := c.Host(n); !ok {
+			continue
+		}
+		if slices.Contains(pools, h.pool) || slices.Contains(pools, h.movingTo) {
+			return reject(ReasonPoolInUse, "host %s is in %s, moving to %q", n, h.pool, h.movingTo)
+		}
+	}
+	return nil
 }
 
 // setConfig puts a configuration in force: its sections in the digest, its
-// pools with their budgets in the counts, and no host that it lacks.
-func (s *State) setConfig(c config.Config) {
+// pools with their budgets in the counts, no host that it lacks, and hosts that
+// are seen for the first time in their home pools. What didn't change costs
+// nothing but a comparison.
+func (s *State) setConfig(c config.Config, offset uint64) {
+	change, undo := s.config.Diff(c), c.Diff(s.config)
+	s.digest.changeSections(undo.GetSet(), change.GetSet())
+	for _, n := range namesOf(change.GetRemoved(), config.KindHost) {
+		s.removeHost(n)
+	}
 	s.config = c
-	s.digest.setSections(c.Sections())
-	for _, n := range slices.Clone(s.names) {
-		if _, ok := c.Host(n); !ok {
-			s.removeHost(n)
+	s.setBudgets()
+	for _, m := range change.GetSet() {
+		if _, known := s.hosts[m.GetName()]; m.GetKind() == config.KindHost && !known {
+			h, _ := c.Host(m.GetName())
+			s.putHost(Host{name: h.Name(), pool: h.Home(), basis: offset, intent: Intent{basis: offset}})
 		}
 	}
-	pools := make(map[string]PoolCount, len(c.Pools()))
-	for _, p := range c.Pools() {
+}
+
+// setBudgets brings the pools and their budgets up to the configuration.
+func (s *State) setBudgets() {
+	all := s.config.Pools()
+	pools := make(map[string]PoolCount, len(all))
+	for _, p := range all {
 		n := s.pools[p.Name()]
 		n.name, n.budget = p.Name(), p.MinAvailable()
 		pools[p.Name()] = n
@@ -76,22 +108,15 @@
 }
 
 // withdrawMoves ends the intents to move hosts to pools that are gone.
-func (s *State) withdrawMoves(offset uint64) {
+func (s *State) withdrawMoves(pools []string, offset uint64) {
+	if len(pools) == 0 {
+		return
+	}
 	for _, n := range s.names {
 		h := s.hosts[n]
-		if _, ok := s.pools[h.intent.toPool]; ok || h.intent.toPool == "" {
-			continue
-		}
-		h.intent.toPool, h.intent.basis = "", offset
-		s.putHost(h)
-	}
-}
-
-// addHosts puts hosts that are seen for the first time into their home pools.
-func (s *State) addHosts(offset uint64) {
-	for _, c := range s.config.Hosts() {
-		if _, ok := s.hosts[c.Name()]; !ok {
-			s.putHost(Host{name: c.Name(), pool: c.Home(), basis: offset, intent: Intent{basis: offset}})
+		if h.intent.toPool != "" && slices.Contains(pools, h.intent.toPool) {
+			h.intent.toPool, h.intent.basis = "", offset
+			s.putHost(h)
 		}
 	}
 }
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -27,7 +27,6 @@
 // of one costs the hash of that one. The zero value is that of the empty state.
 type digest struct {
 	sum      uint64
-	sections uint64
 	head     head
 	headHash uint64
 	marks    []digestMark
@@ -81,14 +80,14 @@
 	d.add(d.headHash)
 }
 
-// setSections takes in the sections of a configuration in place of the last.
-func (d *digest) setSections(all []*record.Section) {
-	d.remove(d.sections)
-	d.sections = 0
-	for _, s := range all {
-		d.sections ^= d.hash(_kindSection, s)
+// changeSections takes sections of a configuration out and others in.
+func (d *digest) changeSections(out, in []*record.Section) {
+	for _, s := range out {
+		d.remove(d.hash(_kindSection, s))
+	}
+	for _, s := range in {
+		d.add(d.hash(_kindSection, s))
 	}
-	d.add(d.sections)
 }
 
 // hashHost returns the hash of a host. It reuses one message, as steps and
