--- a/standin/session/commands_test.go
+++ b/standin/session/commands_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -154,11 +153,7 @@
 	until(ts, "pool "+args[0]+" has one owner", func() bool {
 		var l []string
 		for _, n := range _entries {
-			var v struct {
-				Owns []string `json:"owns"`
-			}
-			err := get("http://"+ts.Getenv("ADMIN_"+n)+"/status", &v)
-			if err == nil && slices.Contains(v.Owns, args[0]) {
+			if owns(ts, n, args[0]) {
 				l = append(l, n)
 			}
 		}
@@ -177,6 +172,24 @@
 	}
 }
 
+// owns reports whether an entry says that it is the broker of a pool.
+func owns(ts *testscript.TestScript, entry, pool string) bool {
+	var v struct {
+		Pools []struct {
+			Pool string `json:"pool"`
+		} `json:"pools"`
+	}
+	if err := get("http://"+ts.Getenv("ADMIN_"+entry)+"/status", &v); err != nil {
+		return false
+	}
+	for _, p := range v.Pools {
+		if p.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
 func until(ts *testscript.TestScript, what string, ok func() bool) {
 	for end := time.Now().Add(_waitLimit); time.Now().Before(end); time.Sleep(_poll) {
 		if ok() {
