--- a/fleet/configure.go
+++ b/fleet/configure.go
@@ -25,7 +25,7 @@
 		return r
 	}
 	s.head.configOffset = a.offset
-	s.setConfig(a, c)
+	s.setConfig(c, a.offset, a.record.GetAtUnixMs())
 	s.withdrawMoves(pools, a.offset)
 	s.assignOwners(a.offset)
 	return nil
@@ -79,7 +79,7 @@
 // pools with their budgets in the counts, no host that it lacks, and hosts that
 // are seen for the first time in their home pools, where the period of their
 // maintenance starts. What didn't change costs nothing but a comparison.
-func (s *State) setConfig(a *action, c config.Config) {
+func (s *State) setConfig(c config.Config, offset uint64, atUnixMs int64) {
 	change, undo := s.config.Diff(c), c.Diff(s.config)
 	s.digest.changeSections(undo.GetSet(), change.GetSet())
 	for _, n := range namesOf(change.GetRemoved(), config.KindHost) {
@@ -91,8 +91,7 @@
 		if _, known := s.hosts[m.GetName()]; m.GetKind() == config.KindHost && !known {
 			h, _ := c.Host(m.GetName())
 			s.putHost(Host{
-				name: h.Name(), pool: h.Home(), basis: a.offset, intent: Intent{basis: a.offset},
-				maintainedUnixMs: a.record.GetAtUnixMs(),
+				name: h.Name(), pool: h.Home(), basis: offset, intent: Intent{basis: offset}, maintainedUnixMs: atUnixMs,
 			})
 		}
 	}
