--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -116,12 +116,9 @@
 		return nil
 	}
 	b.judge(now, h, res)
-	if res.Outcome == Lost {
-		h.orphan = true
-		b.ended(now, h, res)
-		return b.flush()
+	if res.Outcome != Lost {
+		b.free(h)
 	}
-	b.free(h)
 	b.ended(now, h, res)
 	b.dispatch(now)
 	return b.flush()
--- a/entry/broker/bursts.go
+++ b/entry/broker/bursts.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -25,7 +26,8 @@
 	gaps  []time.Duration
 }
 
-// see takes in the urgent demand as a share of the slots.
+// see takes in the urgent demand as a share of the slots. The demand fades
+// with _burstTau between asks, which tells when it fell below _burstOff.
 func (b *bursts) see(now time.Time, level float64) {
 	switch {
 	case !b.on && level > _burstOn:
@@ -36,7 +38,7 @@
 		}
 	case b.on && level < _burstOff:
 		b.on = false
-		b.ended = now
+		b.ended = now.Add(-seconds(math.Log(_burstOff/level) * _burstTau.Seconds()))
 	}
 }
 
--- a/entry/broker/health.go
+++ b/entry/broker/health.go
@@ -61,6 +61,7 @@
 // probe lets the host take one request at a time again.
 func (h *health) probe() {
 	h.ejected, h.probation, h.passed = false, true, 0
+	h.score = _ejectScore / 2
 }
 
 // probeRank prefers idempotent first attempts as probes: they can be run again
--- a/entry/broker/hold.go
+++ b/entry/broker/hold.go
@@ -12,8 +12,6 @@
 	team    *team
 	request *request
 	index   int
-	// orphan marks a hold whose end nobody may tell any more.
-	orphan bool
 	// settled marks that the key's outcome is known already.
 	settled bool
 }
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -46,6 +46,7 @@
 		d.relaxed.add(now, r.cost, _steadyTau)
 		return
 	}
+	d.bursts.see(now, d.urgent.now(now, _burstTau)/float64(max(slots, 1)))
 	d.urgent.add(now, r.cost, _burstTau)
 	d.steady.add(now, r.cost, _steadyTau)
 	v := d.urgent.now(now, _burstTau)
--- a/entry/broker/script_test.go
+++ b/entry/broker/script_test.go
@@ -115,10 +115,14 @@
 		s.show(s.done(w))
 	case "journaled":
 		s.show(s.journaled(w))
+	case "started":
+		s.started(key(w.plain[1]))
+	case "skip":
+		s.now = s.now.Add(s.duration(w.plain[1]))
 	case "lost":
 		s.show(s.b.EntryLost(s.now, entry(w.plain[1])))
 	case "takeover":
-		k := broker.Takeover{Term: uint64(w.id(1)), Owner: entry(w.plain[2])}
+		k := broker.Takeover{Term: uint64(w.id(1)), Owner: entry(w.plain[2]), Staleness: w.duration("stale")}
 		for _, e := range w.plain[3:] {
 			k.Expected = append(k.Expected, entry(e))
 		}
@@ -171,14 +175,19 @@
 	if w.plain[2] == "failed" {
 		return s.b.Journaled(s.now, id, broker.JournalFailed)
 	}
-	s.offset++
-	k := s.journal[id]
-	ss, err := s.keys.Apply(s.offset, &keys.Record{Batches: []*keys.Batch{{Pool: "p", Term: s.b.Term(), Keys: k[:]}}})
-	assert.NilError(s.t, err)
 	res := map[keys.Verdict]broker.JournalResult{
 		keys.Started: broker.JournalStarted, keys.Duplicate: broker.JournalDuplicate, keys.Void: broker.JournalFailed,
 	}
-	return s.b.Journaled(s.now, id, res[ss[0].Verdict])
+	return s.b.Journaled(s.now, id, res[s.started(s.journal[id])])
+}
+
+// started lets the journal read a batch with the key.
+func (s *script) started(k keys.Key) keys.Verdict {
+	s.offset++
+	r := &keys.Record{AtUnixMs: s.now.UnixMilli(), Batches: []*keys.Batch{{Pool: "p", Term: s.b.Term(), Keys: k[:]}}}
+	ss, err := s.keys.Apply(s.offset, r)
+	assert.NilError(s.t, err)
+	return ss[0].Verdict
 }
 
 // holds turns words like "7@h1" into holds of the reported entry.
@@ -191,6 +200,7 @@
 		hs = append(hs, broker.Hold{
 			Slot: uint64(n), Request: uint64(n), Entry: entry(w.plain[1]), Host: host,
 			Class: w.named["class"], Team: w.named["team"], Until: s.now.Add(w.duration("left")),
+			Key: key(w.named["key"]),
 		})
 		s.slots[uint64(n)] = broker.Grant{Slot: uint64(n)}
 	}
--- a/entry/broker/takeover.go
+++ b/entry/broker/takeover.go
@@ -125,7 +125,6 @@
 		case _journaling:
 			r.cancelled = true
 		case _held:
-			r.hold.orphan = true
 		}
 	}
 	b.dispatch(now)
--- a/entry/broker/takeover_test.go
+++ b/entry/broker/takeover_test.go
@@ -61,6 +61,9 @@
 		w.alive[broker.Entry{Name: fmt.Sprintf("e%d", i), Incarnation: 1}] = newProcess(0)
 	}
 	w.takeover(w.entries()[0])
+	for _, e := range w.entries() {
+		w.report(e)
+	}
 	return w
 }
 
--- a/entry/keys/journal.go
+++ b/entry/keys/journal.go
@@ -43,7 +43,6 @@
 type Journal struct {
 	window      time.Duration
 	offset      uint64
-	latest      time.Time
 	fences      map[string]uint64
 	generations []generation
 	answers     answers
@@ -121,15 +120,13 @@
 	return Started
 }
 
-// advance moves the journal's time on. A record whose clock is behind counts
-// as written at the latest time seen, so that no key expires early.
+// advance begins a new generation once the last one covers its part of the
+// window. A record whose clock is behind counts for the last generation, so
+// that no key expires early.
 func (j *Journal) advance(at time.Time) {
-	if at.After(j.latest) {
-		j.latest = at
-	}
 	n := len(j.generations)
-	if n == 0 || j.latest.Sub(j.generations[n-1].start) > j.span()/_generations {
-		j.generations = append(j.generations, generation{start: j.latest, keys: make(map[uint64]struct{})})
+	if n == 0 || at.Sub(j.generations[n-1].start) > j.span()/_generations {
+		j.generations = append(j.generations, generation{start: at, keys: make(map[uint64]struct{})})
 	}
 }
 
--- a/entry/keys/journal_test.go
+++ b/entry/keys/journal_test.go
@@ -126,6 +126,19 @@
 	assert.Assert(t, !j.Started(keys.Key{1}))
 }
 
+func TestOffsetAppliesOnce(t *testing.T) {
+	var j keys.Journal
+	ss, err := j.Apply(5, batch(1, _epoch, keys.Key{1}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(ss), 1)
+	for _, offset := range []uint64{5, 4} {
+		ss, err = j.Apply(offset, batch(1, _epoch, keys.Key{2}))
+		assert.NilError(t, err)
+		assert.Equal(t, len(ss), 0)
+	}
+	assert.Assert(t, !j.Started(keys.Key{2}))
+}
+
 func TestBrokenBatchCountsForNothing(t *testing.T) {
 	var j keys.Journal
 	r := batch(1, _epoch, keys.Key{1})
@@ -166,9 +179,12 @@
 	o, body := j.Outcome(keys.Key{2})
 	assert.Equal(t, o, keys.Answered)
 	assert.Equal(t, len(body), 400)
+	// An answer that can't be kept costs no other its place.
 	j.Finish(keys.Key{3}, keys.Answered, make([]byte, 2000))
 	o, _ = j.Outcome(keys.Key{3})
 	assert.Equal(t, o, keys.Unknown)
+	o, _ = j.Outcome(keys.Key{2})
+	assert.Equal(t, o, keys.Answered)
 }
 
 func TestBatcherBoundsAppends(t *testing.T) {
