--- a/entry/broker/admit.go
+++ b/entry/broker/admit.go
@@ -33,16 +33,19 @@
 	if !b.missing.any() && b.wait(now, r) > left {
 		return Overload
 	}
-	if b.waiting() >= _maxQueue {
+	if b.waiting(r.class.Urgency) >= _maxQueue {
 		return b.displace(now, r)
 	}
 	return ReasonNone
 }
 
-func (b *Broker) waiting() int {
+// waiting returns the number of requests that wait in classes of one urgency.
+func (b *Broker) waiting(u Urgency) int {
 	n := 0
 	for _, c := range b.classes.all {
-		n += len(c.line)
+		if c.Urgency == u {
+			n += len(c.line)
+		}
 	}
 	return n
 }
--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// _maxQueue bounds the requests that wait in one pool.
+	// _maxQueue bounds the requests of one urgency that wait in one pool.
 	_maxQueue = 10_000
 	// _holdGrace is how much longer than its run a hold counts as taken, for
 	// the time that the grant and the end of the run travel.
--- a/entry/broker/pattern_test.go
+++ b/entry/broker/pattern_test.go
@@ -36,6 +36,7 @@
 	_relaxedMaxRun = 2 * time.Minute
 	_sigma         = 0.5 // of the logarithm of run times
 	_teams         = 120
+	_seeds         = 3
 )
 
 // job is one recorded request.
@@ -70,20 +71,20 @@
 // record draws the arrivals of one pool.
 func record(seed uint64, pool int, relaxedLoad float64) []*job {
 	r := rand.New(rand.NewPCG(seed, uint64(pool)))
-	js := draw(r, true, _urgentRun, func(t time.Duration) float64 {
+	js := draw(r, _cycles*_cycle, true, _urgentRun, func(t time.Duration) float64 {
 		if int(t/_burst)%_pools == pool {
 			return _urgentLoad * _burstFactor
 		}
 		return _urgentLoad * _quietFactor
 	})
-	js = append(js, draw(r, false, _relaxedRun, func(time.Duration) float64 { return relaxedLoad })...)
+	js = append(js, draw(r, _cycles*_cycle, false, _relaxedRun, func(time.Duration) float64 { return relaxedLoad })...)
 	slices.SortFunc(js, func(a, b *job) int { return int(a.at - b.at) })
 	return js
 }
 
-func draw(r *rand.Rand, urgent bool, run time.Duration, load func(time.Duration) float64) []*job {
+func draw(r *rand.Rand, span time.Duration, urgent bool, run time.Duration, load func(time.Duration) float64) []*job {
 	var js []*job
-	for t := time.Duration(0); t < _cycles*_cycle; {
+	for t := time.Duration(0); t < span; {
 		l := load(t)
 		if l == 0 {
 			return js
@@ -383,16 +384,15 @@
 	if urgent {
 		js = slices.DeleteFunc(js, func(j *job) bool { return j.at > begin+_burst })
 	}
-	quiet := 0
 	if knowing {
 		slices.SortFunc(js, func(a, b *job) int { return int(a.run - b.run) })
 	}
 	for i, j := range js {
 		if in += j.run; in > room {
-			return i + quiet
+			return i
 		}
 	}
-	return len(js) + quiet
+	return len(js)
 }
 
 var _ways = []struct {
@@ -420,8 +420,9 @@
 func measure(b *testing.B, load float64, q func(*replay) queue) {
 	urgent, relaxed := newTally(), newTally()
 	var busy, span time.Duration
-	for pool := range _pools {
-		js := record(1, pool, load)
+	for i := range _seeds * _pools {
+		seed, pool := uint64(i/_pools+1), i%_pools
+		js := record(seed, pool, load)
 		urgent.bounds(js, true, pool)
 		r := &replay{jobs: js, returns: true}
 		r.run(q(r))
@@ -435,6 +436,30 @@
 	b.ReportMetric(100*float64(busy)/float64(span), "slotUse-%")
 }
 
+// BenchmarkSurprise lets one burst hit a pool whose slots have all been filled
+// by relaxed work for so long that no burst is remembered.
+func BenchmarkSurprise(b *testing.B) {
+	const quiet = time.Hour
+	for _, run := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+		for _, w := range _ways {
+			b.Run(fmt.Sprintf("relaxedRun=%v/%s", run, w.name), func(b *testing.B) {
+				r := rand.New(rand.NewPCG(1, 1))
+				js := draw(r, quiet+2*_burst, false, run, func(time.Duration) float64 { return 1.1 })
+				for _, j := range draw(r, _burst, true, _urgentRun, func(time.Duration) float64 { return _urgentLoad * _burstFactor }) {
+					j.at += quiet
+					js = append(js, j)
+				}
+				urgent := newTally()
+				urgent.bounds(js, true, 0)
+				p := &replay{jobs: js}
+				p.run(w.queue(p))
+				urgent.add(p.jobs, true)
+				urgent.report(b, "urgent")
+			})
+		}
+	}
+}
+
 func (t *tally) report(b *testing.B, class string) {
 	if t.offered == 0 {
 		return
--- a/entry/broker/queue_test.go
+++ b/entry/broker/queue_test.go
@@ -14,8 +14,11 @@
 func TestFullQueue(t *testing.T) {
 	var b broker.Broker
 	b.SetLimits(_epoch, broker.Limits{
-		Classes: []broker.Class{{Name: "relaxed", Deadline: _relaxedTime, MaxRun: _relaxedMaxRun}},
-		Teams:   []broker.Team{{Name: "greedy"}, {Name: "modest"}},
+		Classes: []broker.Class{
+			{Name: "relaxed", Deadline: _relaxedTime, MaxRun: _relaxedMaxRun},
+			{Name: "urgent", Urgency: broker.Urgent, Deadline: _urgentTime, MaxRun: _relaxedMaxRun},
+		},
+		Teams: []broker.Team{{Name: "greedy"}, {Name: "modest"}},
 	})
 	b.SetHosts(_epoch, patternHosts(1000))
 	b.Takeover(_epoch, broker.Takeover{Term: 1, Expected: []broker.Entry{{Name: "e1"}}})
@@ -32,6 +35,9 @@
 	refused = ask(most+2, "modest")[0].(broker.Refuse)
 	assert.Equal(t, refused.Reason, broker.Displaced)
 	assert.Assert(t, refused.Request <= most)
+	// Relaxed work takes no place in the queue from urgent work.
+	urgent := broker.Ask{Request: most + 3, Class: "urgent", Team: "modest", Idempotent: true}
+	assert.Equal(t, len(b.Ask(_epoch, urgent)), 0)
 }
 
 // BenchmarkAskDone gives the cost of one request through a broker, by the
--- a/entry/keys/journal_test.go
+++ b/entry/keys/journal_test.go
@@ -1,7 +1,10 @@
 package keys_test
 
 import (
+	"encoding/binary"
 	"errors"
+	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -238,12 +241,25 @@
 	assert.Equal(t, len(b.Flush(_epoch.Add(50*time.Millisecond)).Batches), 2)
 }
 
-// BenchmarkJournal gives the time and memory of a remembered key.
+// BenchmarkJournal gives the time of a started key, and the memory that it
+// keeps.
 func BenchmarkJournal(b *testing.B) {
-	var j keys.Journal
-	b.ReportAllocs()
-	for i := range b.N {
-		k := keys.Key{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
-		_, _ = j.Apply(uint64(i+1), batch(1, _epoch, k))
+	for _, n := range []int{100_000, 400_000, 1_600_000} {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var j keys.Journal
+			for i := range n {
+				var k keys.Key
+				binary.LittleEndian.PutUint64(k[:], uint64(i)+1)
+				_, _ = j.Apply(uint64(i+1), batch(1, _epoch, k))
+			}
+			b.ReportMetric(float64(b.Elapsed())/float64(n), "ns/key")
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/key")
+			runtime.KeepAlive(&j)
+		})
 	}
 }
