--- a/entry/broker/bursts.go
+++ b/entry/broker/bursts.go
@@ -16,7 +16,7 @@
 	_gapsKept  = 8
 	_gapsLeast = 2
 	// _runMargin is how many mean runs must fit into what is left of a quiet.
-	_runMargin = 2
+	_runMargin = 1.75
 )
 
 // bursts remembers how long the quiet between bursts of urgent work lasted.
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -87,7 +87,7 @@
 		// One slot at least, so that its run time gets known.
 		c = max(c, 1)
 	}
-	if b.demand.bursts.quietFor(now, _runMargin*run) {
+	if b.demand.bursts.quietFor(now, seconds(_runMargin*run.Seconds())) {
 		c = max(c, s*_quietShare-asked)
 	}
 	if p := b.pressure(now); p > 0 {
