broker, slots: no reserve for bursts in pools of relaxed services

A fleet with one urgent class kept a reserve in every pool at first, also where no service is urgent, and relaxed work had one slot there for minutes. Limits name the pool's services now; without an urgent one no unseen burst is expected.

slots also passes the staleness bound to the takeover, which the property of slots needs: a former broker that has not heard of it grants for as long.

--- a/entry/broker/ask.go
+++ b/entry/broker/ask.go
@@ -147,15 +147,25 @@
 
 // Limits is what the configuration says about a pool's requests.
 type Limits struct {
-	// Classes of the pool's services. The longest MaxRun among them bounds how
-	// long a takeover waits for an entry that doesn't report.
+	// Classes that may ask. The longest MaxRun among them bounds how long a
+	// takeover waits for an entry that doesn't report.
 	Classes []Class
 	// Teams that may ask. None at all means that anybody may, as one team.
 	Teams []Team
+	// Services of the pool. A broker that hasn't seen a burst yet expects one
+	// unless none of them is in an urgent class; none at all means unknown.
+	Services []Service
 	// MinAvailable is the number of hosts that ejection leaves serving.
 	MinAvailable int
 }
 
+// Service is a service of the pool with the class its requests are in unless
+// they say otherwise.
+type Service struct {
+	Name  string
+	Class string
+}
+
 // Takeover says that this process is the pool's broker from now on.
 type Takeover struct {
 	// Term is the offset at which the pool's owner last changed.
--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -151,6 +151,7 @@
 	b.hosts.restore(now)
 	b.setTeams(l.Teams)
 	b.setClasses(now, l.Classes)
+	b.demand.unseen = b.expectsBurst(l.Services)
 	b.dispatch(now)
 	return b.flush()
 }
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -38,6 +38,8 @@
 	peak   float64
 	peakAt time.Time
 	bursts bursts
+	// unseen is the share of the pool that a first burst is expected to fill.
+	unseen float64
 }
 
 // asked counts an ask, whether it is admitted or not.
@@ -100,7 +102,7 @@
 // reserved returns the slots that relaxed work, which runs for the time given,
 // must leave to urgent work.
 func (b *Broker) reserved(now time.Time, slots float64, within, run time.Duration) float64 {
-	peak := max(b.demand.peakNow(now), fade(slots, now.Sub(b.since), _peakTau))
+	peak := max(b.demand.peakNow(now), fade(slots*b.demand.unseen, now.Sub(b.since), _peakTau))
 	freed := within.Seconds() / run.Seconds()
 	if freed >= 1 {
 		return 0
@@ -108,6 +110,20 @@
 	return max(0, (min(peak, slots)-slots*freed)/(1-freed))
 }
 
+// expectsBurst returns the share of the pool that a burst may fill which hasn't
+// been seen yet: all of it, or nothing where no service is urgent.
+func (b *Broker) expectsBurst(ss []Service) float64 {
+	for _, s := range ss {
+		if c := b.classes.byName[s.Class]; c != nil && c.Urgency == Urgent {
+			return 1
+		}
+	}
+	if len(ss) == 0 {
+		return 1
+	}
+	return 0
+}
+
 // pressure returns how far relaxed work is pressed for time, from 0 to 1.
 func (b *Broker) pressure(now time.Time) float64 {
 	p := 0.0
--- a/entry/broker/script_test.go
+++ b/entry/broker/script_test.go
@@ -92,6 +92,8 @@
 			c.Urgency = broker.Urgent
 		}
 		s.limits.Classes = append(s.limits.Classes, c)
+	case "service":
+		s.limits.Services = append(s.limits.Services, broker.Service{Name: w.plain[1], Class: w.plain[2]})
 	case "team":
 		s.limits.Teams = append(s.limits.Teams, broker.Team{Name: w.plain[1], Weight: w.number("weight"), Quota: w.number("quota")})
 	case "min":
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -115,7 +115,7 @@
 	d.pools[name] = p
 	p.broker.SetKeys(&d.book.journal)
 	d.update(now, p, v)
-	t := broker.Takeover{Term: p.term, Owner: d.Self}
+	t := broker.Takeover{Term: p.term, Owner: d.Self, Staleness: v.Config().Fleet().StalenessBound()}
 	for _, e := range v.Entries() {
 		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
 		t.Expected = append(t.Expected, b)
@@ -220,6 +220,11 @@
 		}
 		l.Classes = append(l.Classes, b)
 	}
+	for _, s := range c.Services() {
+		if s.Pool() == name {
+			l.Services = append(l.Services, broker.Service{Name: s.Name(), Class: s.Class()})
+		}
+	}
 	for _, t := range c.Teams() {
 		l.Teams = append(l.Teams, broker.Team{Name: t.Name(), Weight: t.Weight(), Quota: t.Quota()})
 	}
