--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// _maxQueue bounds the requests that wait in one pool.
+	// _maxQueue bounds the requests of one urgency that wait in one pool.
 	_maxQueue = 10_000
 	// _holdGrace is how much longer than its run a hold counts as taken, for
 	// the time that the grant and the end of the run travel.
@@ -116,12 +116,9 @@
 		return nil
 	}
 	b.judge(now, h, res)
-	if res.Outcome == Lost {
-		h.orphan = true
-		b.ended(now, h, res)
-		return b.flush()
+	if res.Outcome != Lost {
+		b.free(h)
 	}
-	b.free(h)
 	b.ended(now, h, res)
 	b.dispatch(now)
 	return b.flush()
@@ -154,6 +151,7 @@
 	b.hosts.restore(now)
 	b.setTeams(l.Teams)
 	b.setClasses(now, l.Classes)
+	b.demand.unseen = b.expectsBurst(l.Services)
 	b.dispatch(now)
 	return b.flush()
 }
--- a/entry/keys/journal_test.go
+++ b/entry/keys/journal_test.go
@@ -1,7 +1,10 @@
 package keys_test
 
 import (
+	"encoding/binary"
 	"errors"
+	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -126,6 +129,19 @@
 	assert.Assert(t, !j.Started(keys.Key{1}))
 }
 
+func TestOffsetAppliesOnce(t *testing.T) {
+	var j keys.Journal
+	ss, err := j.Apply(5, batch(1, _epoch, keys.Key{1}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(ss), 1)
+	for _, offset := range []uint64{5, 4} {
+		ss, err = j.Apply(offset, batch(1, _epoch, keys.Key{2}))
+		assert.NilError(t, err)
+		assert.Equal(t, len(ss), 0)
+	}
+	assert.Assert(t, !j.Started(keys.Key{2}))
+}
+
 func TestBrokenBatchCountsForNothing(t *testing.T) {
 	var j keys.Journal
 	r := batch(1, _epoch, keys.Key{1})
@@ -166,9 +182,12 @@
 	o, body := j.Outcome(keys.Key{2})
 	assert.Equal(t, o, keys.Answered)
 	assert.Equal(t, len(body), 400)
+	// An answer that can't be kept costs no other its place.
 	j.Finish(keys.Key{3}, keys.Answered, make([]byte, 2000))
 	o, _ = j.Outcome(keys.Key{3})
 	assert.Equal(t, o, keys.Unknown)
+	o, _ = j.Outcome(keys.Key{2})
+	assert.Equal(t, o, keys.Answered)
 }
 
 func TestBatcherBoundsAppends(t *testing.T) {
@@ -222,12 +241,25 @@
 	assert.Equal(t, len(b.Flush(_epoch.Add(50*time.Millisecond)).Batches), 2)
 }
 
-// BenchmarkJournal gives the time and memory of a remembered key.
+// BenchmarkJournal gives the time of a started key, and the memory that it
+// keeps.
 func BenchmarkJournal(b *testing.B) {
-	var j keys.Journal
-	b.ReportAllocs()
-	for i := range b.N {
-		k := keys.Key{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)}
-		_, _ = j.Apply(uint64(i+1), batch(1, _epoch, k))
+	for _, n := range []int{100_000, 400_000, 1_600_000} {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var j keys.Journal
+			for i := range n {
+				var k keys.Key
+				binary.LittleEndian.PutUint64(k[:], uint64(i)+1)
+				_, _ = j.Apply(uint64(i+1), batch(1, _epoch, k))
+			}
+			b.ReportMetric(float64(b.Elapsed())/float64(n), "ns/key")
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/key")
+			runtime.KeepAlive(&j)
+		})
 	}
 }
