--- a/standin/session/commands_test.go
+++ b/standin/session/commands_test.go
@@ -142,6 +142,54 @@
 	}
 }
 
+// findOwner sets the variables OWNER, OTHER1 and OTHER2 to the names of the
+// entry that owns a pool and of the two others, and CALLER_owner, CALLER_other1
+// and CALLER_other2 to their callers' addresses.
+func findOwner(ts *testscript.TestScript, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: owner POOL")
+	}
+	var owner string
+	until(ts, "pool "+args[0]+" has one owner", func() bool {
+		var l []string
+		for _, n := range _entries {
+			if owns(ts, n, args[0]) {
+				l = append(l, n)
+			}
+		}
+		owner = strings.Join(l, " ")
+		return len(l) == 1
+	})
+	ts.Setenv("OWNER", owner)
+	ts.Setenv("CALLER_owner", ts.Getenv("CALLER_"+owner))
+	i := 0
+	for _, n := range _entries {
+		if n != owner {
+			i++
+			ts.Setenv(fmt.Sprintf("OTHER%d", i), n)
+			ts.Setenv(fmt.Sprintf("CALLER_other%d", i), ts.Getenv("CALLER_"+n))
+		}
+	}
+}
+
+// owns reports whether an entry says that it is the broker of a pool.
+func owns(ts *testscript.TestScript, entry, pool string) bool {
+	var v struct {
+		Pools []struct {
+			Pool string `json:"pool"`
+		} `json:"pools"`
+	}
+	if err := get("http://"+ts.Getenv("ADMIN_"+entry)+"/status", &v); err != nil {
+		return false
+	}
+	for _, p := range v.Pools {
+		if p.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
 func until(ts *testscript.TestScript, what string, ok func() bool) {
 	for end := time.Now().Add(_waitLimit); time.Now().Before(end); time.Sleep(_poll) {
 		if ok() {
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -17,6 +17,9 @@
 
 var _update = flag.Bool("update", false, "rewrite the golden parts of the scripts")
 
+// _entries are the names of the entries.
+var _entries = []string{"a", "b", "c"}
+
 // _bin is where the programs are built, once for all sessions.
 var _bin string
 
@@ -42,16 +45,17 @@
 	return m.Run()
 }
 
-func TestFirst(t *testing.T)    { session(t, "first") }
-func TestOutage(t *testing.T)   { session(t, "outage") }
-func TestRolling(t *testing.T)  { session(t, "rolling") }
-func TestHandover(t *testing.T) { session(t, "handover") }
-func TestKill(t *testing.T)     { session(t, "kill") }
-func TestFreeze(t *testing.T)   { session(t, "freeze") }
-func TestKeys(t *testing.T)     { session(t, "keys") }
-func TestSlots(t *testing.T)    { session(t, "slots") }
-func TestFaults(t *testing.T)   { session(t, "faults") }
-func TestLeaving(t *testing.T)  { session(t, "leaving") }
+func TestFirst(t *testing.T)     { session(t, "first") }
+func TestOutage(t *testing.T)    { session(t, "outage") }
+func TestRolling(t *testing.T)   { session(t, "rolling") }
+func TestHandover(t *testing.T)  { session(t, "handover") }
+func TestKill(t *testing.T)      { session(t, "kill") }
+func TestFreeze(t *testing.T)    { session(t, "freeze") }
+func TestKeys(t *testing.T)      { session(t, "keys") }
+func TestSlots(t *testing.T)     { session(t, "slots") }
+func TestFaults(t *testing.T)    { session(t, "faults") }
+func TestOperators(t *testing.T) { session(t, "operators") }
+func TestLeaving(t *testing.T)   { session(t, "leaving") }
 
 // session runs one script. Each has a test of its own, so that KNOWN-RED.txt
 // can name it.
@@ -72,6 +76,7 @@
 			"shutDown": withoutNeg(shutDown),
 			"post":     withoutNeg(post),
 			"judge":    withoutNeg(judge),
+			"owner":    withoutNeg(findOwner),
 			"publish":  withoutNeg(publish),
 		},
 	})
@@ -81,7 +86,7 @@
 // folder common.
 func setup(e *testscript.Env) error {
 	names := []string{"PLATFORM", "JUDGE", "HOST1", "HOST2", "HOST3", "HOST4"}
-	for _, n := range []string{"a", "b", "c"} {
+	for _, n := range _entries {
 		names = append(names, "CALLER_"+n, "PEER_"+n, "ADMIN_"+n)
 	}
 	l, err := process.FreeAddresses(len(names))
