standin: sessions publish with fescue; publish race, drain under load

The sessions' own publish command goes, as fescue is there. publish has two operators race for one basis with the entries running, an invalid configuration, and the restart of every entry at once; freeze reads from fescue that the frozen entry is the straggler; drain takes a host out of duty under load and back, with every request answered.

--- a/standin/cmd/standin/demo.go
+++ b/standin/cmd/standin/demo.go
@@ -162,7 +162,7 @@
 }
 
 func (d *demo) publish(ctx context.Context) error {
-	return d.command(ctx, filepath.Join(d.dir, "fescue"), "publish", "--platform", d.layout.platformURL(), d.configPath())
+	return d.command(ctx, filepath.Join(d.dir, "fescue"), "--platform", d.layout.platformURL(), "publish", d.configPath())
 }
 
 func (d *demo) waitReady(ctx context.Context) error {
--- a/standin/session/commands_test.go
+++ b/standin/session/commands_test.go
@@ -23,6 +23,7 @@
 	_waitLimit = 20 * time.Second
 	_stopLimit = 20 * time.Second
 	_poll      = 20 * time.Millisecond
+	_quietFor  = time.Second
 	_logTail   = 4000 // bytes
 )
 
@@ -246,6 +247,32 @@
 	ts.Check(err)
 }
 
+// runs returns how many runs a host has begun.
+func runs(ts *testscript.TestScript, host string) int {
+	var s upstream.Stats
+	ts.Check(get("http://"+ts.Getenv("JUDGE")+"/control/stats", &s))
+	g, ok := s.Executors[host]
+	if !ok {
+		ts.Fatalf("no host %q", host)
+	}
+	return g.Runs
+}
+
+func waitQuiet(ts *testscript.TestScript, args []string) {
+	last, since := runs(ts, args[0]), time.Now()
+	until(ts, args[0]+" quiet", func() bool {
+		if n := runs(ts, args[0]); n != last {
+			last, since = n, time.Now()
+		}
+		return time.Since(since) > _quietFor
+	})
+}
+
+func waitBusy(ts *testscript.TestScript, args []string) {
+	first := runs(ts, args[0])
+	until(ts, args[0]+" busy", func() bool { return runs(ts, args[0]) > first })
+}
+
 func get(url string, v any) error {
 	a, err := http.Get(url)
 	if err != nil {
--- a/standin/session/doc.go
+++ b/standin/session/doc.go
@@ -4,7 +4,7 @@
 // stand-ins are the judge.
 //
 // Before each script every process gets addresses of its own, as environment
-// variables: PLATFORM, JUDGE, HOST1 to HOST4, and CALLER_a, PEER_a and ADMIN_a
+// variables: PLATFORM (FESCUE_PLATFORM is its URL), JUDGE, HOST1 to HOST4, and CALLER_a, PEER_a and ADMIN_a
 // for entries a, b and c. The files of the folder common are copied to the
 // script's directory with these filled in. Besides the commands of testscript,
 // scripts have:
@@ -18,6 +18,8 @@
 //	shutDown NAME...  asks for a graceful shutdown and waits for exit code 0
 //	post URL JSON     commands a stand-in
 //	judge             prints the promises the upstreams saw broken
+//	quiet HOST        waits until a host has got no work for a second
+//	busy HOST         waits until a host gets work
 //	owner POOL        sets OWNER to the entry that owns a pool, OTHER1 and OTHER2
 //	                  to the others, and CALLER_owner and so on to addresses
 package session
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -46,6 +46,8 @@
 }
 
 func TestFirst(t *testing.T)     { session(t, "first") }
+func TestPublish(t *testing.T)   { session(t, "publish") }
+func TestDrain(t *testing.T)     { session(t, "drain") }
 func TestOutage(t *testing.T)    { session(t, "outage") }
 func TestRolling(t *testing.T)   { session(t, "rolling") }
 func TestHandover(t *testing.T)  { session(t, "handover") }
@@ -77,7 +79,8 @@
 			"post":     withoutNeg(post),
 			"judge":    withoutNeg(judge),
 			"owner":    withoutNeg(findOwner),
-			"publish":  withoutNeg(publish),
+			"quiet":    withoutNeg(waitQuiet),
+			"busy":     withoutNeg(waitBusy),
 		},
 	})
 }
@@ -96,6 +99,7 @@
 	for i, n := range names {
 		e.Setenv(n, l[i])
 	}
+	e.Setenv("FESCUE_PLATFORM", "http://"+e.Getenv("PLATFORM"))
 	e.Setenv("PATH", _bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
 	files, err := filepath.Glob("common/*.ini")
 	if err != nil {
