--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -16,7 +16,7 @@
 )
 
 // files returns the texts of a testdata folder by name without ".ini".
-func files(t *testing.T, dir string) map[string][]byte {
+func files(t testing.TB, dir string) map[string][]byte {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join("testdata", dir, "*.ini"))
 	assert.NilError(t, err)
--- /dev/null
+++ b/fleet/config/fuzz_test.go
@@ -0,0 +1,28 @@
+package config_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/fleet/config"
+)
+
+// FuzzParse checks that any text is parsed or refused, and that what is parsed
+// is printed so that it reads back the same.
+func FuzzParse(f *testing.F) {
+	for _, dir := range []string{"valid", "invalid"} {
+		for _, text := range files(f, dir) {
+			f.Add(text)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := config.Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := config.Parse(c.Text())
+		assert.NilError(t, err)
+		assert.Assert(t, again.Equal(c))
+	})
+}
