broker: a turn's quantum covers the dearest request that heads a lane

Cause: requests asked for before any run time is known carry the default cost; once short runs were seen, the quantum shrank below that cost, and pop gave nobody a turn: with two slots free, queued requests waited until they expired. Ruled out: the reserve (one class, urgent) and ejection. Change: the quantum is at least the cost of each lane's first request.

--- a/entry/broker/class.go
+++ b/entry/broker/class.go
@@ -108,7 +108,7 @@
 // pop takes out the next request by deficit round robin, or returns nil where
 // every team that waits holds its quota.
 func (c *class) pop() *request {
-	quantum := c.runs.longest()
+	quantum := c.quantum()
 	for range 2 * len(c.lanes) {
 		if c.turn >= len(c.lanes) {
 			c.turn = 0
@@ -132,6 +132,16 @@
 	return nil
 }
 
+// quantum is what a lane's turn adds to its deficit. No request that heads a
+// lane costs more, whatever the run times were when it was asked for.
+func (c *class) quantum() time.Duration {
+	d := c.runs.longest()
+	for _, l := range c.lanes {
+		d = max(d, l.waiting[0].cost)
+	}
+	return d
+}
+
 // serve takes a request out, and ends the lane's turn once its deficit is used.
 func (c *class) serve(l *lane, r *request) {
 	next := len(l.waiting) > 1 && l.deficit < l.waiting[1].cost
