broker: an upstream that says it leaves gets no new work

Change: the end of a grant carries it to the pool's broker, wherever that runs; the host is out at once, whatever the budget, and is probed after 30 s, later each time.

--- a/entry/broker/ask.go
+++ b/entry/broker/ask.go
@@ -61,6 +61,8 @@
 	Run time.Duration
 	// Answer is kept for repeats of a keyed request.
 	Answer []byte
+	// Leaving means that the upstream asked for no further requests.
+	Leaving bool
 }
 
 // JournalResult is what became of a key that the broker wanted journaled.
--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -116,6 +116,7 @@
 		return nil
 	}
 	b.judge(now, h, res)
+	b.heedLeaving(now, h, res)
 	if res.Outcome != Lost {
 		b.free(h)
 	}
@@ -124,6 +125,14 @@
 	return b.flush()
 }
 
+// heedLeaving takes out a host whose upstream asked for no further requests.
+func (b *Broker) heedLeaving(now time.Time, h *hold, res Result) {
+	if k := b.hosts.byName[h.Host]; k != nil && res.Leaving {
+		b.hosts.leave(now, k)
+		b.refuseUnplaceable(now)
+	}
+}
+
 // ended closes the request of a hold and answers those that wait for its key.
 func (b *Broker) ended(now time.Time, h *hold, res Result) {
 	b.settleKey(now, h, res)
--- a/entry/broker/health.go
+++ b/entry/broker/health.go
@@ -11,6 +11,8 @@
 	_ejectRatio  = 2.0
 	_minEjection = 5 * time.Second
 	_maxEjection = 5 * time.Minute
+	// _minLeave is the time after which an upstream that left is probed.
+	_minLeave = 30 * time.Second
 	// _probes is the number of answers that end a probation.
 	_probes = 3
 )
@@ -24,6 +26,8 @@
 	times     int
 	probation bool
 	passed    int
+	// leaving marks an ejection that the upstream itself asked for.
+	leaving bool
 }
 
 func (h *health) succeed() {
@@ -60,7 +64,7 @@
 
 // probe lets the host take one request at a time again.
 func (h *health) probe() {
-	h.ejected, h.probation, h.passed = false, true, 0
+	h.ejected, h.leaving, h.probation, h.passed = false, false, true, 0
 	h.score = _ejectScore / 2
 }
 
@@ -92,6 +96,17 @@
 	h.health.eject(now)
 }
 
+// leave takes a host out that asked for no further requests. No budget keeps
+// it: it would decline them. It is probed later, in case it has come back.
+func (s *hosts) leave(now time.Time, h *host) {
+	if h.health.leaving {
+		return
+	}
+	h.health.eject(now)
+	h.health.leaving = true
+	h.health.until = now.Add(max(h.health.until.Sub(now), _minLeave))
+}
+
 // others returns the mean score of the other hosts that serve.
 func (s *hosts) others(h *host) float64 {
 	sum, n := 0.0, 0
@@ -123,7 +138,7 @@
 	for s.serving() < max(s.minAvailable, 1) {
 		var first *host
 		for _, h := range s.all {
-			if h.Duty == Serving && h.health.ejected && (first == nil || h.health.until.Before(first.health.until)) {
+			if h.Duty == Serving && h.health.ejected && !h.health.leaving && (first == nil || h.health.until.Before(first.health.until)) {
 				first = h
 			}
 		}
--- a/entry/broker/script_test.go
+++ b/entry/broker/script_test.go
@@ -167,7 +167,7 @@
 }
 
 func (s *script) done(w words) []broker.Op {
-	r := broker.Result{Outcome: _outcomes[w.plain[2]], Run: w.duration("run"), Answer: []byte(w.named["answer"])}
+	r := broker.Result{Outcome: _outcomes[w.plain[2]], Run: w.duration("run"), Answer: []byte(w.named["answer"]), Leaving: w.named["leaving"] == "yes"}
 	return s.b.Done(s.now, s.slots[uint64(w.id(1))].Slot, r)
 }
 
--- a/entry/internal/remote/convert.go
+++ b/entry/internal/remote/convert.go
@@ -107,6 +107,7 @@
 func doneMessage(pool string, slot uint64, r broker.Result) *peer.Done {
 	return &peer.Done{
 		Pool: pool, SlotId: slot, Result: uint32(r.Outcome), RunTimeUs: r.Run.Microseconds(), Stored: r.Answer,
+		Leaving: r.Leaving,
 	}
 }
 
@@ -116,6 +117,7 @@
 		Outcome: broker.Outcome(m.GetResult()),
 		Run:     time.Duration(m.GetRunTimeUs()) * time.Microsecond,
 		Answer:  m.GetStored(),
+		Leaving: m.GetLeaving(),
 	}
 }
 
--- a/entry/internal/serve/pipe.go
+++ b/entry/internal/serve/pipe.go
@@ -48,8 +48,6 @@
 	Table  *hold.Table
 	Slots  Slots
 	Sender *upstream.Sender
-	// Leaving is told of a host whose upstream takes no new requests.
-	Leaving func(host string)
 	// Now is the clock; nil stands for time.Now.
 	Now func() time.Time
 
--- a/entry/internal/serve/send.go
+++ b/entry/internal/serve/send.go
@@ -24,7 +24,7 @@
 	p.running.Go(func() {
 		run, cancel := context.WithDeadline(context.WithoutCancel(ctx), h.Until)
 		start := p.now()
-		o := r.judge(p.Sender.Send(run, a), h.Host)
+		o := r.judge(p.Sender.Send(run, a))
 		o.finish = func() {
 			cancel()
 			o.result.Run = p.now().Sub(start)
@@ -96,20 +96,19 @@
 
 // judge says what the result of an attempt means for the caller, the slot and
 // a further attempt.
-func (r *request) judge(v upstream.Result, host string) outcome {
+func (r *request) judge(v upstream.Result) outcome {
 	switch v := v.(type) {
 	case upstream.Answer:
-		return r.judgeAnswer(v, host)
+		return r.judgeAnswer(v)
 	case upstream.NotSent:
 		return outcome{
 			end: r.otherwise(caller.NotRun{Reason: "upstreamUnreachable", RetryAfter: _comeBack}), again: true,
 			result: broker.Result{Outcome: broker.Unreachable},
 		}
 	case upstream.Declined:
-		r.left(v.Leaving(), host)
 		return outcome{
 			end: r.otherwise(caller.NotRun{Reason: "upstreamDeclined", RetryAfter: _comeBack}), again: true,
-			result: broker.Result{Outcome: broker.NotSent},
+			result: broker.Result{Outcome: broker.NotSent, Leaving: v.Leaving()},
 		}
 	default:
 		return outcome{
@@ -119,11 +118,10 @@
 	}
 }
 
-func (r *request) judgeAnswer(v upstream.Answer, host string) outcome {
-	r.left(v.Leaving(), host)
+func (r *request) judgeAnswer(v upstream.Answer) outcome {
 	o := outcome{
 		end:    caller.Answered{Status: v.Status(), Header: v.Header(), Body: v.Body()},
-		result: broker.Result{Outcome: broker.Answered},
+		result: broker.Result{Outcome: broker.Answered, Leaving: v.Leaving()},
 		rest:   v.Rest(),
 	}
 	if v.Status() >= http.StatusInternalServerError {
@@ -135,9 +133,3 @@
 	}
 	return o
 }
-
-func (r *request) left(leaving bool, host string) {
-	if leaving && r.pipe.Leaving != nil {
-		r.pipe.Leaving(host)
-	}
-}
