keys: a key that was started for nothing is released through the log

Ruled out: telling the new broker with the holds, since the batch may land after that. Change: the process that wrote the batch writes a release that names the batch's offset, so that a late or repeated one can't take back another's start; for 300 ms after a takeover a new broker lets asks with a started key wait for one.

--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/book.go
@@ -18,6 +18,9 @@
 
 	_appendTimeout = 2 * time.Second
 	_doubtTimeout  = time.Second
+	// _releaseTimeout is how long a new broker waits for the former one to
+	// release keys it started for nothing.
+	_releaseTimeout = 300 * time.Millisecond
 )
 
 // book is the journal of started keys with what waits for it.
@@ -91,6 +94,11 @@
 			d.book.batcher.AddFence(f.GetPool(), f.GetTerm())
 		}
 	}
+	for _, l := range m.record.GetReleases() {
+		for i := 0; i+keys.Size <= len(l.GetKeys()); i += keys.Size {
+			d.book.batcher.AddRelease(keys.Key(l.GetKeys()[i:i+keys.Size]), l.GetOffset())
+		}
+	}
 	if errors.Is(m.err, platform.ErrUnknownOutcome) {
 		d.book.doubts = append(d.book.doubts, doubt{record: m.record, until: now.Add(_doubtTimeout)})
 		return
@@ -133,7 +141,8 @@
 }
 
 // started settles one key. A key that this process started for a request that
-// was refused meanwhile may be used by the next request with it.
+// was refused meanwhile may be used by the next request with it; where the pool
+// has another broker by now, the key is given back through the log.
 func (d *Desk) started(now time.Time, s keys.Start) {
 	own := s.Entry == d.Self.Name && s.Incarnation == d.Self.Incarnation
 	if !own {
@@ -142,6 +151,9 @@
 	w, waits := d.book.waiting[s.Key]
 	waits = waits && w.term == s.Term
 	switch {
+	case s.Verdict == keys.Started && d.owned(s.Pool, s.Term) == nil:
+		delete(d.book.waiting, s.Key)
+		d.book.batcher.AddRelease(s.Key, s.Offset)
 	case s.Verdict == keys.Started && waits:
 		d.settle(now, s.Key, broker.JournalStarted)
 	case s.Verdict == keys.Started:
@@ -159,11 +171,25 @@
 		return
 	}
 	delete(d.book.waiting, k)
-	if p := d.pools[w.pool]; p != nil && p.term == w.term {
+	if p := d.owned(w.pool, w.term); p != nil {
 		d.perform(now, p, p.broker.Journaled(now, w.request, r))
-		return
 	}
-	if r == broker.JournalStarted {
-		d.book.journal.Finish(k, keys.NotRun, nil)
+}
+
+// owned returns a pool that this process owns under a term, or nil.
+func (d *Desk) owned(name string, term uint64) *pool {
+	if p := d.pools[name]; p != nil && p.term == term {
+		return p
+	}
+	return nil
+}
+
+// inDoubt reports whether a key was started, perhaps by the pool's former
+// broker for nothing: soon after a takeover its release may be on its way.
+func (d *Desk) inDoubt(now time.Time, p *pool, k keys.Key) bool {
+	if k.IsZero() || !now.Before(p.doubtUntil) || !d.book.journal.Started(k) {
+		return false
 	}
+	o, _ := d.book.journal.Outcome(k)
+	return o == keys.Unknown
 }
--- a/entry/internal/slots/book_test.go
+++ b/entry/internal/slots/book_test.go
@@ -131,3 +131,65 @@
 	assert.Assert(t, is, "%#v", o)
 	assert.Equal(t, r.Reason, broker.KeysUnavailable)
 }
+
+// TestKeyOfALostPoolIsReleased has the pool go to another broker between the
+// append of a key and its reading: nothing runs, and the log says so.
+func TestKeyOfALostPoolIsReleased(t *testing.T) {
+	s := newStand(t)
+	begun := make(chan *keys.Record, 1)
+	s.log = func(r *keys.Record) (bool, error) {
+		if len(r.GetBatches()) > 0 {
+			begun <- r
+			return false, nil
+		}
+		return true, nil
+	}
+	s.Show(s.fleet.View())
+	c := make(chan error, 1)
+	go func() {
+		_, err := s.ask(1, 6, _limit)
+		c <- err
+	}()
+	r := <-begun
+	s.fleet.Suspect(t, s.otherEntries()[0], s.Self.Name, s.Self.Incarnation)
+	s.Show(s.fleet.View())
+	assert.ErrorIs(t, <-c, ErrNotOwner)
+	s.mu.Lock()
+	s.store(r)
+	at := s.offset
+	s.mu.Unlock()
+	for end := time.Now().Add(_limit); ; time.Sleep(_soon / 20) {
+		s.mu.Lock()
+		l := s.records[len(s.records)-1].GetReleases()
+		s.mu.Unlock()
+		if len(l) == 1 {
+			assert.Equal(t, l[0].GetOffset(), at)
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "the key was not released")
+	}
+}
+
+// TestNewBrokerWaitsForAReleaseOnItsWay has a key that the former broker
+// started be released after a repeat has asked for it.
+func TestNewBrokerWaitsForAReleaseOnItsWay(t *testing.T) {
+	s := newStand(t)
+	k := keys.Key{11}
+	s.mu.Lock()
+	s.store(&keys.Record{
+		AtUnixMs: time.Now().UnixMilli(), Entry: "e9", Incarnation: 9,
+		Batches: []*keys.Batch{{Pool: "fitting", Term: 1, Keys: k[:]}},
+	})
+	at := s.offset
+	s.mu.Unlock()
+	s.Show(s.fleet.View())
+	time.AfterFunc(_soon/4, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.store(&keys.Record{Entry: "e9", Incarnation: 9, Releases: []*keys.Release{{Offset: at, Keys: k[:]}}})
+	})
+	o, err := s.ask(1, 11, _limit)
+	assert.NilError(t, err)
+	_, is := o.(broker.Grant)
+	assert.Assert(t, is, "%#v", o)
+}
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -152,9 +152,24 @@
 		return
 	}
 	p.waiting[m.ask.Request] = m.reply
+	if d.inDoubt(now, p, m.ask.Key) {
+		p.doubtful = append(p.doubtful, m)
+		return
+	}
 	d.perform(now, p, p.broker.Ask(now, m.ask))
 }
 
+// askAgain asks for the requests whose key was in doubt.
+func (d *Desk) askAgain(now time.Time, p *pool) {
+	l := p.doubtful
+	p.doubtful = nil
+	for _, m := range l {
+		if _, ok := p.waiting[m.ask.Request]; ok {
+			d.ask(now, m)
+		}
+	}
+}
+
 func (d *Desk) cancel(now time.Time, m cancel) {
 	p := d.pools[m.pool]
 	if p == nil {
@@ -176,6 +191,7 @@
 			d.perform(now, p, p.broker.Tick(now))
 		}
 		d.standIn(now, p)
+		d.askAgain(now, p)
 	}
 	d.endDoubts(now)
 	d.flushKeys(now)
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -36,6 +36,10 @@
 	// reports gathers what entries reported while the former owner hasn't.
 	reports map[uint64]broker.Hold
 	missing map[broker.Entry]bool
+	// doubtUntil is how long keys started by others may still be released, and
+	// doubtful are the asks that wait for that.
+	doubtUntil time.Time
+	doubtful   []ask
 	// configured is the offset of the configuration that the broker has.
 	configured uint64
 }
@@ -108,6 +112,7 @@
 		name: name, term: o.Term(), stop: stop, began: now,
 		waiting: map[uint64]chan<- broker.Op{}, granted: map[uint64]uint64{}, requests: map[uint64]uint64{},
 		reports: map[uint64]broker.Hold{}, missing: map[broker.Entry]bool{},
+		doubtUntil: now.Add(_releaseTimeout),
 	}
 	if f, ok := old.Broker(name); ok {
 		p.former = broker.Entry{Name: f.Entry(), Incarnation: f.Incarnation()}
--- a/entry/keys/batcher.go
+++ b/entry/keys/batcher.go
@@ -20,7 +20,9 @@
 type Batcher struct {
 	waiting []Pending
 	fences  []*Fence
-	last    time.Time
+	// releases are the keys to take back, by the offset of their start.
+	releases []*Release
+	last     time.Time
 }
 
 // Add puts a key into the next append.
@@ -33,10 +35,21 @@
 	b.fences = append(b.fences, &Fence{Pool: pool, Term: term})
 }
 
+// AddRelease puts the release of a key into the next append.
+func (b *Batcher) AddRelease(k Key, offset uint64) {
+	for _, r := range b.releases {
+		if r.GetOffset() == offset {
+			r.Keys = append(r.Keys, k[:]...)
+			return
+		}
+	}
+	b.releases = append(b.releases, &Release{Offset: offset, Keys: append([]byte(nil), k[:]...)})
+}
+
 // Next returns when the next append is due, or the zero time where nothing
 // waits.
 func (b *Batcher) Next() time.Time {
-	if len(b.waiting) == 0 && len(b.fences) == 0 {
+	if len(b.waiting) == 0 && len(b.fences) == 0 && len(b.releases) == 0 {
 		return time.Time{}
 	}
 	return b.last.Add(_flushEvery)
@@ -51,8 +64,8 @@
 		return nil
 	}
 	b.last = now
-	r := &Record{AtUnixMs: now.UnixMilli(), Fences: b.fences}
-	b.fences = nil
+	r := &Record{AtUnixMs: now.UnixMilli(), Fences: b.fences, Releases: b.releases}
+	b.fences, b.releases = nil, nil
 	n := min(len(b.waiting), _maxBatch)
 	r.Batches = group(b.waiting[:n])
 	b.waiting = append([]Pending(nil), b.waiting[n:]...)
--- a/entry/keys/journal.go
+++ b/entry/keys/journal.go
@@ -23,6 +23,8 @@
 	Incarnation uint64
 	// Verdict says whether the batch started the key.
 	Verdict Verdict
+	// Offset is that of the batch's record.
+	Offset uint64
 }
 
 // Verdict is the fate of a key in a batch.
@@ -46,6 +48,7 @@
 	fences      map[string]uint64
 	generations []generation
 	answers     answers
+	recent      recent
 }
 
 // generation holds the keys of one part of the window, so that they expire
@@ -83,10 +86,8 @@
 	for _, f := range r.GetFences() {
 		j.fence(f)
 	}
-	var (
-		ss  []Start
-		err error
-	)
+	err := j.release(r)
+	var ss []Start
 	for _, b := range r.GetBatches() {
 		ks, e := split(b.GetKeys())
 		if e != nil {
@@ -94,7 +95,7 @@
 			continue
 		}
 		for _, k := range ks {
-			s := Start{Key: k, Pool: b.GetPool(), Term: b.GetTerm(), Entry: r.GetEntry(), Incarnation: r.GetIncarnation()}
+			s := Start{Key: k, Pool: b.GetPool(), Term: b.GetTerm(), Entry: r.GetEntry(), Incarnation: r.GetIncarnation(), Offset: offset}
 			s.Verdict = j.start(b, k)
 			ss = append(ss, s)
 		}
@@ -117,6 +118,7 @@
 		return Duplicate
 	}
 	j.generations[len(j.generations)-1].keys[k.fingerprint()] = struct{}{}
+	j.recent.add(k, j.offset)
 	return Started
 }
 
--- a/entry/keys/journal_test.go
+++ b/entry/keys/journal_test.go
@@ -25,6 +25,10 @@
 	term    uint64
 	pending []keys.Key
 	ran     map[keys.Key]int
+	// over is set once the writer knows that it was replaced; releases are the
+	// keys it has started since, for nothing.
+	over     bool
+	releases []*keys.Release
 }
 
 // read applies the next records, and runs what they started for this writer.
@@ -38,14 +42,19 @@
 		for _, s := range ss {
 			own := s.Entry == w.entry && s.Term == w.term
 			if own && s.Verdict == keys.Started {
-				w.run(s.Key)
+				w.run(s)
 			}
 		}
 	}
 }
 
 // run grants the key, unless its request has been refused meanwhile.
-func (w *writer) run(k keys.Key) {
+func (w *writer) run(s keys.Start) {
+	k := s.Key
+	if w.over {
+		w.releases = append(w.releases, &keys.Release{Offset: s.Offset, Keys: k[:]})
+		return
+	}
 	i := slices.Index(w.pending, k)
 	if i < 0 {
 		w.journal.Finish(k, keys.NotRun, nil)
@@ -74,6 +83,7 @@
 			"ask": func(t *rapid.T) {
 				w, k := one(), keys.Key{byte(rapid.IntRange(1, 4).Draw(t, "key"))}
 				switch {
+				case w.over:
 				case w.journal.Reuse(k):
 					w.ran[k]++
 				case !w.journal.Started(k) && !slices.Contains(w.pending, k):
@@ -89,6 +99,15 @@
 				}
 			},
 			"refuse": func(*rapid.T) { one().pending = nil },
+			"lose": func(*rapid.T) {
+				w := one()
+				w.over, w.pending = true, nil
+			},
+			// Releases are kept, so that they come again and late.
+			"release": func(*rapid.T) {
+				w := one()
+				log = append(log, &keys.Record{AtUnixMs: _epoch.UnixMilli(), Entry: w.entry, Releases: w.releases})
+			},
 			"takeover": func(*rapid.T) {
 				w := &writer{entry: "e" + string(rune('0'+len(ws)%3)), term: uint64(len(ws) + 1), ran: make(map[keys.Key]int)}
 				log = append(log, &keys.Record{AtUnixMs: _epoch.UnixMilli(), Fences: []*keys.Fence{{Pool: "p", Term: w.term}}})
@@ -129,6 +148,24 @@
 	assert.Assert(t, !j.Started(keys.Key{1}))
 }
 
+// TestReleaseFindsItsOwnStartOnly has a release come twice, with a start by
+// another broker in between.
+func TestReleaseFindsItsOwnStartOnly(t *testing.T) {
+	var j keys.Journal
+	k := keys.Key{1}
+	apply := func(r *keys.Record) { // At the next offset.
+		_, err := j.Apply(j.Offset()+1, r)
+		assert.NilError(t, err)
+	}
+	apply(batch(1, _epoch, k))
+	release := &keys.Record{Releases: []*keys.Release{{Offset: 1, Keys: k[:]}}}
+	apply(release)
+	assert.Assert(t, !j.Started(k))
+	apply(batch(2, _epoch, k))
+	apply(release)
+	assert.Assert(t, j.Started(k), "a late release took back another's start")
+}
+
 func TestOffsetAppliesOnce(t *testing.T) {
 	var j keys.Journal
 	ss, err := j.Apply(5, batch(1, _epoch, keys.Key{1}))
--- /dev/null
+++ b/entry/keys/release.go
@@ -0,0 +1,60 @@
+package keys
+
+import "fmt"
+
+// _maxRecent bounds the starts that can still be taken back.
+const _maxRecent = 1 << 16
+
+// recent has the offsets of the latest starts. The zero value has none.
+type recent struct {
+	offsets map[uint64]uint64
+	order   []uint64
+}
+
+func (r *recent) add(k Key, offset uint64) {
+	if r.offsets == nil {
+		r.offsets = make(map[uint64]uint64)
+	}
+	f := k.fingerprint()
+	r.offsets[f] = offset
+	r.order = append(r.order, f)
+	if len(r.order) > _maxRecent {
+		delete(r.offsets, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+// take reports whether the key's latest start has that offset, once.
+func (r *recent) take(k Key, offset uint64) bool {
+	f := k.fingerprint()
+	if o, ok := r.offsets[f]; !ok || o != offset {
+		return false
+	}
+	delete(r.offsets, f)
+	return true
+}
+
+// release takes back the keys of a record's releases. A start that isn't the
+// key's latest, or that is long ago, stands: its key counts as started.
+func (j *Journal) release(r *Record) error {
+	for _, l := range r.GetReleases() {
+		ks, err := split(l.GetKeys())
+		if err != nil {
+			return fmt.Errorf("release of offset %d at offset %d: %w", l.GetOffset(), j.offset, err)
+		}
+		for _, k := range ks {
+			if j.recent.take(k, l.GetOffset()) {
+				j.forget(k)
+			}
+		}
+	}
+	return nil
+}
+
+// forget removes a key as if it had never been started.
+func (j *Journal) forget(k Key) {
+	for i := range j.generations {
+		delete(j.generations[i].keys, k.fingerprint())
+	}
+	j.answers.take(k)
+}
