--- a/fleet/plan/measure_test.go
+++ b/fleet/plan/measure_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -235,10 +236,16 @@
 		"oneAtATime": func() planner { return oneAtATime },
 		"moveEach":   func() planner { return new(moveEach).plan },
 	}
-	for _, user := range []string{"association", "paddockpick", "large"} {
-		c := size(b, user)
+	for _, user := range []string{"association", "paddockpick", "large", "largeLean"} {
+		c := size(b, strings.TrimSuffix(user, "Lean"))
+		if user == "largeLean" {
+			c = weighed(b, c, size(b, "association"))
+		}
 		for _, scenario := range []string{"wave", "recall", "rackLoss", "rackInWave"} {
 			for _, name := range []string{"plan", "oneAtATime", "moveEach"} {
+				if user == "largeLean" && name != "plan" {
+					continue // The baselines heed no weights.
+				}
 				b.Run(fmt.Sprintf("%s/%s/%s", user, scenario, name), func(b *testing.B) {
 					for b.Loop() {
 						f := measure(b, c, planners[name](), _scenarios[scenario])
@@ -256,11 +263,15 @@
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, name := range []string{"rest", "wave", "dataCentreLoss"} {
+	for _, name := range []string{"rest", "wave", "leanWave", "dataCentreLoss"} {
 		b.Run(name, func(b *testing.B) {
-			w := newWorld(b, size(b, "large"), plan.Plan)
+			c := size(b, "large")
+			if name == "leanWave" {
+				c = weighed(b, c, size(b, "association"))
+			}
+			w := newWorld(b, c, plan.Plan)
 			w.run(2 * _tick)
-			if name == "wave" {
+			if name == "wave" || name == "leanWave" {
 				w.must(waveStart("w"))
 			}
 			if name == "dataCentreLoss" {
