--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -57,6 +57,7 @@
 func TestSlots(t *testing.T)     { session(t, "slots") }
 func TestFaults(t *testing.T)    { session(t, "faults") }
 func TestOperators(t *testing.T) { session(t, "operators") }
+func TestLost(t *testing.T)      { session(t, "lost") }
 func TestLeaving(t *testing.T)   { session(t, "leaving") }
 
 // session runs one script. Each has a test of its own, so that KNOWN-RED.txt
--- a/standin/upstream/executor.go
+++ b/standin/upstream/executor.go
@@ -151,6 +151,9 @@
 		a = attempt{id: "crossed", body: []byte("crossed")}
 	case FaultLate:
 		a = before
+		if a.id == "" {
+			a.id = "late"
+		}
 	default:
 	}
 	w.Header().Set(_attemptHeader, a.id)
