--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -53,6 +53,7 @@
 func TestHandover(t *testing.T)  { session(t, "handover") }
 func TestKill(t *testing.T)      { session(t, "kill") }
 func TestFreeze(t *testing.T)    { session(t, "freeze") }
+func TestStraggler(t *testing.T) { session(t, "straggler") }
 func TestKeys(t *testing.T)      { session(t, "keys") }
 func TestSlots(t *testing.T)     { session(t, "slots") }
 func TestFaults(t *testing.T)    { session(t, "faults") }
