entry: a shutdown leaves no key started for nothing; fewer slots lent twice

Change: shutdown waits until no key is on its way to or from the log; an unused keyed grant goes back to the broker that gave it too, which releases the key where it is not the broker any more. Also, found by reading: a lost run's slot is reported as taken until its end; a process that is gone is spoken for by its witnesses; a grant's time counts from the ask, so that the holder never ends after the broker.

--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	_maxHeaderBytes    = 64 << 10
 	_balancerDelay     = time.Second
 	_handOverTimeout   = 3 * time.Second
+	_settleTimeout     = 3 * time.Second
 	_unregisterTimeout = 3 * time.Second
 )
 
@@ -226,9 +227,19 @@
 		d.log.Error("Requests were cut.", "err", err)
 	}
 	d.waitForRequests(ctx)
+	d.settleKeys()
 	d.control.unregister(_unregisterTimeout)
 }
 
+// settleKeys waits for keys that are on their way to or from the log.
+func (d *Daemon) settleKeys() {
+	ctx, cancel := context.WithTimeout(context.Background(), _settleTimeout)
+	defer cancel()
+	if err := d.desk.Settle(ctx); err != nil {
+		d.log.Warn("Some keys stay started.", "err", err)
+	}
+}
+
 // waitForRequests waits for attempts that go on without their caller.
 func (d *Daemon) waitForRequests(ctx context.Context) {
 	c := make(chan struct{})
--- a/entry/internal/daemon/log.go
+++ b/entry/internal/daemon/log.go
@@ -141,7 +141,7 @@
 	if entry != d.self.Name {
 		return d.remote.FetchHolds(ctx, entry, pool, term)
 	}
-	l, ok := d.table.Report(pool, hold.Broker{Entry: entry, Term: term})
+	l, ok := d.table.Report(time.Now(), pool, hold.Broker{Entry: entry, Term: term})
 	if !ok {
 		return nil, errTermOver
 	}
--- a/entry/internal/hold/table.go
+++ b/entry/internal/hold/table.go
@@ -41,6 +41,8 @@
 	hosts     map[string]int
 	brokers   map[string]Broker
 	witnessed map[uint64]held
+	// lost are holds whose run may go on upstream, until their end.
+	lost map[uint64]held
 }
 
 // held is a hold with its pool.
@@ -54,7 +56,7 @@
 	return &Table{
 		self: self, start: now, view: &view.View{},
 		holds: map[uint64]held{}, hosts: map[string]int{},
-		brokers: map[string]Broker{}, witnessed: map[uint64]held{},
+		brokers: map[string]Broker{}, witnessed: map[uint64]held{}, lost: map[uint64]held{},
 	}
 }
 
@@ -121,12 +123,16 @@
 	return n
 }
 
-// Leave counts a hold out, and returns the broker that its end is for.
-func (t *Table) Leave(pool string, slot uint64) Broker {
+// Leave counts a hold out, and returns the broker that its end is for. The slot
+// of a lost run is reported as taken until its hold ends.
+func (t *Table) Leave(pool string, slot uint64, o broker.Outcome) Broker {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if h, ok := t.holds[slot]; ok {
 		delete(t.holds, slot)
+		if o == broker.Lost {
+			t.lost[slot] = h
+		}
 		if t.hosts[h.Host]--; t.hosts[h.Host] == 0 {
 			delete(t.hosts, h.Host)
 		}
@@ -165,18 +171,20 @@
 	return len(t.holds)
 }
 
-// Report returns the holds in a pool, the entry's own and those it witnessed,
-// for a new broker. Grants of an older term don't pass the gate any more. It
+// Report returns the holds in a pool, the entry's own, its lost runs and those it
+// witnessed, for a new broker. Grants of an older term don't pass the gate any more. It
 // returns false to a broker that is itself older than one reported to.
-func (t *Table) Report(pool string, b Broker) ([]broker.Hold, bool) {
+func (t *Table) Report(now time.Time, pool string, b Broker) ([]broker.Hold, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b.Term < t.term(pool) {
 		return nil, false
 	}
 	t.brokers[pool] = b
+	expire(now, t.lost)
+	expire(now, t.witnessed)
 	var l []broker.Hold
-	for _, m := range []map[uint64]held{t.holds, t.witnessed} {
+	for _, m := range []map[uint64]held{t.holds, t.lost, t.witnessed} {
 		for _, h := range m {
 			if h.pool == pool {
 				l = append(l, h.Hold)
@@ -200,15 +208,21 @@
 	if h.Term < t.term(pool) {
 		return false
 	}
-	for s, o := range t.witnessed {
-		if o.Until.Before(now) {
-			delete(t.witnessed, s)
-		}
-	}
+	expire(now, t.lost)
+	expire(now, t.witnessed)
 	t.witnessed[h.Slot] = held{Hold: h, pool: pool}
 	return true
 }
 
+// expire forgets the holds that have ended.
+func expire(now time.Time, m map[uint64]held) {
+	for s, h := range m {
+		if h.Until.Before(now) {
+			delete(m, s)
+		}
+	}
+}
+
 // Unwitness forgets a hold that has ended.
 func (t *Table) Unwitness(slot uint64) {
 	t.mu.Lock()
--- a/entry/internal/hold/table_test.go
+++ b/entry/internal/hold/table_test.go
@@ -63,7 +63,7 @@
 		}, ErrBroker},
 		{"reported to a newer broker", func(_ *testing.T, b *Table, f *viewtest.Fleet) {
 			o, _ := f.View().Broker("fitting")
-			_, ok := b.Report("fitting", Broker{Entry: "e2", Term: o.Term() + 1})
+			_, ok := b.Report(_now, "fitting", Broker{Entry: "e2", Term: o.Term() + 1})
 			if !ok {
 				panic("newer broker was refused")
 			}
@@ -97,15 +97,15 @@
 	other := grant(f, 2, "h2")
 	other.Entry = broker.Entry{Name: "e2", Incarnation: 2}
 	assert.Assert(t, b.Witness(_now, "fitting", other))
-	l, ok := b.Report("fitting", Broker{Entry: "e3", Term: h.Term + 1})
+	l, ok := b.Report(_now, "fitting", Broker{Entry: "e3", Term: h.Term + 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, len(l), 2)
 
-	_, ok = b.Report("fitting", Broker{Entry: "e2", Term: h.Term})
+	_, ok = b.Report(_now, "fitting", Broker{Entry: "e2", Term: h.Term})
 	assert.Assert(t, !ok, "an older broker was told")
 	assert.Assert(t, !b.Witness(_now, "fitting", other), "a hold of an old broker was witnessed")
 
-	assert.DeepEqual(t, b.Leave("fitting", 1), Broker{Entry: "e3", Term: h.Term + 1})
+	assert.DeepEqual(t, b.Leave("fitting", 1, broker.Answered), Broker{Entry: "e3", Term: h.Term + 1})
 	assert.Assert(t, b.Idle("h1"))
 }
 
@@ -116,7 +116,18 @@
 	assert.Assert(t, b.Witness(_now, "fitting", h))
 	later := grant(f, 2, "h1")
 	assert.Assert(t, b.Witness(_now.Add(2*time.Second), "fitting", later))
-	l, _ := b.Report("fitting", Broker{Entry: "e2", Term: h.Term})
+	l, _ := b.Report(_now.Add(2*time.Second), "fitting", Broker{Entry: "e2", Term: h.Term})
 	assert.Equal(t, len(l), 1)
 	assert.Equal(t, l[0].Slot, uint64(2))
 }
+
+func TestLostRunIsReportedUntilItsEnd(t *testing.T) {
+	b, f := registered(t)
+	h := grant(f, 1, "h1")
+	assert.NilError(t, b.Enter(_now, "fitting", h))
+	b.Leave("fitting", 1, broker.Lost)
+	l, _ := b.Report(_now, "fitting", Broker{Entry: "e2", Term: h.Term})
+	assert.Equal(t, len(l), 1, "the slot of a run that may go on was called free")
+	l, _ = b.Report(h.Until.Add(time.Second), "fitting", Broker{Entry: "e2", Term: h.Term})
+	assert.Equal(t, len(l), 0)
+}
--- a/entry/internal/remote/client.go
+++ b/entry/internal/remote/client.go
@@ -32,11 +32,12 @@
 
 // Ask asks the broker of a pool, and waits as long as the broker queues.
 func (c *Client) Ask(ctx context.Context, entry, pool string, a broker.Ask) (broker.Op, error) {
-	m, err := c.Peers.Call(ctx, entry, askMessage(time.Now(), pool, a))
+	asked := time.Now()
+	m, err := c.Peers.Call(ctx, entry, askMessage(asked, pool, a))
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", entry, err)
 	}
-	o, ok := opFrom(time.Now(), c.Self, m)
+	o, ok := opFrom(asked, c.Self, m)
 	if !ok {
 		return nil, ErrNotOwner
 	}
--- a/entry/internal/remote/convert.go
+++ b/entry/internal/remote/convert.go
@@ -33,13 +33,15 @@
 	}
 }
 
-// opMessage encodes a broker's answer.
-func opMessage(now time.Time, o broker.Op) peer.Message {
+// opMessage encodes a broker's answer to an ask that came at a time. What is
+// left of a grant counts from then, so that the holder, who counts from when it
+// asked, never takes it for longer than the broker does.
+func opMessage(asked time.Time, o broker.Op) peer.Message {
 	switch o := o.(type) {
 	case broker.Grant:
 		return &peer.Grant{
 			RequestId: o.Request, Term: o.Term, Host: o.Host, SlotId: o.Slot,
-			LeftMs: o.Until.Sub(now).Milliseconds(),
+			LeftMs: o.Until.Sub(asked).Milliseconds(),
 		}
 	case broker.Refuse:
 		return &peer.Refuse{
@@ -54,14 +56,14 @@
 	}
 }
 
-// opFrom decodes a broker's answer to a process; ok is false where the entry
-// is not the broker, or busy.
-func opFrom(now time.Time, self broker.Entry, m peer.Message) (broker.Op, bool) {
+// opFrom decodes a broker's answer to what a process asked at a time; ok is
+// false where the entry is not the broker, or busy.
+func opFrom(asked time.Time, self broker.Entry, m peer.Message) (broker.Op, bool) {
 	switch m := m.(type) {
 	case *peer.Grant:
 		return broker.Grant{
 			Request: m.GetRequestId(), Entry: self, Slot: m.GetSlotId(), Host: m.GetHost(),
-			Term: m.GetTerm(), Until: now.Add(milliseconds(m.GetLeftMs())),
+			Term: m.GetTerm(), Until: asked.Add(milliseconds(m.GetLeftMs())),
 		}, true
 	case *peer.Refuse:
 		if m.GetReason() != peer.RefuseReason_REFUSE_REASON_UNSPECIFIED {
--- a/entry/internal/remote/server.go
+++ b/entry/internal/remote/server.go
@@ -64,7 +64,7 @@
 			reply(in, &peer.Refuse{RequestId: a.Request, Reason: peer.RefuseReason_REFUSE_REASON_NOT_OWNER})
 			return
 		}
-		reply(in, opMessage(time.Now(), o))
+		reply(in, opMessage(now, o))
 	}()
 }
 
@@ -76,7 +76,7 @@
 // holds reports to a new broker. One that is older than another reported to is
 // told nothing.
 func (s *Server) holds(now time.Time, in peer.Inbound, m *peer.FetchHolds) peer.Message {
-	l, ok := s.Table.Report(m.GetPool(), hold.Broker{Entry: in.From().Entry, Term: m.GetTerm()})
+	l, ok := s.Table.Report(now, m.GetPool(), hold.Broker{Entry: in.From().Entry, Term: m.GetTerm()})
 	if !ok {
 		return &peer.Fault{Detail: "term is old"}
 	}
--- a/entry/internal/serve/pipe.go
+++ b/entry/internal/serve/pipe.go
@@ -189,7 +189,12 @@
 		err = p.Table.Enter(p.now(), pool, h)
 	}
 	if err != nil {
-		r.release(pool, witness, h, broker.Result{Outcome: broker.NotSent})
+		unused := broker.Result{Outcome: broker.NotSent}
+		r.release(pool, witness, h, unused)
+		if !r.key.IsZero() && p.Table.Broker(pool).Entry != g.by.Entry {
+			// Only the broker that started the key can release it.
+			p.running.Go(func() { _ = p.Slots.Done(g.by.Entry, pool, h.Slot, unused) })
+		}
 		return r.barred(ctx, err)
 	}
 	r.attempt++
@@ -225,8 +230,8 @@
 
 // release gives a slot back and has its hold forgotten.
 func (r *request) release(pool, witness string, h broker.Hold, res broker.Result) {
-	b := r.pipe.Table.Leave(pool, h.Slot)
-	if witness != "" {
+	b := r.pipe.Table.Leave(pool, h.Slot, res.Outcome)
+	if witness != "" && res.Outcome != broker.Lost {
 		r.pipe.Slots.Unwitness(witness, pool, h)
 	}
 	r.pipe.running.Go(func() { r.giveBack(b, pool, h, res) })
--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/book.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,6 +21,7 @@
 	_doubtTimeout  = time.Second
 	// _releaseTimeout is how long a new broker waits for the former one to
 	// release keys it started for nothing.
+	_maxHeld        = 4096
 	_releaseTimeout = 300 * time.Millisecond
 )
 
@@ -29,6 +31,10 @@
 	batcher keys.Batcher
 	// waiting has the requests whose key is to be read back.
 	waiting map[keys.Key]awaiting
+	// begun are the keys whose request is about to be granted, and held those
+	// of slots in use.
+	begun map[uint64]start
+	held  map[uint64]start
 	// busy is set while an append is under way.
 	busy bool
 	// doubts are the records whose append may have taken effect, oldest first.
@@ -41,6 +47,40 @@
 	until  time.Time
 }
 
+// start is a key that this process started under a term.
+type start struct {
+	key    keys.Key
+	offset uint64
+	term   uint64
+	until  time.Time
+}
+
+// grant notes the slot of a key that was started for a request.
+func (b *book) grant(g broker.Grant) {
+	s, ok := b.begun[g.Request]
+	if !ok {
+		return
+	}
+	delete(b.begun, g.Request)
+	if len(b.held) >= _maxHeld {
+		maps.DeleteFunc(b.held, func(_ uint64, o start) bool { return o.until.Before(g.Until) })
+	}
+	s.until = g.Until
+	b.held[g.Slot] = s
+}
+
+// end returns the key of a slot, or zero, and forgets it.
+func (b *book) end(slot uint64) start {
+	s := b.held[slot]
+	delete(b.held, slot)
+	return s
+}
+
+// idle reports whether no key is on its way to or from the log.
+func (b *book) idle() bool {
+	return !b.busy && len(b.waiting) == 0 && len(b.doubts) == 0 && b.batcher.Next().IsZero()
+}
+
 // awaiting is a request that waits for its key.
 type awaiting struct {
 	pool    string
@@ -50,9 +90,6 @@
 
 // journal puts a key into the next append.
 func (d *Desk) journal(now time.Time, p *pool, o broker.Journal) {
-	if d.book.waiting == nil {
-		d.book.waiting = map[keys.Key]awaiting{}
-	}
 	d.book.waiting[o.Key] = awaiting{pool: p.name, term: p.term, request: o.Request}
 	d.book.batcher.Add(keys.Pending{Pool: p.name, Term: o.Term, Key: o.Key})
 	d.flushKeys(now)
@@ -155,7 +192,9 @@
 		delete(d.book.waiting, s.Key)
 		d.book.batcher.AddRelease(s.Key, s.Offset)
 	case s.Verdict == keys.Started && waits:
+		d.book.begun[w.request] = start{key: s.Key, offset: s.Offset, term: s.Term}
 		d.settle(now, s.Key, broker.JournalStarted)
+		delete(d.book.begun, w.request)
 	case s.Verdict == keys.Started:
 		d.book.journal.Finish(s.Key, keys.NotRun, nil)
 	case waits && s.Verdict == keys.Duplicate:
--- a/entry/internal/slots/book_test.go
+++ b/entry/internal/slots/book_test.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -193,3 +194,33 @@
 	_, is := o.(broker.Grant)
 	assert.Assert(t, is, "%#v", o)
 }
+
+// TestUnusedGrantOfALostPoolIsReleased has the holder refuse the grant, since
+// the pool has another broker by then.
+func TestUnusedGrantOfALostPoolIsReleased(t *testing.T) {
+	s := newStand(t)
+	s.Show(s.fleet.View())
+	o, err := s.ask(1, 12, _limit)
+	assert.NilError(t, err)
+	s.fleet.Suspect(t, s.otherEntries()[0], s.Self.Name, s.Self.Incarnation)
+	s.Show(s.fleet.View())
+	s.Done("fitting", o.(broker.Grant).Slot, broker.Result{Outcome: broker.NotSent})
+	ctx, cancel := context.WithTimeout(t.Context(), _limit)
+	defer cancel()
+	assert.NilError(t, s.Settle(ctx))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.records[len(s.records)-1].GetReleases()), 1)
+}
+
+// TestSettleWaitsForTheLog has a batch stay on its way.
+func TestSettleWaitsForTheLog(t *testing.T) {
+	s := newStand(t)
+	s.log = func(r *keys.Record) (bool, error) { return len(r.GetBatches()) == 0, nil }
+	s.Show(s.fleet.View())
+	_, err := s.ask(1, 13, _soon)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	ctx, cancel := context.WithTimeout(t.Context(), _soon)
+	defer cancel()
+	assert.ErrorIs(t, s.Settle(ctx), context.DeadlineExceeded)
+}
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -52,6 +52,8 @@
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.pools = map[string]*pool{}
 	d.view = &view.View{}
+	d.book.waiting = map[keys.Key]awaiting{}
+	d.book.begun, d.book.held = map[uint64]start{}, map[uint64]start{}
 	u, err := duty.Spawn(s, "slots", _ring, duty.Refuse, d.handle, duty.WithTick[message](_tick, tick{}))
 	if err != nil {
 		return fmt.Errorf("start slots: %w", err)
@@ -120,10 +122,7 @@
 	case ask:
 		d.ask(now, m)
 	case done:
-		if p := d.pools[m.pool]; p != nil {
-			p.done(now, m)
-			d.perform(now, p, p.broker.Done(now, m.slot, m.result))
-		}
+		d.done(now, m)
 	case cancel:
 		d.cancel(now, m)
 	case shown:
@@ -140,6 +139,8 @@
 		d.written(now, m)
 	case inspect:
 		m.reply <- d.status()
+	case idle:
+		m.reply <- d.book.idle()
 	case tick:
 		d.tick(now)
 	}
@@ -170,6 +171,22 @@
 	}
 }
 
+// done gives a slot back. A pool may have another broker by now; a key that
+// this process started, and that its holder says it did not use, is released.
+func (d *Desk) done(now time.Time, m done) {
+	k := d.book.end(m.slot)
+	if p := d.pools[m.pool]; p != nil {
+		p.done(now, m)
+		d.perform(now, p, p.broker.Done(now, m.slot, m.result))
+		if p.term == k.term {
+			return
+		}
+	}
+	if k.offset != 0 && (m.result.Outcome == broker.NotSent || m.result.Outcome == broker.Unreachable) {
+		d.book.batcher.AddRelease(k.key, k.offset)
+	}
+}
+
 func (d *Desk) cancel(now time.Time, m cancel) {
 	p := d.pools[m.pool]
 	if p == nil {
@@ -217,6 +234,7 @@
 func (d *Desk) grant(now time.Time, p *pool, g broker.Grant) {
 	if p.reply(g.Request, g) {
 		p.granted[g.Request], p.requests[g.Slot] = g.Slot, g.Request
+		d.book.grant(g)
 		return
 	}
 	d.perform(now, p, p.broker.Done(now, g.Slot, broker.Result{Outcome: broker.NotSent}))
--- a/entry/internal/slots/desk_test.go
+++ b/entry/internal/slots/desk_test.go
@@ -278,3 +278,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, op.(broker.Grant).Term, o.Term())
 }
+
+// TestProcessThatIsGoneKeepsItsSlots has a restarted entry: what its former
+// process held is known to a witness only.
+func TestProcessThatIsGoneKeepsItsSlots(t *testing.T) {
+	s := newStand(t)
+	witness := s.otherEntries()[0]
+	for i, h := range []string{"h1", "h1", "h2"} {
+		s.holds[witness] = append(s.holds[witness], broker.Hold{
+			Slot: uint64(300 + i), Host: h, Class: "counter", Team: "desk",
+			Entry: broker.Entry{Name: s.Self.Name, Incarnation: 77}, Until: time.Now().Add(_limit),
+		})
+	}
+	s.Show(s.fleet.View())
+	o, err := s.ask(1, 0, _limit)
+	assert.NilError(t, err)
+	assert.Equal(t, o.(broker.Grant).Host, "h2", "a slot of a process that is gone was handed out")
+	_, err = s.ask(2, 0, _soon)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
--- a/entry/internal/slots/message.go
+++ b/entry/internal/slots/message.go
@@ -58,6 +58,9 @@
 // inspect asks for the status of the pools.
 type inspect struct{ reply chan<- []Status }
 
+// idle asks whether any key is on its way to or from the log.
+type idle struct{ reply chan<- bool }
+
 // tick comes at each interval.
 type tick struct{}
 
@@ -70,6 +73,7 @@
 func (read) isMessage()     {}
 func (written) isMessage()  {}
 func (inspect) isMessage()  {}
+func (idle) isMessage()     {}
 func (tick) isMessage()     {}
 
 const (
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -158,17 +158,29 @@
 		return
 	}
 	var own []broker.Hold
+	gone := map[broker.Entry]bool{}
 	for _, h := range m.holds {
 		p.reports[h.Slot] = h
 		if h.Entry == m.of {
 			own = append(own, h)
+		} else if !d.registered(h.Entry) {
+			gone[h.Entry] = true
 		}
 	}
+	// A process that is gone can't report: its witnesses are all there is.
+	for e := range gone {
+		d.perform(now, p, p.broker.Report(now, e, p.witnessed(e)))
+	}
 	delete(p.missing, m.of)
 	d.perform(now, p, p.broker.Report(now, m.of, own))
 	d.standIn(now, p)
 }
 
+func (d *Desk) registered(b broker.Entry) bool {
+	e, ok := d.view.Entry(b.Name)
+	return ok && e.Incarnation() == b.Incarnation
+}
+
 // standIn takes what the others witnessed for the former owner for its report,
 // where only that is missing and it has been silent. A former owner that lives
 // reports itself: no witness knows what it held from the owner before it.
