--- a/entry/broker/ask.go
+++ b/entry/broker/ask.go
@@ -93,6 +93,8 @@
 	Term uint64
 	// Until is when the run has ended at the latest.
 	Until time.Time
+	// Lost means that nobody waits for the run's end any more.
+	Lost bool
 }
 
 // Host is a host of the pool.
--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -117,7 +117,9 @@
 	}
 	b.judge(now, h, res)
 	b.heedLeaving(now, h, res)
-	if res.Outcome != Lost {
+	if res.Outcome == Lost {
+		b.lose(h)
+	} else {
 		b.free(h)
 	}
 	b.ended(now, h, res)
--- a/entry/broker/class.go
+++ b/entry/broker/class.go
@@ -25,6 +25,8 @@
 	line   line
 	work   time.Duration
 	held   int
+	// lost are the slots held whose run's end nobody will tell.
+	lost int
 }
 
 // lane holds the waiting requests of one team in one class, the earliest
--- a/entry/broker/hold.go
+++ b/entry/broker/hold.go
@@ -105,12 +105,27 @@
 	}
 }
 
+// lose marks a hold whose run's end nobody will tell: it lasts until its time
+// is over.
+func (b *Broker) lose(h *hold) {
+	if h.Lost {
+		return
+	}
+	h.Lost = true
+	if h.class != nil {
+		h.class.lost++
+	}
+}
+
 // free ends a hold.
 func (b *Broker) free(h *hold) {
 	b.holds.remove(h)
 	b.hosts.free(h.Host)
 	if h.class != nil {
 		h.class.held--
+		if h.Lost {
+			h.class.lost--
+		}
 	}
 	if h.team != nil {
 		h.team.held--
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -86,8 +86,9 @@
 	b.demand.bursts.see(now, asked/max(s, 1))
 	c := s - b.reserved(now, s, within, run)
 	if s*_relaxedLeast >= 1 {
-		// One slot at least, so that its run time gets known.
-		c = max(c, 1)
+		// One slot at least, so that its run time gets known; lost runs won't
+		// tell.
+		c = max(c, float64(1+b.band(Relaxed).lost))
 	}
 	if b.demand.bursts.quietFor(now, seconds(_runMargin*run.Seconds())) {
 		c = max(c, s*_quietShare-asked)
@@ -159,6 +160,7 @@
 // band sums up the classes of one urgency.
 type band struct {
 	held int
+	lost int
 	work time.Duration
 	run  time.Duration
 }
@@ -176,6 +178,7 @@
 		s.run += c.typicalRun() * time.Duration(k)
 		n += k
 		s.held += c.held
+		s.lost += c.lost
 		s.work += c.work
 	}
 	if n > 0 {
--- a/entry/broker/takeover.go
+++ b/entry/broker/takeover.go
@@ -105,7 +105,12 @@
 	if b.holds.bySlot[r.Slot] != nil {
 		return
 	}
-	b.take(&hold{Hold: r, class: b.classes.byName[r.Class], team: b.team(r.Team)})
+	h := &hold{Hold: r, class: b.classes.byName[r.Class], team: b.team(r.Team)}
+	h.Lost = false
+	b.take(h)
+	if r.Lost {
+		b.lose(h)
+	}
 }
 
 // EntryLost says that a process of an entry is gone or out of reach. Its
--- a/entry/internal/hold/table.go
+++ b/entry/internal/hold/table.go
@@ -131,6 +131,7 @@
 	if h, ok := t.holds[slot]; ok {
 		delete(t.holds, slot)
 		if o == broker.Lost {
+			h.Lost = true
 			t.lost[slot] = h
 		}
 		if t.hosts[h.Host]--; t.hosts[h.Host] == 0 {
--- a/entry/internal/remote/convert.go
+++ b/entry/internal/remote/convert.go
@@ -87,7 +87,7 @@
 	m := &peer.Hold{
 		SlotId: h.Slot, RequestId: h.Request, Host: h.Host, Service: h.Service, Class: h.Class, Team: h.Team,
 		Entry: h.Entry.Name, Incarnation: h.Entry.Incarnation, Term: h.Term,
-		LeftMs: h.Until.Sub(now).Milliseconds(),
+		LeftMs: h.Until.Sub(now).Milliseconds(), Lost: h.Lost,
 	}
 	if !h.Key.IsZero() {
 		m.Key = h.Key[:]
@@ -101,7 +101,7 @@
 		Slot: m.GetSlotId(), Request: m.GetRequestId(), Host: m.GetHost(),
 		Service: m.GetService(), Class: m.GetClass(), Team: m.GetTeam(),
 		Entry: broker.Entry{Name: m.GetEntry(), Incarnation: m.GetIncarnation()},
-		Key:   keyOf(m.GetKey()), Term: m.GetTerm(), Until: now.Add(milliseconds(m.GetLeftMs())),
+		Key:   keyOf(m.GetKey()), Term: m.GetTerm(), Until: now.Add(milliseconds(m.GetLeftMs())), Lost: m.GetLost(),
 	}
 }
 
--- a/entry/internal/remote/convert_test.go
+++ b/entry/internal/remote/convert_test.go
@@ -58,7 +58,7 @@
 
 	h := broker.Hold{
 		Slot: 9, Request: 7, Entry: _self, Host: "h1", Service: "s", Class: "c", Team: "t", Key: k, Term: 3,
-		Until: _now.Add(time.Second),
+		Until: _now.Add(time.Second), Lost: true,
 	}
 	assert.DeepEqual(t, holdFrom(_now, holdMessage(_now, h)), h)
 
