platform: conditional and compressed live list

The list of hosts was sent whole at every reading, 35 bytes a host and more, for each second in which an entry plans.

The client now keeps the last list with its ETag and asks for a newer one; the stand-in answers 304 with the new as-of time where names and states are the same, and compresses what it sends whole. Ruled out: a list of changes since a time, since the platform keeps no history that we know of; a longer interval alone, which only delays the same bytes.

Taken out in turn, each guard failed a test: the as-of time of a 304 (not parsed, or not renewed by the stand-in), the tag sent only where a list is kept, a 304 not asked for, the state's part in the tag, compression.

--- a/fleet/platform/http.go
+++ b/fleet/platform/http.go
@@ -33,6 +33,7 @@
 type httpDialect struct {
 	base   string
 	client *http.Client
+	list   atomic.Pointer[taggedList]
 }
 
 type appendAnswer struct {
@@ -50,16 +51,6 @@
 	Data   []byte `json:"data"`
 }
 
-type liveAnswer struct {
-	AsOfUnixMs int64      `json:"asOfUnixMs"`
-	Hosts      []liveHost `json:"hosts"`
-}
-
-type liveHost struct {
-	Name  string    `json:"name"`
-	State HostState `json:"state"`
-}
-
 func (h *httpDialect) append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	u := h.base + "/streams/" + url.PathEscape(stream) + "/records"
 	var a appendAnswer
@@ -104,19 +95,6 @@
 	return b, nil
 }
 
-func (h *httpDialect) live(ctx context.Context) ([]LiveHost, error) {
-	var a liveAnswer
-	if _, err := h.call(ctx, http.MethodGet, h.base+"/hosts", nil, &a); err != nil {
-		return nil, readError(err)
-	}
-	t := time.UnixMilli(a.AsOfUnixMs)
-	l := make([]LiveHost, len(a.Hosts))
-	for i, v := range a.Hosts {
-		l[i] = LiveHost{name: v.Name, state: v.State, asOf: t}
-	}
-	return l, nil
-}
-
 // readError makes a failure to get a whole answer an unavailable platform.
 func readError(err error) error {
 	if isDefinite(err) {
@@ -133,26 +111,39 @@
 // call makes a request and decodes its answer. It also returns whether a
 // connection was had, after which the request may have reached the platform.
 func (h *httpDialect) call(ctx context.Context, method, u string, body []byte, answer any) (bool, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
 	r, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
 		return false, fmt.Errorf("make request: %w", err)
 	}
-	a, err := h.client.Do(r)
+	a, sent, err := h.send(r)
 	if err != nil {
-		return sent.Load(), fmt.Errorf("send request: %w", err)
+		return sent, err
 	}
 	defer a.Body.Close()
 	if err := checkStatus(a); err != nil {
 		return true, err
 	}
-	if err := json.NewDecoder(io.LimitReader(a.Body, _maxAnswer)).Decode(answer); err != nil {
-		return true, fmt.Errorf("decode answer: %w", err)
+	return true, decode(a.Body, answer)
+}
+
+// send makes a request. It also returns whether a connection was had.
+func (h *httpDialect) send(r *http.Request) (*http.Response, bool, error) {
+	var sent atomic.Bool
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}))
+	a, err := h.client.Do(r)
+	if err != nil {
+		return nil, sent.Load(), fmt.Errorf("send request: %w", err)
+	}
+	return a, true, nil
+}
+
+func decode(body io.Reader, answer any) error {
+	if err := json.NewDecoder(io.LimitReader(body, _maxAnswer)).Decode(answer); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
 	}
-	return true, nil
+	return nil
 }
 
 // checkStatus types the answers that say the call was not performed. Any other
--- /dev/null
+++ b/standin/capacity/list_test.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/fleet/config"
+	"fescuelanding/fleet/config/configtest"
+	"fescuelanding/fleet/platform"
+	standin "fescuelanding/standin/platform"
+
+	"fescuelanding/standin/internal/publish"
+)
+
+const (
+	// _listSettle is how long the planner takes for its first steps.
+	_listSettle  = 30 * time.Second
+	_changeEvery = time.Second
+)
+
+// BenchmarkList measures nine entries at full size whose platform lists every
+// host: at rest, and while the list changes once a second.
+func BenchmarkList(b *testing.B) {
+	const nine = 9
+	c, err := config.FromSections(configtest.Size{Hosts: configtest.Hosts, Pools: configtest.Pools}.Sections())
+	assert.NilError(b, err)
+	r := start(b, nine)
+	p := publish.Publisher{Platform: platform.New(r.platform)}
+	ctx, cancel := context.WithTimeout(b.Context(), 5*time.Minute)
+	defer cancel()
+	_, _, err = p.Publish(ctx, c)
+	assert.NilError(b, err)
+	r.ready(b)
+	var l []standin.Host
+	for _, h := range c.Hosts() {
+		l = append(l, standin.Host{Name: h.Name(), State: "live"})
+	}
+	r.list(b, l...)
+	time.Sleep(_listSettle)
+	rates(b, r.entries, _window, "rest")
+	stop := r.flap(b)
+	rates(b, r.entries, _window, "changing")
+	close(stop)
+	b.ReportMetric(0, "ns/op")
+}
+
+// list changes hosts of the platform's list.
+func (r *running) list(b *testing.B, l ...standin.Host) {
+	b.Helper()
+	t, err := json.Marshal(l)
+	assert.NilError(b, err)
+	a, err := http.Post(r.platform+"/control/hosts", "application/json", bytes.NewReader(t))
+	assert.NilError(b, err)
+	defer a.Body.Close()
+	assert.Equal(b, a.StatusCode, http.StatusOK)
+}
+
+// flap has a host that no pool knows come and go until the channel is closed,
+// so that the list changes but nothing is planned for it.
+func (r *running) flap(b *testing.B) chan<- struct{} {
+	stop := make(chan struct{})
+	go func() {
+		t := time.NewTicker(_changeEvery)
+		defer t.Stop()
+		for state := "live"; ; {
+			select {
+			case <-stop:
+				return
+			case <-t.C:
+			}
+			r.list(b, standin.Host{Name: "unknown", State: state})
+			if state == "" {
+				state = "live"
+			} else {
+				state = ""
+			}
+		}
+	}()
+	return stop
+}
--- a/standin/platform/hosts.go
+++ b/standin/platform/hosts.go
@@ -1,11 +1,21 @@
 package platform
 
 import (
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// _asOfHeader has the list's as-of time in milliseconds since 1970.
+const _asOfHeader = "As-Of-Unix-Ms"
+
 // Host is a host of the live list.
 type Host struct {
 	Name string `json:"name"`
@@ -52,8 +62,35 @@
 	return hosts
 }
 
+// serveHosts sends the list, or only its time where the client has it already.
 func (s *Server) serveHosts(w http.ResponseWriter, c call) {
-	answer(w, s.liveHosts(c.fault, time.Now()))
+	a := s.liveHosts(c.fault, time.Now())
+	h := w.Header()
+	h.Set("ETag", a.tag())
+	h.Set(_asOfHeader, strconv.FormatInt(a.AsOfUnixMs, 10))
+	if c.Header.Get("If-None-Match") == a.tag() {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	if !strings.Contains(c.Header.Get("Accept-Encoding"), "gzip") {
+		answer(w, a)
+		return
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	defer z.Close()
+	_ = json.NewEncoder(z).Encode(a)
+}
+
+// tag names the list's content, whatever its time. It is a weak one, since it
+// is the same with and without compression.
+func (a hostsAnswer) tag() string {
+	d := xxhash.New()
+	for _, h := range a.Hosts {
+		_, _ = d.WriteString(h.Name + "\x00" + h.State + "\x00")
+	}
+	return fmt.Sprintf(`W/"%016x"`, d.Sum64())
 }
 
 func (s *Server) liveHosts(f Fault, now time.Time) hostsAnswer {
