planner: every entry observes the hosts

Only the planner's entry tracked the state and read the live list, and forgot all when ownership moved.

Every entry now tracks the state at each tick where it has changed, and reads the list every 10 s, or 2 s where it plans. Nothing is reset on gaining ownership. That reset also hid a counterexample: a host off the list before and after an hour without lists would have counted as absent for the hour. So lists more than 30 s apart begin each absence and presence anew (Observed.Resume in fleet/plan, which says so to the one caller; Plan itself is unchanged).

Ruled out: handing observations over to the next planner, since the last one may be dead; records of them in the log, as they are soft.

--- a/entry/internal/planner/doc.go
+++ b/entry/internal/planner/doc.go
@@ -1,4 +1,5 @@
-// Package planner runs the planning of the fleet on the entry that owns it.
+// Package planner runs the planning of the fleet on the entry that owns it, and
+// observes the hosts on every entry, so that the next planner knows them.
 //
 // The decisions are those of package plan; this one gives them the present
 // time, the platform's list and the state, and appends what they propose:
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -16,10 +16,16 @@
 )
 
 const (
-	_ring             = 16
-	_tick             = 500 * time.Millisecond
-	_planEvery        = 2 * time.Second
-	_liveEvery        = time.Second
+	_ring      = 16
+	_tick      = 500 * time.Millisecond
+	_planEvery = 2 * time.Second
+	// _listEvery and _listPlanning are the intervals between two readings of
+	// the platform's list, where others plan and where this entry does.
+	_listEvery    = 10 * time.Second
+	_listPlanning = 2 * time.Second
+	// _listGap is the time between two lists from which it is unknown what was
+	// in between.
+	_listGap          = 3 * _listEvery
 	_appendLimit      = 30 * time.Second
 	_settleLimit      = 3 * time.Second
 	_settlePoll       = 10 * time.Millisecond
@@ -27,8 +33,8 @@
 	_checkpointBehind = 4096
 )
 
-// Planner plans while this entry owns planning. Its fields are set before
-// Start.
+// Planner observes the hosts, and plans while this entry owns planning. Its
+// fields are set before Start.
 type Planner struct {
 	// Owner returns the term under which this process may plan; ok is false
 	// while it must not.
@@ -42,7 +48,9 @@
 	// Log receives what is worth noting; it may be nil.
 	Log *log.Logger
 
-	duty     *duty.Duty[message]
+	duty *duty.Duty[message]
+	// send hands a message to the duty.
+	send     func(message) error
 	ctx      context.Context
 	stop     context.CancelFunc
 	observed plan.Observed
@@ -86,7 +94,7 @@
 	if err != nil {
 		return fmt.Errorf("start planner: %w", err)
 	}
-	p.duty = d
+	p.duty, p.send = d, d.Post
 	return nil
 }
 
@@ -100,7 +108,7 @@
 // as this entry has observed.
 func (p *Planner) Explain(ctx context.Context, host string) (plan.Explanation, error) {
 	c := make(chan plan.Explanation, 1)
-	if err := p.duty.Post(explain{host: host, reply: c}); err != nil {
+	if err := p.send(explain{host: host, reply: c}); err != nil {
 		return plan.Explanation{}, fmt.Errorf("ask planner: %w", err)
 	}
 	select {
@@ -117,6 +125,7 @@
 		p.tick(now)
 	case live:
 		p.listing = false
+		p.observed.Resume(_listGap, now)
 		p.observed.See(m.hosts, now)
 	case appended:
 		p.busy = false
@@ -128,31 +137,20 @@
 	}
 }
 
-// tick plans where this entry may. An entry that begins to own planning has
-// observed nothing; what others saw before isn't needed, since time will show
-// it again.
+// tick observes, and plans where this entry may. Every entry observes, so that
+// one that begins to plan knows what came to pass under the last planner.
 func (p *Planner) tick(now time.Time) {
 	_, ok := p.Owner()
 	if ok != p.owned {
-		p.owned = ok
-		p.observed = plan.Observed{}
-		p.saved = now
-	}
-	if !ok {
-		return
+		p.owned, p.saved = ok, now
 	}
 	p.list(now)
-	if p.busy {
-		return
-	}
 	var l []*record.Record
 	p.State(func(s *fleet.State) {
-		if s.Offset() == p.plannedAt && now.Sub(p.planned) < _planEvery {
-			return // Nothing has changed but the time.
-		}
-		p.planned, p.plannedAt = now, s.Offset()
 		p.observed.Track(s, now)
-		l = append(plan.Plan(s, p.observed, now), p.checkpoint(now, s)...)
+		if ok && !p.busy {
+			l = p.plan(now, s)
+		}
 	})
 	if len(l) == 0 {
 		return
@@ -161,9 +159,23 @@
 	go p.append(l)
 }
 
+// plan returns the records that are due; none where nothing has changed but
+// the time, and not much of it.
+func (p *Planner) plan(now time.Time, s *fleet.State) []*record.Record {
+	if s.Offset() == p.plannedAt && now.Sub(p.planned) < _planEvery {
+		return nil
+	}
+	p.planned, p.plannedAt = now, s.Offset()
+	return append(plan.Plan(s, p.observed, now), p.checkpoint(now, s)...)
+}
+
 // list reads the platform's list, one call at a time.
 func (p *Planner) list(now time.Time) {
-	if p.listing || now.Sub(p.listed) < _liveEvery {
+	every := _listEvery
+	if p.owned {
+		every = _listPlanning
+	}
+	if p.listing || now.Sub(p.listed) < every {
 		return
 	}
 	p.listing, p.listed = true, now
@@ -231,7 +243,7 @@
 
 // post hands on what must not be lost; the duty waits for nobody.
 func (p *Planner) post(m message) {
-	for p.ctx.Err() == nil && p.duty.Post(m) != nil {
+	for p.ctx.Err() == nil && p.send(m) != nil {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/fleet/plan/observed.go
+++ b/fleet/plan/observed.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// Resume begins every absence and presence anew where the last new list is
+// older than a gap: a host may have come and gone in between. It is called
+// before See by whoever may have missed lists.
+func (o *Observed) Resume(gap time.Duration, now time.Time) {
+	if now.Sub(o.heard) <= gap {
+		return
+	}
+	for _, g := range o.hosts {
+		g.changed = now
+	}
+}
+
 // Load notes how many requests a host has in flight. Of hosts that are alike
 // the one with the fewest goes first.
 func (o *Observed) Load(host string, inFlight int) { o.sight(host).inFlight = inFlight }
