--- a/entry/internal/planner/planner_test.go
+++ b/entry/internal/planner/planner_test.go
@@ -238,13 +238,14 @@
 	r := newRig(t)
 	r.owns.Store(true)
 	r.tick(t, time.Second)
-	next := r.fleet.State().Offset() + 1
-	r.planner.Append = func(context.Context, *record.Record) (uint64, error) { return next, nil }
+	var offset atomic.Uint64
+	offset.Store(r.fleet.State().Offset() + 1)
+	r.planner.Append = func(context.Context, *record.Record) (uint64, error) { return offset.Load(), nil }
 	r.planner.busy, r.planner.listing = true, true
 	go r.planner.append([]*record.Record{{}})
 	r.silent(t, "the plan ended before its records were applied")
 
-	r.planner.Append = func(context.Context, *record.Record) (uint64, error) { return 1, nil }
+	offset.Store(1)
 	r.planner.handle(r.now.Add(2*_checkpointEvery), tick{})
 	r.silent(t, "two plans were under way")
 	r.planner.State(func(*fleet.State) { r.fleet.Register(t, "e2", 1) })
