entry: take the state of a peer where the log can't give it

A fresh entry whose log was down, or had dropped records without a checkpoint in their place, stayed without state for ever: peers answered FetchCheckpoint with 'not understood', and records were fetched only as far as peers still kept them, from any peer that was ahead.

The server now encodes its state once for each 10 s, under the follower's lock, and answers chunk by chunk of one offset; the client checks that the chunks belong together; Follower.Restore takes only what is ahead. The entry asks the furthest peer once the log has given nothing for 1 s. It stays unready until the log has registered it, and now refuses requests as notReady: with a peer's configuration it would have asked brokers for slots that its gate refuses.

Chunks have half the size of those in the log, since a full one does not fit a frame of the bulk lane at full size.

Taken out in turn, each of these failed a test: never back, one offset, expiry, the chunk's bound, one making for all, no checkpoint of an empty state, the chunk size, each check of the client, expired records. Session fresh fails without the server's answer (no state) and without the refusal (reason unknownTeam, which is looked for behind notReady).

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -10,6 +10,7 @@
 
 	"fescuelanding/entry/broker"
 	"fescuelanding/entry/internal/duty"
+	"fescuelanding/entry/internal/remote"
 	"fescuelanding/entry/internal/view"
 	"fescuelanding/entry/peer"
 	"fescuelanding/fleet/record"
@@ -25,7 +26,9 @@
 	_aliveFirst    = time.Second
 	_aliveLongest  = 30 * time.Second
 	_fetchEvery    = 200 * time.Millisecond
-	_outageGrace   = 3 * _controlTick
+	// _logFirst is how long the log may be silent before peers are asked.
+	_logFirst    = time.Second
+	_outageGrace = 3 * _controlTick
 )
 
 // control compares what the log says with what the entry sees, and appends
@@ -135,7 +138,7 @@
 	heard := c.heard(v)
 	d.peers.SetPeers(c.wanted(v))
 	c.refresh(now, v, heard)
-	c.fetch(now, v, heard)
+	c.fetch(now, heard)
 	if d.leaving.Load() {
 		c.confirm(now, v)
 		return
@@ -223,24 +226,58 @@
 	return 2*n > len(v.Entries())
 }
 
-// fetch takes records from a peer that is ahead while the log can't be read.
-func (c *control) fetch(now time.Time, v *view.View, heard map[string]peer.Status) {
-	if t, ok := c.daemon.proof(); ok && now.Sub(t) < time.Second {
+// fetch takes what the furthest peer is ahead, while the log can't be read or
+// has dropped what this entry needs. It is no proof of the log's head, and does
+// not register: an entry that others don't wait for must not send.
+func (c *control) fetch(now time.Time, heard map[string]peer.Status) {
+	d := c.daemon
+	last, ok := d.proof()
+	if !ok {
+		last = d.start // The log comes first.
+	}
+	if now.Sub(last) < _logFirst {
 		return
 	}
+	from := d.follower.Offset()
+	entry, ok := furthest(heard, from)
+	if !ok {
+		return
+	}
+	c.start(now, "fetch", _fetchEvery, func(ctx context.Context) error {
+		if from == 0 {
+			return c.restore(ctx, entry)
+		}
+		l, err := d.remote.Fetch(ctx, entry, from+1)
+		if errors.Is(err, remote.ErrExpired) {
+			return c.restore(ctx, entry)
+		}
+		d.follower.Offer(l)
+		return err
+	})
+}
+
+// restore takes the state of a peer.
+func (c *control) restore(ctx context.Context, entry string) error {
+	l, err := c.daemon.remote.FetchCheckpoint(ctx, entry)
+	if err != nil {
+		return err
+	}
+	if err := c.daemon.follower.Restore(l); err != nil {
+		return fmt.Errorf("take state of %s: %w", entry, err)
+	}
+	c.daemon.log.Info("State was taken from a peer.", "entry", entry, "offset", l[0].GetAtOffset())
+	return nil
+}
+
+// furthest returns the connected peer that has applied most, if that is more
+// than the offset.
+func furthest(heard map[string]peer.Status, offset uint64) (entry string, ok bool) {
 	for n, s := range heard {
-		if s.AppliedOffset() <= v.Offset() {
-			continue
+		if s.AppliedOffset() > offset {
+			entry, offset, ok = n, s.AppliedOffset(), true
 		}
-		c.start(now, "fetch", _fetchEvery, func(ctx context.Context) error {
-			l, err := c.daemon.remote.Fetch(ctx, n, v.Offset()+1)
-			if err == nil {
-				c.daemon.follower.Offer(l)
-			}
-			return err
-		})
-		return
 	}
+	return entry, ok
 }
 
 // register announces this process once it has read the log to its head.
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -154,7 +154,7 @@
 // serveCallers begins to take requests.
 func (d *Daemon) serveCallers(l net.Listener) *http.Server {
 	h := &caller.Handler{
-		Known: d.configured, Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody(),
+		Known: d.admits, Services: d.service, Teams: d.team, Serve: d.serve, MaxBody: d.settings.MaxBody(),
 	}
 	s := &http.Server{
 		Handler: d.closing(h), ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
@@ -190,6 +190,16 @@
 	}
 }
 
+// admits reports whether requests are looked at. An unregistered entry, whose
+// state may be a peer's, refuses them at once, since it must not send.
+func (d *Daemon) admits() bool { return d.configured() && d.registered(d.table.View()) }
+
+// registered reports whether a view has this process.
+func (d *Daemon) registered(v *view.View) bool {
+	e, ok := v.Entry(d.self.Name)
+	return ok && e.Incarnation() == d.self.Incarnation
+}
+
 func (d *Daemon) configured() bool { return len(d.table.View().Config().Services()) > 0 }
 
 // service finds a service and the deadline of a class.
@@ -264,10 +274,7 @@
 
 // ready reports whether the balancer may send callers.
 func (d *Daemon) ready(now time.Time) bool {
-	v := d.table.View()
-	e, ok := v.Entry(d.self.Name)
-	return !d.leaving.Load() && ok && e.Incarnation() == d.self.Incarnation &&
-		d.configured() && d.table.IsFresh(now)
+	return !d.leaving.Load() && d.admits() && d.table.IsFresh(now)
 }
 
 // mayPlan reports whether this process owns planning, and under which term.
--- a/entry/internal/follow/doc.go
+++ b/entry/internal/follow/doc.go
@@ -8,5 +8,5 @@
 //	f.Offer(records) // From a peer.
 //
 // A state never goes back: records at or below its offset are passed over, and
-// records beyond a gap wait for the log.
+// records beyond a gap wait for the log, or for a checkpoint of a peer.
 package follow
--- a/entry/internal/follow/follower_test.go
+++ b/entry/internal/follow/follower_test.go
@@ -123,6 +123,25 @@
 	assert.Equal(t, f.Offset(), uint64(0))
 }
 
+func TestRestoreNeverGoesBack(t *testing.T) {
+	s, state := newStream(t, 6)
+	const chunk = 64
+	l := state.Checkpoint(chunk)
+	f, shown := follower(s)
+	f.Offer(s.records[:5])
+	proved := 0
+	f.Proved = func(time.Time) { proved++ }
+	assert.ErrorIs(t, f.Restore(l[1:]), fleet.ErrCheckpoint)
+	assert.NilError(t, f.Restore(l))
+	assert.Equal(t, f.Offset(), uint64(6))
+	assert.ErrorIs(t, f.Restore(l), ErrNotAhead)
+	_, older := newStream(t, 5)
+	assert.ErrorIs(t, f.Restore(older.Checkpoint(chunk)), ErrNotAhead)
+	assert.Equal(t, f.Offset(), uint64(6))
+	assert.DeepEqual(t, *shown, []uint64{5, 6})
+	assert.Equal(t, proved, 0, "a peer's state proved the log's head")
+}
+
 func TestRecentAnswersPeers(t *testing.T) {
 	s, _ := newStream(t, 5)
 	f, _ := follower(s)
--- a/entry/internal/follow/recover.go
+++ b/entry/internal/follow/recover.go
@@ -13,9 +13,13 @@
 	"fescuelanding/fleet/record"
 )
 
-// ErrNoCheckpoint means that the log has dropped records this entry needs, and
-// holds no complete checkpoint in their place.
-var ErrNoCheckpoint = errors.New("log holds no complete checkpoint")
+var (
+	// ErrNoCheckpoint means that the log has dropped records this entry needs,
+	// and holds no complete checkpoint in their place.
+	ErrNoCheckpoint = errors.New("log holds no complete checkpoint")
+	// ErrNotAhead means that a checkpoint isn't ahead of the state.
+	ErrNotAhead = errors.New("checkpoint is not ahead")
+)
 
 // recover takes the state of the newest complete checkpoint in the log, where
 // that is ahead of the own state. The records behind it are read as usual.
@@ -38,11 +42,17 @@
 	if len(c.whole) == 0 || c.whole[0].GetAtOffset()+1 < first {
 		return ErrNoCheckpoint
 	}
-	return f.restore(c.whole)
+	if err := f.Restore(c.whole); err != nil {
+		return fmt.Errorf("%w: %w", ErrNoCheckpoint, err)
+	}
+	return nil
 }
 
-// restore replaces the state by a checkpoint that is ahead of it.
-func (f *Follower) restore(chunks []*record.Checkpoint) error {
+// Restore replaces the state by that of a whole checkpoint, as it came from the
+// log or from a peer. It returns ErrNotAhead where the checkpoint is not ahead
+// of the state, which never goes back, and fleet.ErrCheckpoint where chunks are
+// missing or damaged. The log's head isn't proved by it.
+func (f *Follower) Restore(chunks []*record.Checkpoint) error {
 	s, err := fleet.Restore(chunks)
 	if err != nil {
 		return fmt.Errorf("restore checkpoint: %w", err)
@@ -50,7 +60,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.Offset() <= f.current().Offset() {
-		return ErrNoCheckpoint
+		return ErrNotAhead
 	}
 	f.state = s
 	f.recent = nil
--- a/entry/internal/remote/client.go
+++ b/entry/internal/remote/client.go
@@ -22,6 +22,8 @@
 	ErrNotOwner = errors.New("entry does not answer for the pool")
 	// ErrReply is a reply of a kind that does not fit the question.
 	ErrReply = errors.New("reply does not fit")
+	// ErrExpired means that the entry asked no longer keeps the records.
+	ErrExpired = errors.New("records are no longer kept")
 )
 
 // Client asks other entries. Its fields are set before use.
@@ -81,7 +83,9 @@
 	return l, nil
 }
 
-// Fetch asks an entry for records of the fleet stream.
+// Fetch asks an entry for records of the fleet stream from an offset on. It
+// returns ErrExpired where the entry has applied that record but
+// keeps it no longer, so that a checkpoint is needed.
 func (c *Client) Fetch(ctx context.Context, entry string, from uint64) ([]platform.Record, error) {
 	m, err := c.Peers.Call(ctx, entry, &peer.Fetch{Stream: _fleetStream, From: from})
 	if err != nil {
@@ -91,6 +95,9 @@
 	if !ok {
 		return nil, fmt.Errorf("fetch records of %s: %w", entry, ErrReply)
 	}
+	if from < r.GetFirst() {
+		return nil, fmt.Errorf("fetch records of %s from %d: %w", entry, from, ErrExpired)
+	}
 	return recordsFrom(r.GetRecords()), nil
 }
 
--- a/entry/internal/remote/server.go
+++ b/entry/internal/remote/server.go
@@ -21,6 +21,8 @@
 	Desk     *slots.Desk
 	Table    *hold.Table
 	Follower *follow.Follower
+
+	shelf shelf
 }
 
 // Handle takes a message; it never waits.
@@ -42,6 +44,8 @@
 		}
 	case *peer.Fetch:
 		go s.fetch(in, m)
+	case *peer.FetchCheckpoint:
+		go s.checkpoint(now, in, m)
 	default:
 		reply(in, &peer.Fault{Detail: "not understood"})
 	}
--- /dev/null
+++ b/standin/session/fresh_test.go
@@ -0,0 +1,25 @@
+package session
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestFresh(t *testing.T) { session(t, "fresh") }
+
+// checkRefused checks that an entry answers that a request was not run, and
+// for which reason.
+func checkRefused(ts *testscript.TestScript, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: refused ENTRY REASON")
+	}
+	a, err := http.Post("http://"+ts.Getenv("CALLER_"+args[0])+"/sizeCheck", "text/plain", http.NoBody)
+	ts.Check(err)
+	ts.Check(a.Body.Close())
+	end, reason := a.Header.Get("Fescue-End"), a.Header.Get("Fescue-Reason")
+	if end != "notRun" || reason != args[1] {
+		ts.Fatalf("%s answered %q, reason %q", args[0], end, reason)
+	}
+}
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -81,6 +81,7 @@
 			"owner":    withoutNeg(findOwner),
 			"quiet":    withoutNeg(waitQuiet),
 			"busy":     withoutNeg(waitBusy),
+			"refused":  withoutNeg(checkRefused),
 		},
 	})
 }
