daemon: decisions on silent entries as functions of the time

What control appends of other entries, and of this one, was decided among the jobs that append it, and had no tests but sessions of processes.

The decisions are now functions of the view, the peers heard and the present time (watch.go): whom to accuse, whom to unregister, when to lift the own suspicion, which steps to confirm. No behaviour is changed but for the order of two calls: the desk hears of all lost entries before the first is accused.

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -20,11 +20,8 @@
 	_controlRing   = 64
 	_controlTick   = 100 * time.Millisecond
 	_jobTimeout    = 5 * time.Second
-	_grace         = 2 * time.Second
 	_registerEvery = time.Second
 	_suspectEvery  = time.Second
-	_aliveFirst    = time.Second
-	_aliveLongest  = 30 * time.Second
 	_fetchEvery    = 200 * time.Millisecond
 	// _logFirst is how long the log may be silent before peers are asked.
 	_logFirst    = time.Second
@@ -39,15 +36,7 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	jobs   map[string]*job
-	// seen has when each process was first seen as registered.
-	seen map[broker.Entry]time.Time
-	// connected has the processes heard at the last tick.
-	connected map[string]bool
-	// aliveAfter is the pause before the next EntryAlive.
-	aliveAfter   time.Duration
-	suspectSince time.Time
-	// silentSince has since when each process was not heard.
-	silentSince map[broker.Entry]time.Time
+	watch  watch
 }
 
 // message is what the control duty receives.
@@ -72,10 +61,7 @@
 func (c *control) begin(s *actor.ActorSystem) error {
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.jobs = map[string]*job{}
-	c.seen = map[broker.Entry]time.Time{}
-	c.connected = map[string]bool{}
-	c.silentSince = map[broker.Entry]time.Time{}
-	c.aliveAfter = _aliveFirst
+	c.watch = watch{self: c.daemon.self.Name}
 	u, err := duty.Spawn(s, "control", _controlRing, duty.DropOldest, c.handle, duty.WithTick[message](_controlTick, tick{}))
 	if err != nil {
 		return fmt.Errorf("start control: %w", err)
@@ -154,7 +140,7 @@
 		c.alive(now, v, heard)
 		return
 	}
-	c.suspectSince = time.Time{}
+	c.watch.cleared()
 	c.unregisterLost(now, v, heard)
 }
 
@@ -209,23 +195,11 @@
 		}
 	}
 	_, proved := d.proof()
-	if outage && proved && c.majority(v, heard) {
+	if outage && proved && majority(v, heard) {
 		d.table.Fresh(now.Add(_outageGrace))
 	}
 }
 
-// majority reports whether this entry and those it hears are more than half of
-// the registered ones.
-func (c *control) majority(v *view.View, heard map[string]peer.Status) bool {
-	n := 1
-	for _, e := range v.Entries() {
-		if _, ok := heard[e.Name()]; ok {
-			n++
-		}
-	}
-	return 2*n > len(v.Entries())
-}
-
 // fetch takes what the furthest peer is ahead, while the log can't be read or
 // has dropped what this entry needs. It is no proof of the log's head, and does
 // not register: an entry that others don't wait for must not send.
@@ -296,31 +270,11 @@
 
 // judge accuses entries that are silent, and tells the desk of them.
 func (c *control) judge(now time.Time, v *view.View, heard map[string]peer.Status) {
-	d := c.daemon
-	others := 0
-	for _, e := range v.Entries() {
-		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
-		if _, ok := c.seen[b]; !ok {
-			c.seen[b] = now
-		}
-		if b.Name != d.self.Name {
-			others++
-		}
+	lost, accused := c.watch.silent(now, v, heard)
+	for _, b := range lost {
+		c.daemon.desk.Lost(b)
 	}
-	for _, e := range v.Entries() {
-		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
-		_, ok := heard[b.Name]
-		if b.Name == d.self.Name || ok {
-			c.connected[b.Name] = ok
-			continue
-		}
-		if c.connected[b.Name] {
-			c.connected[b.Name] = false
-			d.desk.Lost(b)
-		}
-		if now.Sub(c.seen[b]) < _grace || e.Suspect() || e.Leaving() || 2*len(heard) < others-1 {
-			continue
-		}
+	for _, b := range accused {
 		c.accuse(now, b)
 	}
 }
@@ -334,29 +288,16 @@
 	})
 }
 
-// unregisterLost has the planner's entry unregister suspects that it has not
-// heard for longer than the platform's list lags. By then such an entry, if it
-// runs at all, has found its view stale and sends nothing.
+// unregisterLost has the planner's entry unregister what is lost for good.
 func (c *control) unregisterLost(now time.Time, v *view.View, heard map[string]peer.Status) {
-	d := c.daemon
-	_, plans := d.mayPlan()
-	lag := v.Config().Fleet().LiveListLag()
-	for _, e := range v.Entries() {
-		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
-		if _, ok := heard[b.Name]; ok || b.Name == d.self.Name {
-			delete(c.silentSince, b)
-			continue
-		}
-		t, ok := c.silentSince[b]
-		if !ok {
-			c.silentSince[b] = now
-			continue
-		}
-		if !plans || !e.Suspect() || now.Sub(t) < lag || !c.majority(v, heard) {
-			continue
-		}
+	_, plans := c.daemon.mayPlan()
+	l := c.watch.lost(now, v, heard)
+	if !plans {
+		return
+	}
+	for _, b := range l {
 		c.start(now, "unregister "+b.Name, _registerEvery, func(ctx context.Context) error {
-			return d.append(ctx, unregisterRecord(b, record.UnregisterCause_UNREGISTER_CAUSE_LOST))
+			return c.daemon.append(ctx, unregisterRecord(b, record.UnregisterCause_UNREGISTER_CAUSE_LOST))
 		})
 	}
 }
@@ -368,39 +309,24 @@
 	}}
 }
 
-// alive lifts a suspicion of this entry once it hears most others again. The
-// pause doubles each time, so that a flapping link doesn't move ownership about.
+// alive lifts a suspicion of this entry.
 func (c *control) alive(now time.Time, v *view.View, heard map[string]peer.Status) {
-	d := c.daemon
-	if !c.majority(v, heard) && len(v.Entries()) > 2 {
-		c.suspectSince = time.Time{}
-		return
-	}
-	if c.suspectSince.IsZero() {
-		c.suspectSince = now
-	}
-	if now.Sub(c.suspectSince) < c.aliveAfter {
+	if !c.watch.alive(now, v, heard) {
 		return
 	}
+	d := c.daemon
 	c.start(now, "alive", _registerEvery, func(ctx context.Context) error {
 		return d.append(ctx, &record.Record{Body: &record.Record_EntryAlive{
 			EntryAlive: &record.EntryAlive{Entry: d.self.Name, Incarnation: d.self.Incarnation},
 		}})
 	})
-	c.aliveAfter = min(2*c.aliveAfter, _aliveLongest)
-	c.suspectSince = now
 }
 
 // confirm tells the log of steps on hosts where nothing of this entry is in
 // flight.
 func (c *control) confirm(now time.Time, v *view.View) {
 	d := c.daemon
-	var l []*record.StepRef
-	for _, s := range v.Steps() {
-		if s.WaitsFor(d.self.Name) && d.table.Idle(s.Host()) {
-			l = append(l, s.Ref())
-		}
-	}
+	l := confirmed(v, d.self.Name, d.table.Idle)
 	if len(l) == 0 {
 		return
 	}
