--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -82,6 +82,7 @@
 			"owner":    withoutNeg(findOwner),
 			"quiet":    withoutNeg(waitQuiet),
 			"busy":     withoutNeg(waitBusy),
+			"refused":  withoutNeg(checkRefused),
 		},
 	})
 }
