daemon: only a host the live list has dropped is unregistered as lost

Change: the platform's list must have dropped it for as long; a list that lacks this entry itself says nothing of entries. A configuration whose stalenessBound isn't below its liveListLag is refused.

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -13,6 +13,7 @@
 	"fescuelanding/entry/internal/remote"
 	"fescuelanding/entry/internal/view"
 	"fescuelanding/entry/peer"
+	"fescuelanding/fleet/platform"
 	"fescuelanding/fleet/record"
 )
 
@@ -48,8 +49,13 @@
 // ended says that a job is over.
 type ended struct{ name string }
 
-func (tick) isMessage()  {}
-func (ended) isMessage() {}
+func (tick) isMessage() {}
+
+// listed is the platform's list as it was read.
+type listed struct{ hosts []platform.LiveHost }
+
+func (listed) isMessage() {}
+func (ended) isMessage()  {}
 
 // job is an append that is under way, or that rests until it may run again.
 type job struct {
@@ -75,6 +81,15 @@
 	c.duty.Stop()
 }
 
+// live reads the platform's list for the planner, and looks at it too.
+func (c *control) live(ctx context.Context) ([]platform.LiveHost, error) {
+	l, err := c.daemon.platform.Live(ctx)
+	if err == nil && len(l) > 0 {
+		_ = c.duty.Post(listed{hosts: l})
+	}
+	return l, err
+}
+
 // shown has the duty look again at once.
 func (c *control) shown() {
 	if c.duty != nil {
@@ -89,6 +104,8 @@
 			j.running, j.next = false, now.Add(j.every)
 		}
 		c.tick(now)
+	case listed:
+		c.watch.listed(now, c.daemon.table.View(), m.hosts)
 	case tick:
 		c.tick(now)
 	}
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -86,7 +86,7 @@
 	d.pipe = serve.Pipe{Self: d.self, Table: d.table, Slots: d.slots(), Sender: &d.sender}
 	d.control.daemon = d
 	d.planner = planner.Planner{
-		Owner: d.mayPlan, State: d.follower.With, Live: d.platform.Live, Append: d.appendAs, Log: l.WithPrefix("planner"),
+		Owner: d.mayPlan, State: d.follower.With, Live: d.control.live, Append: d.appendAs, Log: l.WithPrefix("planner"),
 	}
 	server := &remote.Server{Desk: &d.desk, Table: d.table, Follower: &d.follower}
 	d.peers.Handle = server.Handle
--- a/entry/internal/daemon/watch.go
+++ b/entry/internal/daemon/watch.go
@@ -6,6 +6,7 @@
 	"fescuelanding/entry/broker"
 	"fescuelanding/entry/internal/view"
 	"fescuelanding/entry/peer"
+	"fescuelanding/fleet/platform"
 	"fescuelanding/fleet/record"
 )
 
@@ -26,6 +27,8 @@
 	connected map[string]bool
 	// silentSince has since when each process was not heard.
 	silentSince map[broker.Entry]time.Time
+	// offList has since when each entry was off the platform's list.
+	offList map[string]time.Time
 	// aliveAfter is the pause before the next EntryAlive; zero for the first.
 	aliveAfter   time.Duration
 	suspectSince time.Time
@@ -75,9 +78,32 @@
 	}
 }
 
-// lost returns the suspects that were not heard for longer than the platform's
-// list lags. By then such an entry, if it runs at all, has found its view stale
-// and sends nothing.
+// listed takes the platform's list in. One that lacks this entry itself doesn't
+// cover entries, and says nothing of them.
+func (w *watch) listed(now time.Time, v *view.View, list []platform.LiveHost) {
+	on := make(map[string]bool, len(list))
+	for _, h := range list {
+		on[h.Name()] = true
+	}
+	if w.offList == nil || !on[w.self] {
+		w.offList = make(map[string]time.Time)
+	}
+	if !on[w.self] {
+		return
+	}
+	for _, e := range v.Entries() {
+		if _, known := w.offList[e.Name()]; on[e.Name()] {
+			delete(w.offList, e.Name())
+		} else if !known {
+			w.offList[e.Name()] = now
+		}
+	}
+}
+
+// lost returns the suspects that were not heard, and that the platform's list
+// has dropped, for longer than the list lags. By then such an entry, if it runs
+// at all, has found its view stale and sends nothing. Silence alone does not do:
+// what an entry that lives has in flight must count.
 func (w *watch) lost(now time.Time, v *view.View, heard map[string]peer.Status) []broker.Entry {
 	if w.silentSince == nil {
 		w.silentSince = make(map[broker.Entry]time.Time)
@@ -95,7 +121,8 @@
 			w.silentSince[b] = now
 			continue
 		}
-		if e.Suspect() && now.Sub(t) >= lag && majority(v, heard) {
+		off, dropped := w.offList[b.Name]
+		if e.Suspect() && now.Sub(t) >= lag && dropped && now.Sub(off) >= lag && majority(v, heard) {
 			l = append(l, b)
 		}
 	}
--- a/entry/internal/daemon/watch_test.go
+++ b/entry/internal/daemon/watch_test.go
@@ -11,6 +11,7 @@
 	"fescuelanding/entry/broker"
 	"fescuelanding/entry/internal/viewtest"
 	"fescuelanding/entry/peer"
+	"fescuelanding/fleet/platform"
 	"fescuelanding/fleet/record"
 )
 
@@ -82,6 +83,7 @@
 	lag := f.View().Config().Fleet().LiveListLag()
 	assert.Assert(t, lag > 0)
 	w := watch{self: "a"}
+	w.listed(_start, f.View(), lists("abc"))
 	for _, c := range []struct {
 		after time.Duration
 		heard string
@@ -101,12 +103,50 @@
 	}
 	three := newFleet(t, 3)
 	w = watch{self: "a"}
+	w.listed(_start, three.View(), lists("ab"))
 	for range 2 {
 		assert.Equal(t, names(w.lost(_start, three.View(), hears("b"))), "")
 		assert.Equal(t, names(w.lost(_start.Add(lag), three.View(), hears("b"))), "", "no suspect")
 	}
 }
 
+// TestSilentEntryOnTheListStaysRegistered has the platform's list contradict the
+// silence, and say nothing of entries at all.
+func TestSilentEntryOnTheListStaysRegistered(t *testing.T) {
+	f := newFleet(t, 4)
+	f.Suspect(t, "a", "d", 1)
+	lag := f.View().Config().Fleet().LiveListLag()
+	w := watch{self: "a"}
+	w.lost(_start, f.View(), hears("bc"))
+	for _, c := range []struct {
+		after time.Duration
+		list  string
+		lost  string
+	}{
+		{lag, "abcd", ""},
+		{2 * lag, "abc", ""}, // The list may lag.
+		{3 * lag, "abc", "d"},
+		{3 * lag, "h", ""}, // Entries are not on this list.
+		{4 * lag, "abc", ""},
+		{5*lag - 1, "abc", ""},
+		{5 * lag, "abc", "d"},
+		{5 * lag, "abcd", ""},
+	} {
+		now := _start.Add(c.after)
+		w.listed(now, f.View(), lists(c.list))
+		assert.Equal(t, names(w.lost(now, f.View(), hears("bc"))), c.lost, "%+v", c)
+	}
+}
+
+// lists returns the platform's list with hosts named in one word.
+func lists(names string) []platform.LiveHost {
+	var l []platform.LiveHost
+	for _, n := range names {
+		l = append(l, platform.NewLiveHost(string(n), platform.HostLive, _start))
+	}
+	return l
+}
+
 func TestSuspicionIsLiftedAfterAPause(t *testing.T) {
 	f := newFleet(t, 5)
 	v := f.View()
--- a/fleet/config/check.go
+++ b/fleet/config/check.go
@@ -20,10 +20,19 @@
 
 func (d *data) checkFleet(e *Invalid) {
 	f := d.fleet.get("")
-	if f == nil || f.bufferWeight+f.rollOutWeight+f.moveWeight > 0 {
+	if f == nil {
 		return
 	}
-	e.add(Problem{reason: ErrValue, kind: KindFleet, key: KeyBufferWeight, found: "0", want: "one of the three weights above zero"})
+	if f.bufferWeight+f.rollOutWeight+f.moveWeight == 0 {
+		e.add(Problem{reason: ErrValue, kind: KindFleet, key: KeyBufferWeight, found: "0", want: "one of the three weights above zero"})
+	}
+	// An entry must have found its view stale before it can be unregistered.
+	if f.liveListLag > 0 && f.stalenessBound >= f.liveListLag {
+		e.add(Problem{
+			reason: ErrValue, kind: KindFleet, key: KeyStalenessBound, found: f.stalenessBound.String(),
+			want: "less than liveListLag, which is " + f.liveListLag.String(),
+		})
+	}
 }
 
 func (d *data) checkClasses(e *Invalid) {
