daemon: a paused entry that the platform lists keeps its say

Cause: the planner's entry unregistered a suspect once its peers had not heard it for the live list's lag, and never looked at the list, against docs/moves.md.

Ruled out: a longer silence, which a pause can always outlast.

TestPaused failed before the change (host1 down, b gone, 6 s after the pause) and passes since; its second half shows that a dropped entry is given up. A killed entry that the platform goes on listing now holds steps up until it restarts or an operator unregisters it.

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -297,13 +297,15 @@
 	})
 }
 
-// unregisterLost has the planner's entry unregister suspects that it has not
-// heard for longer than the platform's list lags. By then such an entry, if it
-// runs at all, has found its view stale and sends nothing.
+// unregisterLost has the planner's entry unregister suspects that neither it
+// has heard nor the platform has listed for longer than the list lags and than
+// an entry serves without proof of the log's head. Silence alone is not enough:
+// a paused entry may have requests in flight, and its say holds up steps.
 func (c *control) unregisterLost(now time.Time, v *view.View, heard map[string]peer.Status) {
 	d := c.daemon
 	_, plans := d.mayPlan()
-	lag := v.Config().Fleet().LiveListLag()
+	f := v.Config().Fleet()
+	wait := max(f.LiveListLag(), f.StalenessBound())
 	for _, e := range v.Entries() {
 		b := broker.Entry{Name: e.Name(), Incarnation: e.Incarnation()}
 		if _, ok := heard[b.Name]; ok || b.Name == d.self.Name {
@@ -315,7 +317,7 @@
 			c.silentSince[b] = now
 			continue
 		}
-		if !plans || !e.Suspect() || now.Sub(t) < lag || !c.majority(v, heard) {
+		if !plans || !e.Suspect() || now.Sub(t) < wait || d.planner.OffListFor(b.Name) < wait || !c.majority(v, heard) {
 			continue
 		}
 		c.start(now, "unregister "+b.Name, _registerEvery, func(ctx context.Context) error {
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -46,6 +46,7 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	observed plan.Observed
+	roll     roll
 	busy     bool
 	listing  bool
 	listed   time.Time
@@ -111,6 +112,10 @@
 	}
 }
 
+// OffListFor returns for how long the platform's lists have lacked a host, as
+// far as this entry has observed while it planned. It is safe for concurrent use.
+func (p *Planner) OffListFor(host string) time.Duration { return p.roll.offFor(host) }
+
 func (p *Planner) handle(now time.Time, m message) {
 	switch m := m.(type) {
 	case tick:
@@ -118,6 +123,7 @@
 	case live:
 		p.listing = false
 		p.observed.See(m.hosts, now)
+		p.roll.see(m.hosts, now)
 	case appended:
 		p.busy = false
 	case explain:
@@ -136,6 +142,7 @@
 	if ok != p.owned {
 		p.owned = ok
 		p.observed = plan.Observed{}
+		p.roll.reset()
 		p.saved = now
 	}
 	if !ok {
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -58,6 +58,7 @@
 func TestFaults(t *testing.T)    { session(t, "faults") }
 func TestOperators(t *testing.T) { session(t, "operators") }
 func TestLeaving(t *testing.T)   { session(t, "leaving") }
+func TestPaused(t *testing.T)    { session(t, "paused") }
 
 // session runs one script. Each has a test of its own, so that KNOWN-RED.txt
 // can name it.
