standin/session: a fresh entry in an outage, and moves under load

TestFresh: the entry has the state from its peers, stays unready, refuses truly, and is ready after the return. TestMove: 1,200 requests answered while one host enters and one leaves the pool; it wasn't shown to fail with a guard out, since the confirmations aren't visible to it.

planner: roll is named absence.

--- a/entry/internal/planner/roll_test.go
+++ b/entry/internal/planner/absence_test.go
@@ -9,29 +9,29 @@
 	"fescuelanding/fleet/platform"
 )
 
-func TestRollCountsNewListsOnly(t *testing.T) {
+func TestAbsenceCountsNewListsOnly(t *testing.T) {
 	const host = "b"
-	var r roll
+	var a absence
 	start := time.Unix(1000, 0)
 	see := func(asOf, now time.Duration, names ...string) {
 		var l []platform.LiveHost
 		for _, n := range names {
 			l = append(l, platform.NewLiveHost(n, platform.HostLive, start.Add(asOf)))
 		}
-		r.see(l, start.Add(now))
+		a.see(l, start.Add(now))
 	}
-	assert.Equal(t, r.offFor(host), time.Duration(0))
+	assert.Equal(t, a.offFor(host), time.Duration(0))
 	see(time.Second, time.Second, "a", host)
 	see(2*time.Second, 2*time.Second, "a")
-	assert.Equal(t, r.offFor(host), time.Second)
+	assert.Equal(t, a.offFor(host), time.Second)
 	see(2*time.Second, 9*time.Second, "a") // The same list again.
 	see(9*time.Second, 9*time.Second)      // No list at all.
-	assert.Equal(t, r.offFor(host), time.Second)
+	assert.Equal(t, a.offFor(host), time.Second)
 	see(5*time.Second, 5*time.Second, "a")
-	assert.Equal(t, r.offFor(host), 4*time.Second)
+	assert.Equal(t, a.offFor(host), 4*time.Second)
 	see(6*time.Second, 6*time.Second, "a", host)
-	assert.Equal(t, r.offFor(host), time.Duration(0))
-	r.reset()
+	assert.Equal(t, a.offFor(host), time.Duration(0))
+	a.reset()
 	see(7*time.Second, 7*time.Second, "a")
-	assert.Equal(t, r.offFor(host), time.Duration(0))
+	assert.Equal(t, a.offFor(host), time.Duration(0))
 }
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -46,7 +46,7 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	observed plan.Observed
-	roll     roll
+	absence  absence
 	busy     bool
 	listing  bool
 	listed   time.Time
@@ -114,7 +114,7 @@
 
 // OffListFor returns for how long the platform's lists have lacked a host, as
 // far as this entry has observed while it planned. It is safe for concurrent use.
-func (p *Planner) OffListFor(host string) time.Duration { return p.roll.offFor(host) }
+func (p *Planner) OffListFor(host string) time.Duration { return p.absence.offFor(host) }
 
 func (p *Planner) handle(now time.Time, m message) {
 	switch m := m.(type) {
@@ -123,7 +123,7 @@
 	case live:
 		p.listing = false
 		p.observed.See(m.hosts, now)
-		p.roll.see(m.hosts, now)
+		p.absence.see(m.hosts, now)
 	case appended:
 		p.busy = false
 	case explain:
@@ -142,7 +142,7 @@
 	if ok != p.owned {
 		p.owned = ok
 		p.observed = plan.Observed{}
-		p.roll.reset()
+		p.absence.reset()
 		p.saved = now
 	}
 	if !ok {
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -59,6 +59,8 @@
 func TestOperators(t *testing.T) { session(t, "operators") }
 func TestLeaving(t *testing.T)   { session(t, "leaving") }
 func TestPaused(t *testing.T)    { session(t, "paused") }
+func TestFresh(t *testing.T)     { session(t, "fresh") }
+func TestMove(t *testing.T)      { session(t, "move") }
 
 // session runs one script. Each has a test of its own, so that KNOWN-RED.txt
 // can name it.
