--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -105,7 +105,7 @@
 		}
 		c.tick(now)
 	case listed:
-		c.watch.listed(now, c.daemon.table.View(), m.hosts)
+		c.watch.listed(now, m.hosts)
 	case tick:
 		c.tick(now)
 	}
--- a/entry/internal/daemon/watch.go
+++ b/entry/internal/daemon/watch.go
@@ -27,8 +27,8 @@
 	connected map[string]bool
 	// silentSince has since when each process was not heard.
 	silentSince map[broker.Entry]time.Time
-	// offList has since when each entry was off the platform's list.
-	offList map[string]time.Time
+	// absence has since when the platform's lists have lacked entries.
+	absence absence
 	// aliveAfter is the pause before the next EntryAlive; zero for the first.
 	aliveAfter   time.Duration
 	suspectSince time.Time
@@ -80,24 +80,16 @@
 
 // listed takes the platform's list in. One that lacks this entry itself doesn't
 // cover entries, and says nothing of them.
-func (w *watch) listed(now time.Time, v *view.View, list []platform.LiveHost) {
+func (w *watch) listed(now time.Time, list []platform.LiveHost) {
 	on := make(map[string]bool, len(list))
 	for _, h := range list {
 		on[h.Name()] = true
 	}
-	if w.offList == nil || !on[w.self] {
-		w.offList = make(map[string]time.Time)
-	}
 	if !on[w.self] {
+		w.absence.reset()
 		return
 	}
-	for _, e := range v.Entries() {
-		if _, known := w.offList[e.Name()]; on[e.Name()] {
-			delete(w.offList, e.Name())
-		} else if !known {
-			w.offList[e.Name()] = now
-		}
-	}
+	w.absence.see(list, now)
 }
 
 // lost returns the suspects that were not heard, and that the platform's list
@@ -121,8 +113,7 @@
 			w.silentSince[b] = now
 			continue
 		}
-		off, dropped := w.offList[b.Name]
-		if e.Suspect() && now.Sub(t) >= lag && dropped && now.Sub(off) >= lag && majority(v, heard) {
+		if e.Suspect() && now.Sub(t) >= lag && w.absence.offFor(b.Name) >= lag && majority(v, heard) {
 			l = append(l, b)
 		}
 	}
--- a/entry/internal/daemon/watch_test.go
+++ b/entry/internal/daemon/watch_test.go
@@ -83,7 +83,8 @@
 	lag := f.View().Config().Fleet().LiveListLag()
 	assert.Assert(t, lag > 0)
 	w := watch{self: "a"}
-	w.listed(_start, f.View(), lists("abc"))
+	w.listed(_start, lists(0, "abc"))
+	w.listed(_start.Add(lag), lists(lag, "abc"))
 	for _, c := range []struct {
 		after time.Duration
 		heard string
@@ -103,7 +104,8 @@
 	}
 	three := newFleet(t, 3)
 	w = watch{self: "a"}
-	w.listed(_start, three.View(), lists("ab"))
+	w.listed(_start, lists(0, "ab"))
+	w.listed(_start.Add(lag), lists(lag, "ab"))
 	for range 2 {
 		assert.Equal(t, names(w.lost(_start, three.View(), hears("b"))), "")
 		assert.Equal(t, names(w.lost(_start.Add(lag), three.View(), hears("b"))), "", "no suspect")
@@ -130,19 +132,19 @@
 		{4 * lag, "abc", ""},
 		{5*lag - 1, "abc", ""},
 		{5 * lag, "abc", "d"},
-		{5 * lag, "abcd", ""},
+		{6 * lag, "abcd", ""},
 	} {
 		now := _start.Add(c.after)
-		w.listed(now, f.View(), lists(c.list))
+		w.listed(now, lists(c.after, c.list))
 		assert.Equal(t, names(w.lost(now, f.View(), hears("bc"))), c.lost, "%+v", c)
 	}
 }
 
-// lists returns the platform's list with hosts named in one word.
-func lists(names string) []platform.LiveHost {
+// lists returns the platform's list as of a time, with hosts named in one word.
+func lists(asOf time.Duration, names string) []platform.LiveHost {
 	var l []platform.LiveHost
 	for _, n := range names {
-		l = append(l, platform.NewLiveHost(string(n), platform.HostLive, _start))
+		l = append(l, platform.NewLiveHost(string(n), platform.HostLive, _start.Add(asOf)))
 	}
 	return l
 }
