--- a/entry/broker/ask.go
+++ b/entry/broker/ask.go
@@ -61,6 +61,8 @@
 	Run time.Duration
 	// Answer is kept for repeats of a keyed request.
 	Answer []byte
+	// Leaving means that the upstream asked for no further requests.
+	Leaving bool
 }
 
 // JournalResult is what became of a key that the broker wanted journaled.
@@ -91,6 +93,8 @@
 	Term uint64
 	// Until is when the run has ended at the latest.
 	Until time.Time
+	// Lost means that nobody waits for the run's end any more.
+	Lost bool
 }
 
 // Host is a host of the pool.
--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -116,7 +116,10 @@
 		return nil
 	}
 	b.judge(now, h, res)
-	if res.Outcome != Lost {
+	b.heedLeaving(now, h, res)
+	if res.Outcome == Lost {
+		b.lose(h)
+	} else {
 		b.free(h)
 	}
 	b.ended(now, h, res)
@@ -124,6 +127,14 @@
 	return b.flush()
 }
 
+// heedLeaving takes out a host whose upstream asked for no further requests.
+func (b *Broker) heedLeaving(now time.Time, h *hold, res Result) {
+	if k := b.hosts.byName[h.Host]; k != nil && res.Leaving {
+		b.hosts.leave(now, k)
+		b.refuseUnplaceable(now)
+	}
+}
+
 // ended closes the request of a hold and answers those that wait for its key.
 func (b *Broker) ended(now time.Time, h *hold, res Result) {
 	b.settleKey(now, h, res)
--- a/entry/internal/daemon/watch.go
+++ b/entry/internal/daemon/watch.go
@@ -6,6 +6,7 @@
 	"fescuelanding/entry/broker"
 	"fescuelanding/entry/internal/view"
 	"fescuelanding/entry/peer"
+	"fescuelanding/fleet/platform"
 	"fescuelanding/fleet/record"
 )
 
@@ -26,6 +27,8 @@
 	connected map[string]bool
 	// silentSince has since when each process was not heard.
 	silentSince map[broker.Entry]time.Time
+	// absence has since when the platform's lists have lacked entries.
+	absence absence
 	// aliveAfter is the pause before the next EntryAlive; zero for the first.
 	aliveAfter   time.Duration
 	suspectSince time.Time
@@ -75,9 +78,24 @@
 	}
 }
 
-// lost returns the suspects that were not heard for longer than the platform's
-// list lags. By then such an entry, if it runs at all, has found its view stale
-// and sends nothing.
+// listed takes the platform's list in. One that lacks this entry itself doesn't
+// cover entries, and says nothing of them.
+func (w *watch) listed(now time.Time, list []platform.LiveHost) {
+	on := make(map[string]bool, len(list))
+	for _, h := range list {
+		on[h.Name()] = true
+	}
+	if !on[w.self] {
+		w.absence.reset()
+		return
+	}
+	w.absence.see(list, now)
+}
+
+// lost returns the suspects that were not heard, and that the platform's list
+// has dropped, for longer than the list lags. By then such an entry, if it runs
+// at all, has found its view stale and sends nothing. Silence alone does not do:
+// what an entry that lives has in flight must count.
 func (w *watch) lost(now time.Time, v *view.View, heard map[string]peer.Status) []broker.Entry {
 	if w.silentSince == nil {
 		w.silentSince = make(map[broker.Entry]time.Time)
@@ -95,7 +113,7 @@
 			w.silentSince[b] = now
 			continue
 		}
-		if e.Suspect() && now.Sub(t) >= lag && majority(v, heard) {
+		if e.Suspect() && now.Sub(t) >= lag && w.absence.offFor(b.Name) >= lag && majority(v, heard) {
 			l = append(l, b)
 		}
 	}
--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/book.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -18,6 +19,10 @@
 
 	_appendTimeout = 2 * time.Second
 	_doubtTimeout  = time.Second
+	// _releaseTimeout is how long a new broker waits for the former one to
+	// release keys it started for nothing.
+	_maxHeld        = 4096
+	_releaseTimeout = 300 * time.Millisecond
 )
 
 // book is the journal of started keys with what waits for it.
@@ -26,6 +31,10 @@
 	batcher keys.Batcher
 	// waiting has the requests whose key is to be read back.
 	waiting map[keys.Key]awaiting
+	// begun are the keys whose request is about to be granted, and held those
+	// of slots in use.
+	begun map[uint64]start
+	held  map[uint64]start
 	// busy is set while an append is under way.
 	busy bool
 	// doubts are the records whose append may have taken effect, oldest first.
@@ -38,6 +47,40 @@
 	until  time.Time
 }
 
+// start is a key that this process started under a term.
+type start struct {
+	key    keys.Key
+	offset uint64
+	term   uint64
+	until  time.Time
+}
+
+// grant notes the slot of a key that was started for a request.
+func (b *book) grant(g broker.Grant) {
+	s, ok := b.begun[g.Request]
+	if !ok {
+		return
+	}
+	delete(b.begun, g.Request)
+	if len(b.held) >= _maxHeld {
+		maps.DeleteFunc(b.held, func(_ uint64, o start) bool { return o.until.Before(g.Until) })
+	}
+	s.until = g.Until
+	b.held[g.Slot] = s
+}
+
+// end returns the key of a slot, or zero, and forgets it.
+func (b *book) end(slot uint64) start {
+	s := b.held[slot]
+	delete(b.held, slot)
+	return s
+}
+
+// idle reports whether no key is on its way to or from the log.
+func (b *book) idle() bool {
+	return !b.busy && len(b.waiting) == 0 && len(b.doubts) == 0 && b.batcher.Next().IsZero()
+}
+
 // awaiting is a request that waits for its key.
 type awaiting struct {
 	pool    string
@@ -47,9 +90,6 @@
 
 // journal puts a key into the next append.
 func (d *Desk) journal(now time.Time, p *pool, o broker.Journal) {
-	if d.book.waiting == nil {
-		d.book.waiting = map[keys.Key]awaiting{}
-	}
 	d.book.waiting[o.Key] = awaiting{pool: p.name, term: p.term, request: o.Request}
 	d.book.batcher.Add(keys.Pending{Pool: p.name, Term: o.Term, Key: o.Key})
 	d.flushKeys(now)
@@ -91,6 +131,11 @@
 			d.book.batcher.AddFence(f.GetPool(), f.GetTerm())
 		}
 	}
+	for _, l := range m.record.GetReleases() {
+		for i := 0; i+keys.Size <= len(l.GetKeys()); i += keys.Size {
+			d.book.batcher.AddRelease(keys.Key(l.GetKeys()[i:i+keys.Size]), l.GetOffset())
+		}
+	}
 	if errors.Is(m.err, platform.ErrUnknownOutcome) {
 		d.book.doubts = append(d.book.doubts, doubt{record: m.record, until: now.Add(_doubtTimeout)})
 		return
@@ -133,7 +178,8 @@
 }
 
 // started settles one key. A key that this process started for a request that
-// was refused meanwhile may be used by the next request with it.
+// was refused meanwhile may be used by the next request with it; where the pool
+// has another broker by now, the key is given back through the log.
 func (d *Desk) started(now time.Time, s keys.Start) {
 	own := s.Entry == d.Self.Name && s.Incarnation == d.Self.Incarnation
 	if !own {
@@ -142,8 +188,13 @@
 	w, waits := d.book.waiting[s.Key]
 	waits = waits && w.term == s.Term
 	switch {
+	case s.Verdict == keys.Started && d.owned(s.Pool, s.Term) == nil:
+		delete(d.book.waiting, s.Key)
+		d.book.batcher.AddRelease(s.Key, s.Offset)
 	case s.Verdict == keys.Started && waits:
+		d.book.begun[w.request] = start{key: s.Key, offset: s.Offset, term: s.Term}
 		d.settle(now, s.Key, broker.JournalStarted)
+		delete(d.book.begun, w.request)
 	case s.Verdict == keys.Started:
 		d.book.journal.Finish(s.Key, keys.NotRun, nil)
 	case waits && s.Verdict == keys.Duplicate:
@@ -159,11 +210,25 @@
 		return
 	}
 	delete(d.book.waiting, k)
-	if p := d.pools[w.pool]; p != nil && p.term == w.term {
+	if p := d.owned(w.pool, w.term); p != nil {
 		d.perform(now, p, p.broker.Journaled(now, w.request, r))
-		return
 	}
-	if r == broker.JournalStarted {
-		d.book.journal.Finish(k, keys.NotRun, nil)
+}
+
+// owned returns a pool that this process owns under a term, or nil.
+func (d *Desk) owned(name string, term uint64) *pool {
+	if p := d.pools[name]; p != nil && p.term == term {
+		return p
+	}
+	return nil
+}
+
+// inDoubt reports whether a key was started, perhaps by the pool's former
+// broker for nothing: soon after a takeover its release may be on its way.
+func (d *Desk) inDoubt(now time.Time, p *pool, k keys.Key) bool {
+	if k.IsZero() || !now.Before(p.doubtUntil) || !d.book.journal.Started(k) {
+		return false
 	}
+	o, _ := d.book.journal.Outcome(k)
+	return o == keys.Unknown
 }
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -36,6 +36,10 @@
 	// reports gathers what entries reported while the former owner hasn't.
 	reports map[uint64]broker.Hold
 	missing map[broker.Entry]bool
+	// doubtUntil is how long keys started by others may still be released, and
+	// doubtful are the asks that wait for that.
+	doubtUntil time.Time
+	doubtful   []ask
 	// configured is the offset of the configuration that the broker has.
 	configured uint64
 }
@@ -108,6 +112,7 @@
 		name: name, term: o.Term(), stop: stop, began: now,
 		waiting: map[uint64]chan<- broker.Op{}, granted: map[uint64]uint64{}, requests: map[uint64]uint64{},
 		reports: map[uint64]broker.Hold{}, missing: map[broker.Entry]bool{},
+		doubtUntil: now.Add(_releaseTimeout),
 	}
 	if f, ok := old.Broker(name); ok {
 		p.former = broker.Entry{Name: f.Entry(), Incarnation: f.Incarnation()}
@@ -153,17 +158,29 @@
 		return
 	}
 	var own []broker.Hold
+	gone := map[broker.Entry]bool{}
 	for _, h := range m.holds {
 		p.reports[h.Slot] = h
 		if h.Entry == m.of {
 			own = append(own, h)
+		} else if !d.registered(h.Entry) {
+			gone[h.Entry] = true
 		}
 	}
+	// A process that is gone can't report: its witnesses are all there is.
+	for e := range gone {
+		d.perform(now, p, p.broker.Report(now, e, p.witnessed(e)))
+	}
 	delete(p.missing, m.of)
 	d.perform(now, p, p.broker.Report(now, m.of, own))
 	d.standIn(now, p)
 }
 
+func (d *Desk) registered(b broker.Entry) bool {
+	e, ok := d.view.Entry(b.Name)
+	return ok && e.Incarnation() == b.Incarnation
+}
+
 // standIn takes what the others witnessed for the former owner for its report,
 // where only that is missing and it has been silent. A former owner that lives
 // reports itself: no witness knows what it held from the owner before it.
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -53,11 +53,16 @@
 func TestHandover(t *testing.T)  { session(t, "handover") }
 func TestKill(t *testing.T)      { session(t, "kill") }
 func TestFreeze(t *testing.T)    { session(t, "freeze") }
+func TestStraggler(t *testing.T) { session(t, "straggler") }
 func TestKeys(t *testing.T)      { session(t, "keys") }
 func TestSlots(t *testing.T)     { session(t, "slots") }
 func TestFaults(t *testing.T)    { session(t, "faults") }
 func TestOperators(t *testing.T) { session(t, "operators") }
+func TestLost(t *testing.T)      { session(t, "lost") }
 func TestLeaving(t *testing.T)   { session(t, "leaving") }
+func TestPaused(t *testing.T)    { session(t, "paused") }
+func TestFresh(t *testing.T)     { session(t, "fresh") }
+func TestMove(t *testing.T)      { session(t, "move") }
 
 // session runs one script. Each has a test of its own, so that KNOWN-RED.txt
 // can name it.
