settings: advertise another peer address

An entry advertised the address it listens at, so nothing could stand between two entries that run, neither a forwarder nor a cut in a test. A relay that binds the entry's own address was ruled out, as the entry itself needs it.

[entry] peerAddress is what EntryRegister carries; without it the peer listen address, as before.

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -280,7 +280,7 @@
 	c.start(now, "register", _registerEvery, func(ctx context.Context) error {
 		return d.append(ctx, &record.Record{Body: &record.Record_EntryRegister{EntryRegister: &record.EntryRegister{
 			Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.settings.DataCentre(),
-			PeerAddress: d.settings.Peer().String(), AdminAddress: d.settings.Admin().String(),
+			PeerAddress: d.settings.PeerAddress().String(), AdminAddress: d.settings.Admin().String(),
 		}}})
 	})
 }
--- a/entry/internal/settings/keys.go
+++ b/entry/internal/settings/keys.go
@@ -16,6 +16,9 @@
 	_wantName     = "a name of letters, digits and dashes, at most 64"
 	_wantDuration = "a positive duration with its unit, like 2s"
 
+	// _listenPeer stands for the default of a key that follows [listen] peer.
+	_listenPeer = "that of `[listen] peer`"
+
 	_maxName     = 64
 	_maxRequests = 100_000
 	_maxBody     = 64 << 20
@@ -36,6 +39,7 @@
 	{"entry", "name", "", _wantName, "Name of this entry; unique among the entries.", func(s *Settings, v string) error { return setName(&s.name, v) }},
 	{"entry", "dataCentre", "", _wantName, "Data centre that the entry stands in, as the configuration names it.", func(s *Settings, v string) error { return setName(&s.dataCentre, v) }},
 	{"entry", "shutdownTimeout", "10m", _wantDuration, "Longest wait of a graceful shutdown for requests in flight.", func(s *Settings, v string) error { return setDuration(&s.shutdown, v) }},
+	{"entry", "peerAddress", _listenPeer, _wantAddress, "Where the other entries reach this one, if not where it listens for them.", func(s *Settings, v string) error { return setAddress(&s.peerAddress, v) }},
 	{"listen", "caller", "", _wantAddress, "Where the balancer sends callers.", func(s *Settings, v string) error { return setAddress(&s.caller, v) }},
 	{"listen", "peer", "", _wantAddress, "Where the other entries connect.", func(s *Settings, v string) error { return setAddress(&s.peer, v) }},
 	{"listen", "admin", "", _wantAddress, "Status, readiness, liveness and metrics.", func(s *Settings, v string) error { return setAddress(&s.admin, v) }},
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -18,13 +18,15 @@
 	caller     netip.AddrPort
 	peer       netip.AddrPort
 	admin      netip.AddrPort
-	platform   string
-	timeout    time.Duration
-	shutdown   time.Duration
-	maxBody    int64
-	requests   int
-	level      string
-	seeds      []Seed
+	// peerAddress is invalid where the file doesn't give it.
+	peerAddress netip.AddrPort
+	platform    string
+	timeout     time.Duration
+	shutdown    time.Duration
+	maxBody     int64
+	requests    int
+	level       string
+	seeds       []Seed
 }
 
 // Seed is a peer known before the log has been read.
@@ -51,6 +53,15 @@
 // Peer returns the address for other entries.
 func (s Settings) Peer() netip.AddrPort { return s.peer }
 
+// PeerAddress returns the address that the other entries dial: the one they
+// reach this entry at, where that isn't its own.
+func (s Settings) PeerAddress() netip.AddrPort {
+	if s.peerAddress.IsValid() {
+		return s.peerAddress
+	}
+	return s.peer
+}
+
 // Admin returns the address of status, readiness and metrics.
 func (s Settings) Admin() netip.AddrPort { return s.admin }
 
@@ -131,7 +142,7 @@
 
 func (r *reader) defaults() {
 	for _, k := range _keys {
-		if k.value == "" {
+		if k.value == "" || k.value == _listenPeer {
 			continue
 		}
 		if err := k.set(&r.settings, k.value); err != nil {
@@ -216,6 +227,9 @@
 	check("listen", "caller", s.caller)
 	check("listen", "peer", s.peer)
 	check("listen", "admin", s.admin)
+	if s.peerAddress != s.peer {
+		check("entry", "peerAddress", s.peerAddress)
+	}
 	for _, p := range s.seeds {
 		section := fmt.Sprintf("peer %q", p.name)
 		if p.name == s.name {
--- a/entry/internal/settings/settings_test.go
+++ b/entry/internal/settings/settings_test.go
@@ -45,4 +45,14 @@
 	assert.Equal(t, s.Name(), "muscat1a")
 	assert.Equal(t, s.Requests(), 4096)
 	assert.Equal(t, len(s.Seeds()), 1)
+	assert.Equal(t, s.PeerAddress(), s.Peer())
+}
+
+func TestPeerAddress(t *testing.T) {
+	b, err := os.ReadFile("testdata/right.ini")
+	assert.NilError(t, err)
+	s, err := Parse("right.ini", append(b, "[entry]\npeerAddress = 127.0.0.2:8181\n"...))
+	assert.NilError(t, err)
+	assert.Equal(t, s.PeerAddress().String(), "127.0.0.2:8181")
+	assert.Equal(t, s.Peer().String(), "127.0.0.1:8081")
 }
