serve: refuse at once while the entry is cut off

Cause: an entry cut from its peers and the platform went on asking. Ruled out: a wrong answer or run, as the gate refused every grant.

Change: the pipe looks at the view's age before each ask and refuses with entryCutOff. Keyed requests go on asking as before: another with that key may be running, which they must not call not run.

TestStaleViewRefusesBeforeItAsks fails with the look left out (tried).

--- a/entry/internal/serve/pipe.go
+++ b/entry/internal/serve/pipe.go
@@ -115,6 +115,9 @@
 func (r *request) slot(ctx context.Context) (granted, caller.End) {
 	pool := r.Service().Pool
 	for {
+		if r.cutOff() {
+			return granted{}, caller.NotRun{Reason: "entryCutOff", RetryAfter: _comeBack}
+		}
 		b := r.pipe.Table.Broker(pool)
 		if b.Entry != "" {
 			o, err := r.pipe.Slots.Ask(ctx, b.Entry, pool, r.ask())
@@ -133,6 +136,13 @@
 	}
 }
 
+// cutOff reports whether the entry's view is stale, so that the gate would
+// refuse any grant. A keyed request waits on: another with its key may be
+// running, so it must not be told that it was not run.
+func (r *request) cutOff() bool {
+	return r.key.IsZero() && !r.pipe.Table.IsFresh(r.pipe.now())
+}
+
 // gaveUp is the end of a request that waited in vain. Behind a keyed one,
 // another request with its key may be running.
 func (r *request) gaveUp() caller.End {
--- a/entry/internal/serve/pipe_test.go
+++ b/entry/internal/serve/pipe_test.go
@@ -227,6 +227,17 @@
 	assert.DeepEqual(t, s.outcomes(), []broker.Outcome{broker.NotSent})
 }
 
+func TestStaleViewRefusesBeforeItAsks(t *testing.T) {
+	s := newStand(t, ok, alwaysGrant)
+	s.pipe.Now = func() time.Time { return time.Now().Add(time.Hour) }
+	e, is := s.serve(t.Context(), "sizeCheck", http.MethodGet, "", time.Second).(caller.NotRun)
+	assert.Assert(t, is)
+	assert.Equal(t, e.Reason, "entryCutOff")
+	assert.Equal(t, len(s.asks), 0)
+	_ = s.serve(t.Context(), "kitHold", http.MethodPost, "k1", time.Second)
+	assert.Equal(t, len(s.asks), 1, "a key may be running elsewhere")
+}
+
 func TestRepeatGetsTheFirstAnswer(t *testing.T) {
 	stored := storeAnswer(upstream.NewAnswer(201, http.Header{"X": {"y"}}, []byte("first")))
 	s := newStand(t, ok, func(_ *stand, _ int, a broker.Ask) (broker.Op, error) {
