session: cuts between entries that run

TestCut: three entries behind relays. First a and b lose each other while both hear c, under load with and without keys; then c loses its peers and the platform for longer than stalenessBound, while a configuration is published and a host goes down: c refuses all, sends nothing to the host, also when it comes back under load, and then serves by the newest configuration. TestRegion: c is cut from a and b under load with shared keys, the platform reachable from both sides. Both judge untrue, cut, wrong and twice.

As both entries of a pair dial, the relays of a and b take no new connection, so that each pair has one way only, which its relay can cut. Ruled out: a relay for each pair, as an entry advertises one address. The command refused names a team now, without which a configured entry refuses for that reason.

--- a/standin/session/doc.go
+++ b/standin/session/doc.go
@@ -5,7 +5,8 @@
 //
 // Before each script every process gets addresses of its own, as environment
 // variables: PLATFORM (FESCUE_PLATFORM is its URL), JUDGE, HOST1 to HOST4, and CALLER_a, PEER_a and ADMIN_a
-// for entries a, b and c. The files of the folder common are copied to the
+// for entries a, b and c; RELAY_a is a relay in front of PEER_a and CONTROL_a its
+// control. The files of the folder common are copied to the
 // script's directory with these filled in. Besides the commands of testscript,
 // scripts have:
 //
@@ -20,6 +21,9 @@
 //	judge             prints the promises the upstreams saw broken
 //	quiet HOST        waits until a host has got no work for a second
 //	busy HOST         waits until a host gets work
+//	relays            puts a relay in front of each entry, before they start
+//	hears A NAME...   waits until entry A is connected with just these entries
+//	runs HOST         prints how many runs a host has begun
 //	owner POOL        sets OWNER to the entry that owns a pool, OTHER1 and OTHER2
 //	                  to the others, and CALLER_owner and so on to addresses
 package session
--- a/standin/session/fresh_test.go
+++ b/standin/session/fresh_test.go
@@ -12,7 +12,10 @@
 	if len(args) != 2 {
 		ts.Fatalf("usage: refused ENTRY REASON")
 	}
-	a, err := http.Post("http://"+ts.Getenv("CALLER_"+args[0])+"/sizeCheck", "text/plain", http.NoBody)
+	q, err := http.NewRequest(http.MethodPost, "http://"+ts.Getenv("CALLER_"+args[0])+"/sizeCheck", http.NoBody)
+	ts.Check(err)
+	q.Header.Set("Fescue-Team", "counters")
+	a, err := http.DefaultClient.Do(q)
 	ts.Check(err)
 	ts.Check(a.Body.Close())
 	end, reason := a.Header.Get("Fescue-End"), a.Header.Get("Fescue-Reason")
--- a/standin/session/session_test.go
+++ b/standin/session/session_test.go
@@ -87,6 +87,9 @@
 			"quiet":    withoutNeg(waitQuiet),
 			"busy":     withoutNeg(waitBusy),
 			"refused":  withoutNeg(checkRefused),
+			"relays":   withoutNeg(startRelays),
+			"hears":    withoutNeg(waitHears),
+			"runs":     withoutNeg(printRuns),
 		},
 	})
 }
@@ -96,7 +99,7 @@
 func setup(e *testscript.Env) error {
 	names := []string{"PLATFORM", "JUDGE", "HOST1", "HOST2", "HOST3", "HOST4"}
 	for _, n := range _entries {
-		names = append(names, "CALLER_"+n, "PEER_"+n, "ADMIN_"+n)
+		names = append(names, "CALLER_"+n, "PEER_"+n, "ADMIN_"+n, "RELAY_"+n, "CONTROL_"+n)
 	}
 	l, err := process.FreeAddresses(len(names))
 	if err != nil {
