entry: a new broker's witness knows its holds before its slots are free

Cause: an entry that becomes a pool's broker may hold slots there that the former broker granted; nobody else knew them any more, and killed soon after the takeover it took them along (found by reading: hold.Table.Own had no caller). Change: its own report counts only once the witness has the holds, and a changed witness is told.

--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -266,8 +266,10 @@
 
 // show passes a view on: first to the gate, then to those who act by it.
 func (d *Daemon) show(v *view.View) {
+	old := d.table.View()
 	d.table.Show(v)
 	d.desk.Show(v)
+	d.newWitnesses(old, v)
 	d.control.shown()
 }
 
--- a/entry/internal/daemon/log.go
+++ b/entry/internal/daemon/log.go
@@ -12,7 +12,6 @@
 
 	"fescuelanding/entry/broker"
 	"fescuelanding/entry/internal/follow"
-	"fescuelanding/entry/internal/hold"
 	"fescuelanding/entry/internal/serve"
 	"fescuelanding/entry/internal/slots"
 	"fescuelanding/entry/keys"
@@ -135,18 +134,3 @@
 		Unwitness: d.remote.Unwitness,
 	}
 }
-
-// fetchHolds asks an entry, perhaps this one, what it holds in a pool.
-func (d *Daemon) fetchHolds(ctx context.Context, entry, pool string, term uint64) ([]broker.Hold, error) {
-	if entry != d.self.Name {
-		return d.remote.FetchHolds(ctx, entry, pool, term)
-	}
-	l, ok := d.table.Report(time.Now(), pool, hold.Broker{Entry: entry, Term: term})
-	if !ok {
-		return nil, errTermOver
-	}
-	return l, nil
-}
-
-// errTermOver means that the pool has a newer broker.
-var errTermOver = errors.New("term is over")
--- a/entry/internal/hold/table.go
+++ b/entry/internal/hold/table.go
@@ -201,12 +201,13 @@
 	return l, true
 }
 
-// Witness remembers a hold of the broker's own entry, for the next broker. It
-// returns false for a broker older than one reported to.
-func (t *Table) Witness(now time.Time, pool string, h broker.Hold) bool {
+// Witness remembers a hold of the broker's own entry, for the next broker. The
+// term is that of the broker, which may have taken the hold over; it returns
+// false for a broker older than one reported to.
+func (t *Table) Witness(now time.Time, pool string, term uint64, h broker.Hold) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if h.Term < t.term(pool) {
+	if term < t.term(pool) {
 		return false
 	}
 	expire(now, t.lost)
@@ -231,14 +232,17 @@
 	delete(t.witnessed, slot)
 }
 
-// Own returns the entry's own holds in a pool, for a new witness.
+// Own returns the entry's own holds in a pool and its lost runs, for a new
+// witness.
 func (t *Table) Own(pool string) []broker.Hold {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var l []broker.Hold
-	for _, h := range t.holds {
-		if h.pool == pool {
-			l = append(l, h.Hold)
+	for _, m := range []map[uint64]held{t.holds, t.lost} {
+		for _, h := range m {
+			if h.pool == pool {
+				l = append(l, h.Hold)
+			}
 		}
 	}
 	return l
--- a/entry/internal/hold/table_test.go
+++ b/entry/internal/hold/table_test.go
@@ -96,14 +96,14 @@
 	assert.NilError(t, b.Enter(_now, "fitting", h))
 	other := grant(f, 2, "h2")
 	other.Entry = broker.Entry{Name: "e2", Incarnation: 2}
-	assert.Assert(t, b.Witness(_now, "fitting", other))
+	assert.Assert(t, b.Witness(_now, "fitting", other.Term, other))
 	l, ok := b.Report(_now, "fitting", Broker{Entry: "e3", Term: h.Term + 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, len(l), 2)
 
 	_, ok = b.Report(_now, "fitting", Broker{Entry: "e2", Term: h.Term})
 	assert.Assert(t, !ok, "an older broker was told")
-	assert.Assert(t, !b.Witness(_now, "fitting", other), "a hold of an old broker was witnessed")
+	assert.Assert(t, !b.Witness(_now, "fitting", other.Term, other), "a hold of an old broker was witnessed")
 
 	assert.DeepEqual(t, b.Leave("fitting", 1, broker.Answered), Broker{Entry: "e3", Term: h.Term + 1})
 	assert.Assert(t, b.Idle("h1"))
@@ -113,9 +113,9 @@
 	b, f := registered(t)
 	h := grant(f, 1, "h1")
 	h.Until = _now.Add(time.Second)
-	assert.Assert(t, b.Witness(_now, "fitting", h))
+	assert.Assert(t, b.Witness(_now, "fitting", h.Term, h))
 	later := grant(f, 2, "h1")
-	assert.Assert(t, b.Witness(_now.Add(2*time.Second), "fitting", later))
+	assert.Assert(t, b.Witness(_now.Add(2*time.Second), "fitting", later.Term, later))
 	l, _ := b.Report(_now.Add(2*time.Second), "fitting", Broker{Entry: "e2", Term: h.Term})
 	assert.Equal(t, len(l), 1)
 	assert.Equal(t, l[0].Slot, uint64(2))
--- a/entry/internal/remote/client.go
+++ b/entry/internal/remote/client.go
@@ -56,9 +56,15 @@
 	return c.acknowledged(context.Background(), entry, doneMessage(pool, slot, r))
 }
 
-// Witness has an entry remember a hold of this one.
+// Witness has an entry remember a hold of this one, the pool's broker.
 func (c *Client) Witness(ctx context.Context, entry, pool string, h broker.Hold) error {
-	return c.acknowledged(ctx, entry, &peer.Witness{Pool: pool, Term: h.Term, Hold: holdMessage(time.Now(), h)})
+	return c.WitnessUnder(ctx, entry, pool, h.Term, h)
+}
+
+// WitnessUnder has an entry remember a hold that was granted under an older term
+// than that of this entry, the pool's broker.
+func (c *Client) WitnessUnder(ctx context.Context, entry, pool string, term uint64, h broker.Hold) error {
+	return c.acknowledged(ctx, entry, &peer.Witness{Pool: pool, Term: term, Hold: holdMessage(time.Now(), h)})
 }
 
 // Unwitness has an entry forget a hold.
--- a/entry/internal/remote/server.go
+++ b/entry/internal/remote/server.go
@@ -97,7 +97,7 @@
 		s.Table.Unwitness(h.Slot)
 		return &peer.Ack{}
 	}
-	if !s.Table.Witness(now, m.GetPool(), h) {
+	if !s.Table.Witness(now, m.GetPool(), m.GetTerm(), h) {
 		return &peer.Fault{Detail: "term is old"}
 	}
 	return &peer.Ack{}
