entry: entries that only keep up with the keys stream read it each second

Change: the stream is read at once only while keys are waited for: own ones, or a release after a takeover.

--- a/entry/internal/daemon/log.go
+++ b/entry/internal/daemon/log.go
@@ -23,6 +23,7 @@
 const (
 	_keysWait       = 500 * time.Millisecond
 	_keysPause      = 100 * time.Millisecond
+	_keysRest       = time.Second
 	_idBytes        = 16
 	_stalenessBound = 5 * time.Second
 )
@@ -103,10 +104,26 @@
 		case len(b.Records()) > 0:
 			d.desk.Read(b.Records())
 			next = b.Records()[len(b.Records())-1].Offset() + 1
+			d.restKeys(ctx)
 		}
 	}
 }
 
+// restKeys waits before the keys stream is read again, unless somebody waits for
+// it: entries that only keep up with it take many records at once.
+func (d *Daemon) restKeys(ctx context.Context) {
+	if d.desk.Reading() {
+		return
+	}
+	t := time.NewTimer(_keysRest)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-d.desk.News():
+	}
+}
+
 // slots asks this entry's desk or another entry, whichever is the broker.
 func (d *Daemon) slots() serve.Slots {
 	return serve.Slots{
--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/book.go
@@ -93,6 +93,7 @@
 	d.book.waiting[o.Key] = awaiting{pool: p.name, term: p.term, request: o.Request}
 	d.book.batcher.Add(keys.Pending{Pool: p.name, Term: o.Term, Key: o.Key})
 	d.flushKeys(now)
+	d.noteReading(now)
 }
 
 // flushKeys begins an append where one is due, one at a time: a fence must not
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -39,12 +40,15 @@
 	// Log receives what is worth noting; it may be nil.
 	Log *log.Logger
 
-	duty  *duty.Duty[message]
-	stop  context.CancelFunc
-	ctx   context.Context
-	pools map[string]*pool
-	view  *view.View
-	book  book
+	// reading is set while keys are waited for; news tells that it begins.
+	reading atomic.Bool
+	news    chan struct{}
+	duty    *duty.Duty[message]
+	stop    context.CancelFunc
+	ctx     context.Context
+	pools   map[string]*pool
+	view    *view.View
+	book    book
 }
 
 // Start begins the duty.
@@ -53,6 +57,7 @@
 	d.pools = map[string]*pool{}
 	d.view = &view.View{}
 	d.book.waiting = map[keys.Key]awaiting{}
+	d.news = make(chan struct{}, 1)
 	d.book.begun, d.book.held = map[uint64]start{}, map[uint64]start{}
 	u, err := duty.Spawn(s, "slots", _ring, duty.Refuse, d.handle, duty.WithTick[message](_tick, tick{}))
 	if err != nil {
@@ -212,6 +217,7 @@
 	}
 	d.endDoubts(now)
 	d.flushKeys(now)
+	d.noteReading(now)
 }
 
 // perform carries out what a broker decided.
--- /dev/null
+++ b/standin/capacity/keys_test.go
@@ -0,0 +1,110 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/fleet/config"
+	"fescuelanding/fleet/platform"
+	"fescuelanding/standin/internal/publish"
+)
+
+// BenchmarkKeys measures what the keyed requests of one pool cost the entries
+// that don't send them, by their rate: its witness, and those that only read the
+// keys stream.
+func BenchmarkKeys(b *testing.B) {
+	const entries = 5
+	for _, rate := range []int{0, 20, 60, 180} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			r := start(b, entries)
+			_, text := r.upstreams(b)
+			c, err := config.Parse([]byte(text))
+			assert.NilError(b, err)
+			p := publish.Publisher{Platform: platform.New(r.platform)}
+			o, _, err := p.Publish(b.Context(), c)
+			assert.NilError(b, err)
+			r.ready(b)
+			r.applied(b, o)
+			others(b, r, r.owner(b), rate)
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// others sends through the owner, and reports the entry that read most beside
+// it, which is the witness, and the one that read least.
+func others(b *testing.B, r *running, owner, rate int) {
+	b.Helper()
+	before := make([]usage, len(r.entries))
+	for i, e := range r.entries {
+		before[i] = use(b, e)
+	}
+	begin := time.Now()
+	n := keyed(b, r.callers[owner], rate)
+	s := time.Since(begin).Seconds()
+	var l []usage
+	for i, e := range r.entries {
+		if u := use(b, e); i != owner {
+			l = append(l, usage{processor: u.processor - before[i].processor, read: u.read - before[i].read})
+		}
+	}
+	slices.SortFunc(l, func(a, b usage) int { return cmp.Compare(a.read, b.read) })
+	b.ReportMetric(float64(n)/s, "keys/s")
+	for _, w := range []struct {
+		name string
+		usage
+	}{{"reader", l[0]}, {"witness", l[len(l)-1]}} {
+		b.ReportMetric(float64(w.read)/s, w.name+"ReadBytes/s")
+		b.ReportMetric(100*w.processor.Seconds()/s, w.name+"CorePercent")
+	}
+}
+
+// keyed sends requests with a key each at a rate for a while, and returns how
+// many were answered.
+func keyed(b *testing.B, url string, rate int) int {
+	b.Helper()
+	const over = 10 * time.Second
+	if rate == 0 {
+		time.Sleep(over)
+		return 0
+	}
+	t := time.NewTicker(time.Second / time.Duration(rate))
+	defer t.Stop()
+	answers := make(chan bool, rate*int(over/time.Second))
+	sent := 0
+	for ; sent < cap(answers); sent++ {
+		<-t.C
+		key := fmt.Sprint(rate, "-", sent)
+		go func() { answers <- hold(b, url, key) }()
+	}
+	n := 0
+	for range sent {
+		if <-answers {
+			n++
+		}
+	}
+	return n
+}
+
+// hold sends one request that must run at most once.
+func hold(b *testing.B, url, key string) bool {
+	q, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url+"/kitHold/x", strings.NewReader(_body))
+	if err != nil {
+		return false
+	}
+	q.Header.Set("Fescue-Team", "desk")
+	q.Header.Set("Idempotency-Key", key)
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	_ = p.Body.Close()
+	return p.StatusCode == http.StatusOK
+}
--- a/standin/capacity/speed_test.go
+++ b/standin/capacity/speed_test.go
@@ -97,6 +97,9 @@
 pool = fitting
 class = counter
 idempotent = true
+[service "kitHold"]
+pool = fitting
+class = counter
 [host "h1"]
 address = %s
 dataCentre = dc0
