fleet: end an intent to move where the host has arrived

Ruled out: a record of the planner (one append more for each move; a planner that dies before it leaves the intent), and hiding it in the command line.

Change: Apply ends the intent at HostAssign to the intended pool, at HostKeep in it, and at once where the host is there already. The end sets the intent's basis, as the end for a pool that is gone does. The digest's encoding is the same; an entry of an older build differs after an arrival (docs/moves.md).

Guards taken out: with step.go and intent.go as before, script moves/arrived fails at the stale cancellation and at the pools wanted by h3 and h4.

--- a/fleet/intent.go
+++ b/fleet/intent.go
@@ -23,7 +23,7 @@
 		return reject(ReasonUnknownPool, "pool %s", m.GetToPool())
 	}
 	h.intent.toPool = m.GetToPool()
-	s.putHost(h)
+	s.putHost(h.arrived(a.offset))
 	return nil
 }
 
@@ -40,3 +40,13 @@
 	h.intent.basis = a.offset
 	return h, nil
 }
+
+// arrived ends the intent to move a host that is in the intended pool to stay.
+// A later move to elsewhere is then no breach of the operators' word, and the
+// intent isn't carried out again.
+func (h Host) arrived(offset uint64) Host {
+	if h.intent.toPool != "" && h.intent.toPool == h.pool && h.movingTo == "" {
+		h.intent.toPool, h.intent.basis = "", offset
+	}
+	return h
+}
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -42,9 +42,9 @@
 	case *record.Record_HostRelease:
 		return s.release(a, h, b.HostRelease)
 	case *record.Record_HostAssign:
-		return s.assign(h, b.HostAssign)
+		return s.assign(a, h, b.HostAssign)
 	default:
-		return keep(h)
+		return keep(a, h)
 	}
 }
 
@@ -198,7 +198,7 @@
 }
 
 // assign ends a move: the host changes its pool at this offset.
-func (s *State) assign(h Host, m *record.HostAssign) (Host, *Rejection) {
+func (s *State) assign(a *action, h Host, m *record.HostAssign) (Host, *Rejection) {
 	if h.movingTo == "" || h.movingTo != m.GetToPool() {
 		return h, reject(ReasonSecondPool, "host %s is in %s, moving to %q", h.name, h.pool, h.movingTo)
 	}
@@ -206,16 +206,16 @@
 		return h, r
 	}
 	h.pool, h.movingTo, h.step = h.movingTo, "", 0
-	return h, nil
+	return h.arrived(a.offset), nil
 }
 
 // keep gives up a move; the host stays in its pool.
-func keep(h Host) (Host, *Rejection) {
+func keep(a *action, h Host) (Host, *Rejection) {
 	if h.movingTo == "" {
 		return h, reject(ReasonWrongState, "host %s isn't moving", h.name)
 	}
 	h.movingTo, h.step, h.waiting = "", 0, nil
-	return h, nil
+	return h.arrived(a.offset), nil
 }
 
 // confirm notes that an entry has nothing in flight on some hosts. Steps that
