planner: don't put a checkpoint off for an outage or a change of planner

Cause, found while working out the retention that the platform must have: the time of the next checkpoint was counted from the attempt, so one whose append failed in an outage came 10 minutes after it, with a log that may hold none by then; and every change of the planner began the 10 minutes anew.

Change: it is counted from when the last whole checkpoint was first seen in the state, which every entry notes.

Guards taken out: TestCheckpointAfterOutage fails with planner.go as before, TestCheckpointAfterChange with the reset at a change of owner back in; TestCheckpointNeedsWhatFollowsIt (new test of an old guard) fails without the comparison with the first retained offset in recover.go.

Not run: an outage longer than the retention with real processes.

--- a/entry/internal/follow/follower_test.go
+++ b/entry/internal/follow/follower_test.go
@@ -123,6 +123,24 @@
 	assert.Equal(t, f.Offset(), uint64(0))
 }
 
+// TestCheckpointNeedsWhatFollowsIt has a whole checkpoint in the log, but the
+// record after its offset has been dropped.
+func TestCheckpointNeedsWhatFollowsIt(t *testing.T) {
+	s, state := newStream(t, 6)
+	const chunk = 64
+	l := state.Checkpoint(chunk)
+	s.add(t, &record.Record{Body: &record.Record_Checkpoint{}})
+	for _, c := range l {
+		s.add(t, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: c}})
+	}
+	s.first = 8
+	f, _ := follower(s)
+	assert.ErrorIs(t, f.step(t.Context()), ErrNoCheckpoint)
+	s.first = 7
+	assert.NilError(t, f.step(t.Context()))
+	assert.Equal(t, f.Offset(), uint64(6))
+}
+
 func TestRestoreNeverGoesBack(t *testing.T) {
 	s, state := newStream(t, 6)
 	const chunk = 64
--- a/entry/internal/planner/planner.go
+++ b/entry/internal/planner/planner.go
@@ -61,7 +61,10 @@
 	// hosts is the last list, and news whether it has changed since the last plan.
 	hosts []platform.LiveHost
 	news  bool
-	saved time.Time
+	// saved is when the last whole checkpoint, that of offset savedAt, was seen
+	// first, by the planner or not; the first tick where there is none.
+	saved   time.Time
+	savedAt uint64
 	// planned and plannedAt are when, and on which offset, the last plan was made.
 	planned   time.Time
 	plannedAt uint64
@@ -156,13 +159,12 @@
 // one that begins to plan knows what came to pass under the last planner.
 func (p *Planner) tick(now time.Time) {
 	_, ok := p.Owner()
-	if ok != p.owned {
-		p.owned, p.saved = ok, now
-	}
+	p.owned = ok
 	p.list(now)
 	var l []*record.Record
 	p.State(func(s *fleet.State) {
 		p.observed.Track(s, now)
+		p.seeCheckpoint(now, s)
 		if ok && !p.busy {
 			l = p.plan(now, s)
 		}
@@ -205,6 +207,15 @@
 	}()
 }
 
+// seeCheckpoint notes how old the last whole checkpoint is. Every entry does, so
+// that a change of the planner doesn't put the next one off.
+func (p *Planner) seeCheckpoint(now time.Time, s *fleet.State) {
+	at, _ := s.Checkpointed()
+	if at != p.savedAt || p.saved.IsZero() {
+		p.saved, p.savedAt = now, at
+	}
+}
+
 // checkpoint returns the chunks of the state where the last checkpoint is old
 // by time or by records.
 func (p *Planner) checkpoint(now time.Time, s *fleet.State) []*record.Record {
@@ -213,7 +224,6 @@
 	if behind < _checkpointBehind && (now.Sub(p.saved) < _checkpointEvery || behind == 0) {
 		return nil
 	}
-	p.saved = now
 	var l []*record.Record
 	for _, c := range s.Checkpoint(fleet.MaxChunk) {
 		l = append(l, &record.Record{AtUnixMs: now.UnixMilli(), Body: &record.Record_Checkpoint{Checkpoint: c}})
--- a/entry/internal/planner/planner_test.go
+++ b/entry/internal/planner/planner_test.go
@@ -318,6 +318,33 @@
 	assert.Equal(t, r.checkpoints(), 1)
 }
 
+// TestCheckpointAfterChange lets the planner change when a checkpoint is due.
+func TestCheckpointAfterChange(t *testing.T) {
+	r := newRig(t)
+	r.tick(t, time.Second)
+	r.tick(t, _checkpointEvery)
+	assert.Equal(t, r.checkpoints(), 0)
+	r.owns.Store(true)
+	r.tick(t, time.Second)
+	assert.Equal(t, r.checkpoints(), 1)
+}
+
+// TestCheckpointAfterOutage lets the append of a checkpoint fail: the next plan
+// writes it, not the one of the next interval.
+func TestCheckpointAfterOutage(t *testing.T) {
+	r := newRig(t)
+	r.owns.Store(true)
+	r.tick(t, time.Second)
+	r.fault = platform.ErrUnavailable
+	r.tick(t, _checkpointEvery)
+	assert.Equal(t, r.checkpoints(), 0)
+	r.fault = nil
+	r.tick(t, _planEvery)
+	assert.Equal(t, r.checkpoints(), 1)
+	r.tick(t, _checkpointEvery-_planEvery)
+	assert.Equal(t, r.checkpoints(), 1)
+}
+
 func TestCheckpointByCount(t *testing.T) {
 	r := newRig(t)
 	r.owns.Store(true)
