broker: refuse relaxed work at once only on what was seen

Cause: the reserve of a new broker expects a burst that fills the pool, and the estimate of a relaxed request's wait took the slots that this leaves (one, or an eighth of the pool) for all there will be. As soon as one long run was known, the next requests' work over that share was longer than the time left: refused at once (overload) beside free slots. Script newBroker gave it before the change: of five runs of 20 s due in 40 s with 16 slots the fifth was refused, and after 20 s two had started. The case seen by hand (2 of 4) was not repeated with processes.

Ruled out: unknown run times as such. The guess for a service never seen is 100 ms, which refuses nothing; only the first end of a run brings the refusals.

Change: the estimate counts only bursts that were seen. While a larger one is merely expected, relaxed work that is pressed for time claims slots for all that waits, within the quarter of the pool that it might claim before; its demand of the last minute is as unknown to a new broker as the bursts are.

Guards taken out: with relaxedCap in relaxedWait, or without the claim for all that waits, script newBroker fails; with that claim always, script seenBurst does.

--- a/entry/broker/admit.go
+++ b/entry/broker/admit.go
@@ -114,11 +114,12 @@
 	return seconds(t)
 }
 
-// relaxedWait expects that relaxed work has the slots it may hold now, less
-// those that urgent work keeps busy on average, or as many as it had lately.
+// relaxedWait expects that relaxed work has the slots it may hold now by what
+// was seen, less those that urgent work keeps busy on average, or as many as it
+// had lately.
 func (b *Broker) relaxedWait(now time.Time, r *request) time.Duration {
 	l := b.band(Relaxed)
-	most := b.relaxedCap(now)
+	most := b.relaxedCapSeen(now)
 	if l.work == 0 && l.held < most && b.hosts.unused() > 0 {
 		return 0
 	}
--- a/entry/broker/reserve.go
+++ b/entry/broker/reserve.go
@@ -74,8 +74,21 @@
 // an urgent burst like the largest one remembered needs beyond the slots that
 // relaxed work gives back within the time urgent work may wait. A new broker
 // remembers none and expects one that fills the pool. Relaxed work that is
-// pressed for time claims what its demand needs against the reserve.
+// pressed for time claims what it needs against the reserve.
 func (b *Broker) relaxedCap(now time.Time) int {
+	s := float64(b.hosts.slots())
+	return b.relaxedCapFor(now, max(b.demand.peakNow(now), b.unseenPeak(now, s)))
+}
+
+// relaxedCapSeen returns how many slots relaxed work may hold as far as bursts
+// were seen. What a new broker merely expects is no ground to refuse for.
+func (b *Broker) relaxedCapSeen(now time.Time) int {
+	return b.relaxedCapFor(now, b.demand.peakNow(now))
+}
+
+// relaxedCapFor returns how many slots relaxed work may hold when an urgent
+// burst may ask for as many as given.
+func (b *Broker) relaxedCapFor(now time.Time, peak float64) int {
 	s := float64(b.hosts.slots())
 	within, urgent := b.startWithin()
 	if !urgent {
@@ -84,7 +97,7 @@
 	run := b.relaxedRun()
 	asked := b.demand.urgent.now(now, _burstTau)
 	b.demand.bursts.see(now, asked/max(s, 1))
-	c := s - b.reserved(now, s, within, run)
+	c := s - reserved(s, peak, within, run)
 	if s*_relaxedLeast >= 1 {
 		// One slot at least, so that its run time gets known; lost runs won't
 		// tell.
@@ -94,16 +107,30 @@
 		c = max(c, s*_quietShare-asked)
 	}
 	if p := b.pressure(now); p > 0 {
-		need := p * min(b.demand.relaxed.now(now, _steadyTau)*_relaxedHeadroom, s*_relaxedMost)
-		c = max(c, math.Ceil(need))
+		c = max(c, math.Ceil(p*min(b.relaxedNeed(now, s), s*_relaxedMost)))
 	}
 	return int(min(s, c))
 }
 
+// relaxedNeed returns the slots that relaxed work needs: by its demand, or, while
+// nothing but ignorance keeps slots from it, for all that there is of it.
+func (b *Broker) relaxedNeed(now time.Time, slots float64) float64 {
+	n := b.demand.relaxed.now(now, _steadyTau) * _relaxedHeadroom
+	if b.unseenPeak(now, slots) > b.demand.peakNow(now) {
+		n = max(n, float64(b.band(Relaxed).held+b.waiting(Relaxed)))
+	}
+	return n
+}
+
+// unseenPeak returns the slots of a burst that is expected without having been
+// seen.
+func (b *Broker) unseenPeak(now time.Time, slots float64) float64 {
+	return fade(slots*b.demand.unseen, now.Sub(b.since), _peakTau)
+}
+
 // reserved returns the slots that relaxed work, which runs for the time given,
-// must leave to urgent work.
-func (b *Broker) reserved(now time.Time, slots float64, within, run time.Duration) float64 {
-	peak := max(b.demand.peakNow(now), fade(slots*b.demand.unseen, now.Sub(b.since), _peakTau))
+// must leave to an urgent burst.
+func reserved(slots, peak float64, within, run time.Duration) float64 {
 	freed := within.Seconds() / run.Seconds()
 	if freed >= 1 {
 		return 0
