daemon, peer: one job to a file

The control duty keeps its messages and its tick; running jobs, catching up with peers and what is appended about registrations stand in jobs.go, catchup.go and registration.go. Of the set of peers accepting, choosing between two links, sending and heartbeats have files of their own.

Code only moves. go test -race of both packages passes.

--- a/entry/internal/daemon/control.go
+++ b/entry/internal/daemon/control.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 
-	"fescuelanding/entry/broker"
 	"fescuelanding/entry/internal/duty"
-	"fescuelanding/entry/internal/remote"
 	"fescuelanding/entry/internal/view"
 	"fescuelanding/entry/peer"
 	"fescuelanding/fleet/platform"
@@ -18,15 +15,8 @@
 )
 
 const (
-	_controlRing   = 64
-	_controlTick   = 100 * time.Millisecond
-	_jobTimeout    = 5 * time.Second
-	_registerEvery = time.Second
-	_suspectEvery  = time.Second
-	_fetchEvery    = 200 * time.Millisecond
-	// _logFirst is how long the log may be silent before peers are asked.
-	_logFirst    = time.Second
-	_outageGrace = 3 * _controlTick
+	_controlRing = 64
+	_controlTick = 100 * time.Millisecond
 )
 
 // control compares what the log says with what the entry sees, and appends
@@ -46,23 +36,17 @@
 // tick comes at each interval, and whenever there is a newer view.
 type tick struct{}
 
+func (tick) isMessage() {}
+
 // ended says that a job is over.
 type ended struct{ name string }
 
-func (tick) isMessage() {}
+func (ended) isMessage() {}
 
 // listed is the platform's list as it was read.
 type listed struct{ hosts []platform.LiveHost }
 
 func (listed) isMessage() {}
-func (ended) isMessage()  {}
-
-// job is an append that is under way, or that rests until it may run again.
-type job struct {
-	running bool
-	next    time.Time
-	every   time.Duration
-}
 
 func (c *control) begin(s *actor.ActorSystem) error {
 	c.ctx, c.stop = context.WithCancel(context.Background())
@@ -111,29 +95,6 @@
 	}
 }
 
-// start runs a job unless it runs already or ran within the interval.
-func (c *control) start(now time.Time, name string, every time.Duration, f func(context.Context) error) {
-	j := c.jobs[name]
-	if j == nil {
-		j = &job{}
-		c.jobs[name] = j
-	}
-	if j.running || now.Before(j.next) {
-		return
-	}
-	j.running, j.every = true, every
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, _jobTimeout)
-		defer cancel()
-		if err := f(ctx); err != nil {
-			c.daemon.log.Warn("Job failed.", "job", name, "err", err)
-		}
-		for errors.Is(c.duty.Post(ended{name: name}), duty.ErrFull) {
-			time.Sleep(time.Millisecond)
-		}
-	}()
-}
-
 // tick looks at everything that may be due.
 func (c *control) tick(now time.Time) {
 	d := c.daemon
@@ -190,155 +151,6 @@
 	return l
 }
 
-// refresh proves the view's age by what peers prove, or by their all lacking
-// proof alike: then the log is out and nothing can have changed.
-func (c *control) refresh(now time.Time, v *view.View, heard map[string]peer.Status) {
-	d := c.daemon
-	bound := d.stalenessBound()
-	outage := true
-	if t, ok := d.proof(); ok && now.Sub(t) < bound/2 {
-		outage = false
-	}
-	for _, s := range heard {
-		if s.ProofAge() < 0 {
-			continue
-		}
-		at := s.Heard().Add(-s.ProofAge())
-		if now.Sub(at) < bound/2 {
-			outage = false
-		}
-		if s.AppliedOffset() <= v.Offset() {
-			d.table.Fresh(at.Add(bound))
-		}
-	}
-	_, proved := d.proof()
-	if outage && proved && majority(v, heard) {
-		d.table.Fresh(now.Add(_outageGrace))
-	}
-}
-
-// fetch takes what the furthest peer is ahead, while the log can't be read or
-// has dropped what this entry needs. It is no proof of the log's head, and does
-// not register: an entry that others don't wait for must not send.
-func (c *control) fetch(now time.Time, heard map[string]peer.Status) {
-	d := c.daemon
-	last, ok := d.proof()
-	if !ok {
-		last = d.start // The log comes first.
-	}
-	if now.Sub(last) < _logFirst {
-		return
-	}
-	from := d.follower.Offset()
-	entry, ok := furthest(heard, from)
-	if !ok {
-		return
-	}
-	c.start(now, "fetch", _fetchEvery, func(ctx context.Context) error {
-		if from == 0 {
-			return c.restore(ctx, entry)
-		}
-		l, err := d.remote.Fetch(ctx, entry, from+1)
-		if errors.Is(err, remote.ErrExpired) {
-			return c.restore(ctx, entry)
-		}
-		d.follower.Offer(l)
-		return err
-	})
-}
-
-// restore takes the state of a peer.
-func (c *control) restore(ctx context.Context, entry string) error {
-	l, err := c.daemon.remote.FetchCheckpoint(ctx, entry)
-	if err != nil {
-		return err
-	}
-	if err := c.daemon.follower.Restore(l); err != nil {
-		return fmt.Errorf("take state of %s: %w", entry, err)
-	}
-	c.daemon.log.Info("State was taken from a peer.", "entry", entry, "offset", l[0].GetAtOffset())
-	return nil
-}
-
-// furthest returns the connected peer that has applied most, if that is more
-// than the offset.
-func furthest(heard map[string]peer.Status, offset uint64) (entry string, ok bool) {
-	for n, s := range heard {
-		if s.AppliedOffset() > offset {
-			entry, offset, ok = n, s.AppliedOffset(), true
-		}
-	}
-	return entry, ok
-}
-
-// register announces this process once it has read the log to its head.
-func (c *control) register(now time.Time) {
-	d := c.daemon
-	if _, ok := d.proof(); !ok {
-		return
-	}
-	c.start(now, "register", _registerEvery, func(ctx context.Context) error {
-		return d.append(ctx, &record.Record{Body: &record.Record_EntryRegister{EntryRegister: &record.EntryRegister{
-			Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: d.settings.DataCentre(),
-			PeerAddress: d.settings.Peer().String(), AdminAddress: d.settings.Admin().String(),
-		}}})
-	})
-}
-
-// judge accuses entries that are silent, and tells the desk of them.
-func (c *control) judge(now time.Time, v *view.View, heard map[string]peer.Status) {
-	lost, accused := c.watch.silent(now, v, heard)
-	for _, b := range lost {
-		c.daemon.desk.Lost(b)
-	}
-	for _, b := range accused {
-		c.accuse(now, b)
-	}
-}
-
-func (c *control) accuse(now time.Time, b broker.Entry) {
-	c.start(now, "suspect "+b.Name, _suspectEvery, func(ctx context.Context) error {
-		c.daemon.log.Warn("Entry is silent.", "entry", b.Name)
-		return c.daemon.append(ctx, &record.Record{Body: &record.Record_EntrySuspect{
-			EntrySuspect: &record.EntrySuspect{Entry: b.Name, Incarnation: b.Incarnation},
-		}})
-	})
-}
-
-// unregisterLost has the planner's entry unregister what is lost for good.
-func (c *control) unregisterLost(now time.Time, v *view.View, heard map[string]peer.Status) {
-	_, plans := c.daemon.mayPlan()
-	l := c.watch.lost(now, v, heard)
-	if !plans {
-		return
-	}
-	for _, b := range l {
-		c.start(now, "unregister "+b.Name, _registerEvery, func(ctx context.Context) error {
-			return c.daemon.append(ctx, unregisterRecord(b, record.UnregisterCause_UNREGISTER_CAUSE_LOST))
-		})
-	}
-}
-
-// unregisterRecord ends the registration of a process.
-func unregisterRecord(b broker.Entry, cause record.UnregisterCause) *record.Record {
-	return &record.Record{Body: &record.Record_EntryUnregister{
-		EntryUnregister: &record.EntryUnregister{Entry: b.Name, Incarnation: b.Incarnation, Cause: cause},
-	}}
-}
-
-// alive lifts a suspicion of this entry.
-func (c *control) alive(now time.Time, v *view.View, heard map[string]peer.Status) {
-	if !c.watch.alive(now, v, heard) {
-		return
-	}
-	d := c.daemon
-	c.start(now, "alive", _registerEvery, func(ctx context.Context) error {
-		return d.append(ctx, &record.Record{Body: &record.Record_EntryAlive{
-			EntryAlive: &record.EntryAlive{Entry: d.self.Name, Incarnation: d.self.Incarnation},
-		}})
-	})
-}
-
 // confirm tells the log of steps on hosts where nothing of this entry is in
 // flight.
 func (c *control) confirm(now time.Time, v *view.View) {
@@ -353,34 +165,3 @@
 		}})
 	})
 }
-
-// handOver gives ownership away and waits until the log shows it.
-func (c *control) handOver(limit time.Duration) {
-	d := c.daemon
-	ctx, cancel := context.WithTimeout(c.ctx, limit)
-	defer cancel()
-	err := d.append(ctx, &record.Record{Body: &record.Record_EntryLeaving{
-		EntryLeaving: &record.EntryLeaving{Entry: d.self.Name, Incarnation: d.self.Incarnation},
-	}})
-	if err != nil {
-		d.log.Warn("Pools were not handed over.", "err", err)
-		return
-	}
-	for ctx.Err() == nil {
-		if e, ok := d.table.View().Entry(d.self.Name); !ok || e.Leaving() {
-			return
-		}
-		time.Sleep(_controlTick / 10)
-	}
-}
-
-// unregister ends this process's registration.
-func (c *control) unregister(limit time.Duration) {
-	d := c.daemon
-	ctx, cancel := context.WithTimeout(c.ctx, limit)
-	defer cancel()
-	err := d.append(ctx, unregisterRecord(d.self, record.UnregisterCause_UNREGISTER_CAUSE_LEFT))
-	if err != nil {
-		d.log.Warn("Entry stays registered.", "err", err)
-	}
-}
--- /dev/null
+++ b/entry/peer/install.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"slices"
+)
+
+// decide says whether a connection to remote would be kept.
+func (s *Set) decide(remote Identity, outbound bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decideLocked(remote, outbound)
+}
+
+func (s *Set) decideLocked(remote Identity, outbound bool) error {
+	old := s.links[remote.Entry]
+	switch {
+	case old == nil || old.closed():
+		return nil
+	case old.remote.Incarnation != remote.Incarnation:
+		return s.decideProcess(old.remote)
+	case old.outbound != outbound && s.preferred(remote) == outbound:
+		return nil
+	case !old.outbound && !outbound:
+		// The dialler has lost the old one, or it wouldn't dial again.
+		return nil
+	}
+	return &RefusedError{
+		code:   RefusalCode_REFUSAL_CODE_DUPLICATE,
+		detail: "connected already with " + remote.Entry,
+	}
+}
+
+// decideProcess says whether another process of the entry may take the place of
+// old. It may not while old is the registered one and connected: what was
+// replaced and wakes late would otherwise cut its successor off.
+func (s *Set) decideProcess(old Identity) error {
+	registered := func(p Peer) bool { return p.Entry == old.Entry && p.Incarnation == old.Incarnation }
+	if !slices.ContainsFunc(s.peers, registered) {
+		return nil
+	}
+	return &RefusedError{
+		code:   RefusalCode_REFUSAL_CODE_REPLACED,
+		detail: "the registered process of " + old.Entry + " is connected",
+	}
+}
+
+// preferred reports whether the connection that this side dialled is the one
+// to keep; both sides come to the same.
+func (s *Set) preferred(remote Identity) (outbound bool) { return s.self.Entry < remote.Entry }
+
+// install makes k the link of its entry and closes the one before it, or
+// closes k.
+func (s *Set) install(k *link) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.decideLocked(k.remote, k.outbound)
+	if s.ctx.Err() != nil {
+		err = ErrStopped
+	}
+	if err != nil {
+		go k.close(err)
+		return err
+	}
+	if old := s.links[k.remote.Entry]; old != nil {
+		go old.close(ErrReplaced)
+	}
+	s.links[k.remote.Entry] = k
+	if t, ok := s.errs[k.remote.Entry]; ok {
+		s.errs[k.remote.Entry] = trouble{lost: t.lost}
+	}
+	return nil
+}
+
+func (s *Set) remove(k *link, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links[k.remote.Entry] == k {
+		delete(s.links, k.remote.Entry)
+		if s.wanted(k.remote.Entry) {
+			s.errs[k.remote.Entry] = trouble{lost: err}
+		}
+	}
+}
+
+func (s *Set) link(entry string) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[entry]
+}
+
+func (s *Set) closeAll() {
+	s.mu.Lock()
+	all := make([]*link, 0, len(s.links))
+	for _, k := range s.links {
+		all = append(all, k)
+	}
+	s.mu.Unlock()
+	for _, k := range all {
+		k.close(ErrStopped)
+	}
+}
