--- a/entry/keys/journal_test.go
+++ b/entry/keys/journal_test.go
@@ -300,3 +300,10 @@
 		})
 	}
 }
+
+func TestAllLeavesABrokenKeyOut(t *testing.T) {
+	a, b := keys.Key{1}, keys.Key{2}
+	l := slices.Concat(a[:], b[:])
+	assert.DeepEqual(t, slices.Collect(keys.All(l)), []keys.Key{a, b})
+	assert.DeepEqual(t, slices.Collect(keys.All(l[:len(l)-1])), []keys.Key{a})
+}
--- a/entry/keys/key.go
+++ b/entry/keys/key.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"iter"
+	"slices"
 )
 
 // Size is the length of a key in bytes.
@@ -35,14 +37,22 @@
 	return fmt.Sprintf("keys of %d bytes are not a multiple of %d", e.size, Size)
 }
 
-// split cuts the keys of a batch apart.
+// All returns the keys that stand one after the other in the list of a batch or
+// a release. Bytes after the last whole key are left out.
+func All(b []byte) iter.Seq[Key] {
+	return func(yield func(Key) bool) {
+		for c := range slices.Chunk(b, Size) {
+			if len(c) < Size || !yield(Key(c)) {
+				return
+			}
+		}
+	}
+}
+
+// split returns the keys of a list, or an error where it is broken.
 func split(b []byte) ([]Key, error) {
 	if len(b)%Size != 0 {
 		return nil, &BadKeysError{size: len(b)}
 	}
-	ks := make([]Key, 0, len(b)/Size)
-	for ; len(b) > 0; b = b[Size:] {
-		ks = append(ks, Key(b[:Size]))
-	}
-	return ks, nil
+	return slices.AppendSeq(make([]Key, 0, len(b)/Size), All(b)), nil
 }
--- a/fescue/history.go
+++ b/fescue/history.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"errors"
 	"fmt"
 	"time"
@@ -15,10 +14,7 @@
 	"fescuelanding/fleet/record"
 )
 
-const (
-	_stream  = "fleet"
-	_idBytes = 16
-)
+const _stream = "fleet"
 
 var (
 	// errLog means that the log can't be made into a state.
@@ -115,8 +111,7 @@
 // its offset. The error is a *supersededError where the object was changed
 // since it was read, and a *fleet.Rejection where a guard held it back.
 func (h *history) submit(ctx context.Context, writer string, now time.Time, r *record.Record) (uint64, error) {
-	r.Id = make([]byte, _idBytes)
-	_, _ = rand.Read(r.Id)
+	r.Id = record.NewID()
 	r.Writer, r.AtUnixMs = writer, now.UnixMilli()
 	r.Basis = h.state.Basis(r)
 	data, err := proto.Marshal(r)
--- a/standin/internal/publish/publish.go
+++ b/standin/internal/publish/publish.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
@@ -18,8 +17,6 @@
 	"fescuelanding/fleet/record"
 )
 
-const _idBytes = 16
-
 // Publisher appends changes of the configuration, as a writer that has read
 // the whole log. The zero value has read nothing.
 type Publisher struct {
@@ -36,10 +33,9 @@
 		return 0, 0, err
 	}
 	r := &record.Record{
-		Id: make([]byte, _idBytes), Writer: "measurement", Basis: p.state.ConfigOffset(),
+		Id: record.NewID(), Writer: "measurement", Basis: p.state.ConfigOffset(),
 		Body: &record.Record_ConfigChange{ConfigChange: p.state.Config().Diff(to)},
 	}
-	_, _ = rand.Read(r.Id)
 	b, err := proto.Marshal(r)
 	if err != nil {
 		return 0, 0, fmt.Errorf("encode change: %w", err)
