--- a/entry/broker/broker.go
+++ b/entry/broker/broker.go
@@ -120,7 +120,7 @@
 	if res.Outcome == Lost {
 		b.lose(h)
 	} else {
-		b.free(h)
+		b.release(h)
 	}
 	b.ended(now, h, res)
 	b.dispatch(now)
@@ -171,7 +171,7 @@
 func (b *Broker) Tick(now time.Time) []Op {
 	b.start(now)
 	for _, h := range b.holds.expired(now) {
-		b.free(h)
+		b.release(h)
 		b.ended(now, h, Result{})
 	}
 	b.missing.expire(now)
--- a/entry/broker/ends_test.go
+++ b/entry/broker/ends_test.go
@@ -12,8 +12,8 @@
 	"fescuelanding/entry/keys"
 )
 
-// desk asks one broker at random and judges every end it gives.
-type desk struct {
+// driver asks one broker at random and judges every end it gives.
+type driver struct {
 	b       broker.Broker
 	journal keys.Journal
 	now     time.Time
@@ -40,7 +40,7 @@
 	at time.Time
 }
 
-var _deskLimits = broker.Limits{
+var _driverLimits = broker.Limits{
 	Classes: []broker.Class{
 		{Name: "urgent", Urgency: broker.Urgent, StartWithin: _startWithin, Deadline: 3 * time.Second, MaxRun: _worldMaxRun},
 		{Name: "relaxed", Deadline: time.Minute, MaxRun: _worldMaxRun},
@@ -48,14 +48,14 @@
 	Teams: []broker.Team{{Name: "one", Quota: 1}, {Name: "two", Quota: 2, Weight: 3}, {Name: "any"}},
 }
 
-func newDesk() *desk {
-	d := &desk{
+func newDriver() *driver {
+	d := &driver{
 		now: _epoch, open: make(map[uint64]asked), granted: make(map[uint64]broker.Grant),
 		waiting: make(map[uint64]broker.Journal), byTeam: make(map[string]int), byHost: make(map[string]int),
 		runs: make(map[keys.Key]int),
 	}
 	d.b.SetKeys(&d.journal)
-	d.b.SetLimits(d.now, _deskLimits)
+	d.b.SetLimits(d.now, _driverLimits)
 	d.b.SetHosts(d.now, []broker.Host{
 		{Name: "h0", Rack: "r0", Slots: _worldSlots, Duty: broker.Serving},
 		{Name: "h1", Rack: "r1", Slots: _worldSlots, Duty: broker.Serving},
@@ -63,7 +63,7 @@
 	return d
 }
 
-func (d *desk) take(t *rapid.T, ops []broker.Op) {
+func (d *driver) take(t *rapid.T, ops []broker.Op) {
 	for _, o := range ops {
 		switch o := o.(type) {
 		case broker.Grant:
@@ -79,7 +79,7 @@
 }
 
 // close counts the end of a request; a second one fails the test.
-func (d *desk) close(t *rapid.T, id uint64) asked {
+func (d *driver) close(t *rapid.T, id uint64) asked {
 	a, ok := d.open[id]
 	if !ok {
 		t.Fatalf("request %d has a second end", id)
@@ -88,7 +88,7 @@
 	return a
 }
 
-func (d *desk) grant(t *rapid.T, g broker.Grant) {
+func (d *driver) grant(t *rapid.T, g broker.Grant) {
 	a := d.close(t, g.Request)
 	if w := d.now.Sub(a.at); a.Class == "urgent" && a.Key.IsZero() && w > _startWithin {
 		t.Fatalf("urgent request %d started after %v", g.Request, w)
@@ -96,7 +96,7 @@
 	d.granted[g.Request] = g
 	d.byTeam[a.Team]++
 	d.byHost[g.Host]++
-	for _, k := range _deskLimits.Teams {
+	for _, k := range _driverLimits.Teams {
 		if k.Quota > 0 && d.byTeam[k.Name] > k.Quota {
 			t.Fatalf("team %s holds %d", k.Name, d.byTeam[k.Name])
 		}
@@ -117,7 +117,7 @@
 // _heldMark sets the numbers of granted requests apart from those that wait.
 const _heldMark = 1 << 32
 
-func (d *desk) done(t *rapid.T, id uint64, o broker.Outcome) {
+func (d *driver) done(t *rapid.T, id uint64, o broker.Outcome) {
 	g := d.granted[id]
 	a := d.open[id+_heldMark]
 	delete(d.granted, id)
@@ -134,7 +134,7 @@
 	d.take(t, d.b.Done(d.now, g.Slot, broker.Result{Outcome: o, Run: 500 * time.Millisecond}))
 }
 
-func (d *desk) ask(t *rapid.T) {
+func (d *driver) ask(t *rapid.T) {
 	d.next++
 	a := broker.Ask{
 		Request: d.next, Entry: broker.Entry{Name: "e1"}, Service: "s", Idempotent: true,
@@ -149,7 +149,7 @@
 }
 
 // journaled lets the key of a waiting request be read back, or lost.
-func (d *desk) journaled(t *rapid.T, id uint64, res broker.JournalResult) {
+func (d *driver) journaled(t *rapid.T, id uint64, res broker.JournalResult) {
 	j := d.waiting[id]
 	delete(d.waiting, id)
 	if res == broker.JournalStarted {
@@ -166,7 +166,7 @@
 }
 
 // pass lets time go on: lost runs end at the latest when their holds say.
-func (d *desk) pass(t *rapid.T, by time.Duration) {
+func (d *driver) pass(t *rapid.T, by time.Duration) {
 	d.now = d.now.Add(by)
 	d.lost = slices.DeleteFunc(d.lost, func(l lostRun) bool {
 		if d.now.Before(l.until) {
@@ -185,7 +185,7 @@
 }
 
 // settle lets everything that is open come to its end.
-func (d *desk) settle(t *rapid.T) {
+func (d *driver) settle(t *rapid.T) {
 	for range 100 {
 		for _, id := range slices.Sorted(maps.Keys(d.waiting)) {
 			d.journaled(t, id, broker.JournalStarted)
@@ -202,7 +202,7 @@
 
 func TestEveryAskHasOneEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := newDesk()
+		d := newDriver()
 		t.Repeat(map[string]func(*rapid.T){
 			"ask":  d.ask,
 			"ask2": d.ask,
--- a/entry/broker/hold.go
+++ b/entry/broker/hold.go
@@ -93,10 +93,10 @@
 	return h
 }
 
-// take counts a hold against its host, class and team.
-func (b *Broker) take(h *hold) {
+// acquire counts a hold against its host, class and team.
+func (b *Broker) acquire(h *hold) {
 	b.holds.add(h)
-	b.hosts.take(h.Host)
+	b.hosts.acquire(h.Host)
 	if h.class != nil {
 		h.class.held++
 	}
@@ -117,10 +117,10 @@
 	}
 }
 
-// free ends a hold.
-func (b *Broker) free(h *hold) {
+// release ends a hold.
+func (b *Broker) release(h *hold) {
 	b.holds.remove(h)
-	b.hosts.free(h.Host)
+	b.hosts.release(h.Host)
 	if h.class != nil {
 		h.class.held--
 		if h.Lost {
@@ -144,12 +144,12 @@
 		h.Key = r.Key
 	}
 	r.hold = h
-	b.take(h)
+	b.acquire(h)
 }
 
 // unreserve gives back a slot that was never granted.
 func (b *Broker) unreserve(r *request) {
-	b.free(r.hold)
+	b.release(r.hold)
 	r.hold = nil
 }
 
--- a/entry/broker/host.go
+++ b/entry/broker/host.go
@@ -92,14 +92,14 @@
 	return n
 }
 
-func (s *hosts) take(name string) {
+func (s *hosts) acquire(name string) {
 	if h := s.byName[name]; h != nil {
 		h.taken++
 		s.racks[h.Rack]++
 	}
 }
 
-func (s *hosts) free(name string) {
+func (s *hosts) release(name string) {
 	if h := s.byName[name]; h != nil {
 		h.taken--
 		s.racks[h.Rack]--
--- a/entry/broker/takeover.go
+++ b/entry/broker/takeover.go
@@ -95,7 +95,7 @@
 	}
 	for _, h := range b.holds.bySlot {
 		if _, ok := reported[h.Slot]; !ok && h.Entry == of && h.Term < b.term {
-			b.free(h)
+			b.release(h)
 		}
 	}
 }
@@ -107,7 +107,7 @@
 	}
 	h := &hold{Hold: r, class: b.classes.byName[r.Class], team: b.team(r.Team)}
 	h.Lost = false
-	b.take(h)
+	b.acquire(h)
 	if r.Lost {
 		b.lose(h)
 	}
--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -88,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), _statusTimeout)
 	defer cancel()
-	if l, err := d.desk.Status(ctx); err == nil {
+	if l, err := d.dispatcher.Status(ctx); err == nil {
 		s.Pools = l
 	}
 	for _, p := range d.peers.Peers() {
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -44,20 +44,20 @@
 
 // Daemon is one process of an entry.
 type Daemon struct {
-	settings settings.Settings
-	self     broker.Entry
-	log      *log.Logger
-	platform *platform.Client
-	peers    *peer.Set
-	remote   remote.Client
-	table    *hold.Table
-	desk     slots.Desk
-	follower follow.Follower
-	pipe     serve.Pipe
-	sender   upstream.Sender
-	control  control
-	planner  planner.Planner
-	slotsFor chan struct{}
+	settings   settings.Settings
+	self       broker.Entry
+	log        *log.Logger
+	platform   *platform.Client
+	peers      *peer.Set
+	remote     remote.Client
+	table      *hold.Table
+	dispatcher slots.Dispatcher
+	follower   follow.Follower
+	pipe       serve.Pipe
+	sender     upstream.Sender
+	control    control
+	planner    planner.Planner
+	slotsFor   chan struct{}
 
 	leaving atomic.Bool
 	proved  atomic.Int64 // nanoseconds from start to the last proof of the log's head
@@ -78,7 +78,7 @@
 	d.peers = peer.New(peer.Identity{Entry: d.self.Name, Incarnation: d.self.Incarnation, DataCentre: s.DataCentre()},
 		peer.WithLog(l), peer.WithHeartbeat(_heartbeat, _silentAfter))
 	d.remote = remote.Client{Self: d.self, Peers: d.peers}
-	d.desk = slots.Desk{Self: d.self, FetchHolds: d.fetchHolds, Append: d.appendKeys, Log: l.WithPrefix("slots")}
+	d.dispatcher = slots.Dispatcher{Self: d.self, FetchHolds: d.fetchHolds, Append: d.appendKeys, Log: l.WithPrefix("slots")}
 	d.follower = follow.Follower{
 		Read: d.readFleet, Show: d.show, Proved: d.prove, Log: l.WithPrefix("log"),
 		Push: func(r []platform.Record) { d.peers.SendAll(remote.Push(r)) },
@@ -88,7 +88,7 @@
 	d.planner = planner.Planner{
 		Owner: d.mayPlan, State: d.follower.With, Live: d.control.live, Append: d.appendAs, Log: l.WithPrefix("planner"),
 	}
-	server := &remote.Server{Desk: &d.desk, Table: d.table, Follower: &d.follower}
+	server := &remote.Server{Dispatcher: &d.dispatcher, Table: d.table, Follower: &d.follower}
 	d.peers.Handle = server.Handle
 	d.peers.Beat = d.beat
 	return d
@@ -102,7 +102,7 @@
 		return err
 	}
 	system := duty.System(d.log.WithPrefix("duty"))
-	if err := d.desk.Start(system); err != nil {
+	if err := d.dispatcher.Start(system); err != nil {
 		return err
 	}
 	if err := d.control.begin(system); err != nil {
@@ -125,7 +125,7 @@
 	stop()
 	d.planner.Stop()
 	d.control.end()
-	d.desk.Stop()
+	d.dispatcher.Stop()
 	_ = admin.Close()
 	d.threads.Wait()
 	d.log.Info("Entry stopped.")
@@ -245,7 +245,7 @@
 func (d *Daemon) settleKeys() {
 	ctx, cancel := context.WithTimeout(context.Background(), _settleTimeout)
 	defer cancel()
-	if err := d.desk.Settle(ctx); err != nil {
+	if err := d.dispatcher.Settle(ctx); err != nil {
 		d.log.Warn("Some keys stay started.", "err", err)
 	}
 }
@@ -267,7 +267,7 @@
 // show passes a view on: first to the gate, then to those who act by it.
 func (d *Daemon) show(v *view.View) {
 	d.table.Show(v)
-	d.desk.Show(v)
+	d.dispatcher.Show(v)
 	d.control.shown()
 }
 
--- a/entry/internal/daemon/doc.go
+++ b/entry/internal/daemon/doc.go
@@ -7,6 +7,6 @@
 //	err = d.Run(ctx) // Until ctx ends; then a graceful shutdown.
 //
 // Requests flow one way: caller's handler, pipe, broker, upstream. What the
-// entry knows flows the other: follower, view, desk and gate. A control duty
-// compares the two at each tick and appends what it finds due to the log.
+// entry knows flows the other: follower, view, dispatcher and gate. A control
+// duty compares the two at each tick and appends what it finds due to the log.
 package daemon
--- a/entry/internal/daemon/log.go
+++ b/entry/internal/daemon/log.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"errors"
 	"fmt"
 	"time"
@@ -24,7 +23,6 @@
 const (
 	_keysWait       = 500 * time.Millisecond
 	_keysPause      = 100 * time.Millisecond
-	_idBytes        = 16
 	_stalenessBound = 5 * time.Second
 )
 
@@ -56,8 +54,7 @@
 
 // appendAs writes a record whose basis is set, and returns its offset.
 func (d *Daemon) appendAs(ctx context.Context, r *record.Record) (uint64, error) {
-	r.Id = make([]byte, _idBytes)
-	_, _ = rand.Read(r.Id)
+	r.Id = record.NewID()
 	r.Writer = d.self.Name
 	b, err := proto.Marshal(r)
 	if err != nil {
@@ -86,7 +83,7 @@
 	return nil
 }
 
-// followKeys reads the keys stream into the desk. Where its beginning has
+// followKeys reads the keys stream into the dispatcher. Where its beginning has
 // expired, so have the keys there.
 func (d *Daemon) followKeys(ctx context.Context) {
 	next := uint64(1)
@@ -102,31 +99,31 @@
 			case <-time.After(_keysPause):
 			}
 		case len(b.Records()) > 0:
-			d.desk.Read(b.Records())
+			d.dispatcher.Read(b.Records())
 			next = b.Records()[len(b.Records())-1].Offset() + 1
 		}
 	}
 }
 
-// slots asks this entry's desk or another entry, whichever is the broker.
+// slots asks this entry's dispatcher or another entry, whichever is the broker.
 func (d *Daemon) slots() serve.Slots {
 	return serve.Slots{
 		Ask: func(ctx context.Context, entry, pool string, a broker.Ask) (broker.Op, error) {
 			if entry == d.self.Name {
-				return d.desk.Ask(ctx, pool, a)
+				return d.dispatcher.Ask(ctx, pool, a)
 			}
 			return d.remote.Ask(ctx, entry, pool, a)
 		},
 		Cancel: func(entry, pool string, request uint64) {
 			if entry == d.self.Name {
-				d.desk.Cancel(pool, request)
+				d.dispatcher.Cancel(pool, request)
 				return
 			}
 			d.remote.Cancel(entry, pool, request)
 		},
 		Done: func(entry, pool string, slot uint64, r broker.Result) error {
 			if entry == d.self.Name {
-				d.desk.Done(pool, slot, r)
+				d.dispatcher.Done(pool, slot, r)
 				return nil
 			}
 			return d.remote.Done(entry, pool, slot, r)
--- a/entry/internal/daemon/registration.go
+++ b/entry/internal/daemon/registration.go
@@ -29,11 +29,11 @@
 	})
 }
 
-// judge accuses entries that are silent, and tells the desk of them.
+// judge accuses entries that are silent, and tells the dispatcher of them.
 func (c *control) judge(now time.Time, v *view.View, heard map[string]peer.Status) {
 	lost, accused := c.watch.silent(now, v, heard)
 	for _, b := range lost {
-		c.daemon.desk.Lost(b)
+		c.daemon.dispatcher.Lost(b)
 	}
 	for _, b := range accused {
 		c.accuse(now, b)
--- a/entry/internal/follow/follower.go
+++ b/entry/internal/follow/follower.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
-	f.take(b.Records(), true)
+	f.applyAll(b.Records(), true)
 	if f.Offset() >= b.Head() && f.Proved != nil {
 		f.Proved(start)
 	}
@@ -78,7 +78,7 @@
 }
 
 // Offer applies records that a peer passed on, as far as they join on.
-func (f *Follower) Offer(l []platform.Record) { f.take(l, false) }
+func (f *Follower) Offer(l []platform.Record) { f.applyAll(l, false) }
 
 // Offset returns the offset of the last record applied.
 func (f *Follower) Offset() uint64 {
@@ -111,8 +111,8 @@
 	return l[:min(n, len(l))], first, head
 }
 
-// take applies the records that follow the state's offset, and shows the view.
-func (f *Follower) take(l []platform.Record, pass bool) {
+// applyAll applies the records that follow the state's offset, and shows the view.
+func (f *Follower) applyAll(l []platform.Record, pass bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.current()
--- a/entry/internal/remote/doc.go
+++ b/entry/internal/remote/doc.go
@@ -4,6 +4,6 @@
 //	c := remote.Client{Peers: set}
 //	op, err := c.Ask(ctx, "entry2", "fitting", ask)
 //
-//	s := remote.Server{Self: self, Desk: &desk, Table: table, Follower: &follower}
+//	s := remote.Server{Self: self, Dispatcher: &dispatcher, Table: table, Follower: &follower}
 //	set.Handle = s.Handle
 package remote
--- a/entry/internal/remote/server.go
+++ b/entry/internal/remote/server.go
@@ -12,15 +12,15 @@
 
 const (
 	_maxRecords = 256
-	// _patience is how long an ask is kept beyond its deadline.
-	_patience = time.Second
+	// _answerGrace is how long an ask is kept beyond its deadline.
+	_answerGrace = time.Second
 )
 
 // Server answers other entries. Its fields are set before use.
 type Server struct {
-	Desk     *slots.Desk
-	Table    *hold.Table
-	Follower *follow.Follower
+	Dispatcher *slots.Dispatcher
+	Table      *hold.Table
+	Follower   *follow.Follower
 
 	shelf shelf
 }
@@ -31,7 +31,7 @@
 	case *peer.Ask:
 		s.ask(now, in, m)
 	case *peer.Cancel:
-		s.Desk.Cancel(m.GetPool(), m.GetRequestId())
+		s.Dispatcher.Cancel(m.GetPool(), m.GetRequestId())
 	case *peer.Done:
 		go s.done(in, m)
 	case *peer.FetchHolds:
@@ -55,13 +55,13 @@
 // on behalf of the asker.
 func (s *Server) ask(now time.Time, in peer.Inbound, m *peer.Ask) {
 	a := askFrom(now, in.From(), m)
-	w, err := s.Desk.Begin(m.GetPool(), a)
+	w, err := s.Dispatcher.Begin(m.GetPool(), a)
 	if err != nil {
 		reply(in, &peer.Refuse{RequestId: a.Request, Reason: peer.RefuseReason_REFUSE_REASON_BUSY})
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), a.Deadline.Add(_patience))
+		ctx, cancel := context.WithDeadline(context.Background(), a.Deadline.Add(_answerGrace))
 		defer cancel()
 		o, err := w.Wait(ctx)
 		if err != nil {
@@ -73,7 +73,7 @@
 }
 
 func (s *Server) done(in peer.Inbound, m *peer.Done) {
-	s.Desk.Done(m.GetPool(), m.GetSlotId(), resultFrom(m))
+	s.Dispatcher.Done(m.GetPool(), m.GetSlotId(), resultFrom(m))
 	reply(in, &peer.Ack{})
 }
 
--- a/entry/internal/serve/doc.go
+++ b/entry/internal/serve/doc.go
@@ -2,7 +2,7 @@
 // for a slot, passes the gate, sends, judges the answer, and tries again where
 // that can do no harm.
 //
-//	p := serve.Pipe{Self: self, Table: table, Desk: desk, Peers: remote, Sender: &sender}
+//	p := serve.Pipe{Self: self, Table: table, Dispatcher: dispatcher, Peers: remote, Sender: &sender}
 //	end := p.Serve(ctx, request)
 //
 // A request that was sent goes on when its caller has gone or its deadline has
--- a/entry/internal/serve/pipe.go
+++ b/entry/internal/serve/pipe.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// _patience is how long an ask waits beyond the deadline for the broker's
+	// _answerGrace is how long an ask waits beyond the deadline for the broker's
 	// own word that it expired.
-	_patience = 50 * time.Millisecond
+	_answerGrace = 50 * time.Millisecond
 	// _again is the pause before a broker is asked again.
 	_again = 10 * time.Millisecond
 	// _comeBack is when to come back where nothing better is known.
@@ -80,7 +80,7 @@
 // Serve brings a request to its end.
 func (p *Pipe) Serve(ctx context.Context, c caller.Request) caller.End {
 	r := &request{Request: c, pipe: p, id: rand.Uint64(), key: key(c)}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline().Add(_patience))
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline().Add(_answerGrace))
 	defer cancel()
 	for {
 		asked := p.now()
--- a/entry/internal/slots/desk.go
+++ b/entry/internal/slots/dispatcher.go
@@ -19,15 +19,15 @@
 var (
 	// ErrNotOwner means that the pool's broker runs elsewhere.
 	ErrNotOwner = errors.New("another entry owns the pool")
-	// ErrBusy means that the desk's ring is full; nothing was asked.
-	ErrBusy = errors.New("desk is busy")
+	// ErrBusy means that the dispatcher's ring is full; nothing was asked.
+	ErrBusy = errors.New("dispatcher is busy")
 )
 
 // notOwner answers asks of a pool that isn't owned, or not any more.
 type notOwner struct{ broker.Refuse }
 
-// Desk runs the brokers of one entry. Its fields are set before Start.
-type Desk struct {
+// Dispatcher runs the brokers of one entry. Its fields are set before Start.
+type Dispatcher struct {
 	// Self is the process that owns.
 	Self broker.Entry
 	// FetchHolds asks an entry, this one included, for what it holds and has
@@ -39,21 +39,21 @@
 	// Log receives what is worth noting; it may be nil.
 	Log *log.Logger
 
-	duty  *duty.Duty[message]
-	stop  context.CancelFunc
-	ctx   context.Context
-	pools map[string]*pool
-	view  *view.View
-	book  book
+	duty   *duty.Duty[message]
+	stop   context.CancelFunc
+	ctx    context.Context
+	pools  map[string]*pool
+	view   *view.View
+	keyLog keyLog
 }
 
 // Start begins the duty.
-func (d *Desk) Start(s *actor.ActorSystem) error {
+func (d *Dispatcher) Start(s *actor.ActorSystem) error {
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.pools = map[string]*pool{}
 	d.view = &view.View{}
-	d.book.waiting = map[keys.Key]awaiting{}
-	d.book.begun, d.book.held = map[uint64]start{}, map[uint64]start{}
+	d.keyLog.waiting = map[keys.Key]awaiting{}
+	d.keyLog.begun, d.keyLog.held = map[uint64]start{}, map[uint64]start{}
 	u, err := duty.Spawn(s, "slots", _ring, duty.Refuse, d.handle, duty.WithTick[message](_tick, tick{}))
 	if err != nil {
 		return fmt.Errorf("start slots: %w", err)
@@ -63,7 +63,7 @@
 }
 
 // Stop ends the duty after what was posted.
-func (d *Desk) Stop() {
+func (d *Dispatcher) Stop() {
 	d.stop()
 	d.duty.Stop()
 }
@@ -71,7 +71,7 @@
 // Ask asks a pool's broker for a slot and waits for its answer: a Grant, a
 // Refuse or a Repeat. Where the context ends first, the request is cancelled and
 // a grant that comes later goes back unused.
-func (d *Desk) Ask(ctx context.Context, pool string, a broker.Ask) (broker.Op, error) {
+func (d *Dispatcher) Ask(ctx context.Context, pool string, a broker.Ask) (broker.Op, error) {
 	w, err := d.Begin(pool, a)
 	if err != nil {
 		return nil, err
@@ -80,44 +80,44 @@
 }
 
 // Begin asks without waiting. A Cancel that follows finds the ask.
-func (d *Desk) Begin(pool string, a broker.Ask) (Wait, error) {
+func (d *Dispatcher) Begin(pool string, a broker.Ask) (Wait, error) {
 	c := make(chan broker.Op, 1)
 	if err := d.duty.Post(ask{pool: pool, ask: a, reply: c}); err != nil {
 		return Wait{}, fmt.Errorf("%w: %w", ErrBusy, err)
 	}
-	return Wait{desk: d, pool: pool, request: a.Request, reply: c}, nil
+	return Wait{dispatcher: d, pool: pool, request: a.Request, reply: c}, nil
 }
 
 // Cancel takes a request out of the queue. The asker must not use a grant of
 // it any more.
-func (d *Desk) Cancel(pool string, request uint64) {
+func (d *Dispatcher) Cancel(pool string, request uint64) {
 	d.must(cancel{pool: pool, request: request})
 }
 
 // Done gives a slot back.
-func (d *Desk) Done(pool string, slot uint64, r broker.Result) {
+func (d *Dispatcher) Done(pool string, slot uint64, r broker.Result) {
 	d.must(done{pool: pool, slot: slot, result: r})
 }
 
-// Show gives the desk a newer view.
-func (d *Desk) Show(v *view.View) { d.must(shown{view: v}) }
+// Show gives the dispatcher a newer view.
+func (d *Dispatcher) Show(v *view.View) { d.must(shown{view: v}) }
 
-// Lost tells the desk that a process of an entry is silent.
-func (d *Desk) Lost(e broker.Entry) { d.must(lost{entry: e}) }
+// Lost tells the dispatcher that a process of an entry is silent.
+func (d *Dispatcher) Lost(e broker.Entry) { d.must(lost{entry: e}) }
 
-// Read gives the desk the next records of the keys stream.
-func (d *Desk) Read(l []platform.Record) { d.must(read{records: l}) }
+// Read gives the dispatcher the next records of the keys stream.
+func (d *Dispatcher) Read(l []platform.Record) { d.must(read{records: l}) }
 
 // must posts what can't be refused: it waits while the ring is full. The duty
 // waits for nobody, so that this ends.
-func (d *Desk) must(m message) {
+func (d *Dispatcher) must(m message) {
 	for errors.Is(d.duty.Post(m), duty.ErrFull) {
 		time.Sleep(_poll)
 	}
 }
 
 // handle applies one message.
-func (d *Desk) handle(now time.Time, m message) {
+func (d *Dispatcher) handle(now time.Time, m message) {
 	switch m := m.(type) {
 	case ask:
 		d.ask(now, m)
@@ -140,13 +140,13 @@
 	case inspect:
 		m.reply <- d.status()
 	case idle:
-		m.reply <- d.book.idle()
+		m.reply <- d.keyLog.idle()
 	case tick:
 		d.tick(now)
 	}
 }
 
-func (d *Desk) ask(now time.Time, m ask) {
+func (d *Dispatcher) ask(now time.Time, m ask) {
 	p := d.pools[m.pool]
 	if p == nil {
 		m.reply <- notOwner{}
@@ -161,7 +161,7 @@
 }
 
 // askAgain asks for the requests whose key was in doubt.
-func (d *Desk) askAgain(now time.Time, p *pool) {
+func (d *Dispatcher) askAgain(now time.Time, p *pool) {
 	l := p.doubtful
 	p.doubtful = nil
 	for _, m := range l {
@@ -173,8 +173,8 @@
 
 // done gives a slot back. A pool may have another broker by now; a key that
 // this process started, and that its holder says it did not use, is released.
-func (d *Desk) done(now time.Time, m done) {
-	k := d.book.end(m.slot)
+func (d *Dispatcher) done(now time.Time, m done) {
+	k := d.keyLog.end(m.slot)
 	if p := d.pools[m.pool]; p != nil {
 		p.done(now, m)
 		d.perform(now, p, p.broker.Done(now, m.slot, m.result))
@@ -183,11 +183,11 @@
 		}
 	}
 	if k.offset != 0 && (m.result.Outcome == broker.NotSent || m.result.Outcome == broker.Unreachable) {
-		d.book.batcher.AddRelease(k.key, k.offset)
+		d.keyLog.batcher.AddRelease(k.key, k.offset)
 	}
 }
 
-func (d *Desk) cancel(now time.Time, m cancel) {
+func (d *Dispatcher) cancel(now time.Time, m cancel) {
 	p := d.pools[m.pool]
 	if p == nil {
 		return
@@ -202,12 +202,12 @@
 }
 
 // tick does what time has made due.
-func (d *Desk) tick(now time.Time) {
+func (d *Dispatcher) tick(now time.Time) {
 	for _, p := range d.pools {
 		if t := p.broker.Next(); !t.IsZero() && !now.Before(t) {
 			d.perform(now, p, p.broker.Tick(now))
 		}
-		d.standIn(now, p)
+		d.reportFormerOwner(now, p)
 		d.askAgain(now, p)
 	}
 	d.endDoubts(now)
@@ -215,7 +215,7 @@
 }
 
 // perform carries out what a broker decided.
-func (d *Desk) perform(now time.Time, p *pool, ops []broker.Op) {
+func (d *Dispatcher) perform(now time.Time, p *pool, ops []broker.Op) {
 	for _, o := range ops {
 		switch o := o.(type) {
 		case broker.Grant:
@@ -231,10 +231,10 @@
 }
 
 // grant answers an asker, or takes the slot back where nobody waits any more.
-func (d *Desk) grant(now time.Time, p *pool, g broker.Grant) {
+func (d *Dispatcher) grant(now time.Time, p *pool, g broker.Grant) {
 	if p.reply(g.Request, g) {
 		p.granted[g.Request], p.requests[g.Slot] = g.Slot, g.Request
-		d.book.grant(g)
+		d.keyLog.grant(g)
 		return
 	}
 	d.perform(now, p, p.broker.Done(now, g.Slot, broker.Result{Outcome: broker.NotSent}))
--- a/entry/internal/slots/desk_test.go
+++ b/entry/internal/slots/dispatcher_test.go
@@ -26,9 +26,9 @@
 
 var errSilent = errors.New("entry is silent")
 
-// stand is a desk whose entries and log follow a script.
+// stand is a dispatcher whose entries and log follow a script.
 type stand struct {
-	Desk
+	Dispatcher
 	fleet viewtest.Fleet
 
 	mu      sync.Mutex
@@ -40,7 +40,7 @@
 	log func(*keys.Record) (bool, error)
 }
 
-// newStand returns the desk of the entry that owns pool fitting, among three.
+// newStand returns the dispatcher of the entry that owns pool fitting, among three.
 func newStand(t *testing.T) *stand {
 	s := &stand{silent: map[string]bool{}, holds: map[string][]broker.Hold{}}
 	s.log = func(*keys.Record) (bool, error) { return true, nil }
@@ -49,7 +49,7 @@
 		s.fleet.Register(t, n, uint64(i+1))
 	}
 	o, _ := s.fleet.View().Broker("fitting")
-	s.Desk = Desk{Self: broker.Entry{Name: o.Entry(), Incarnation: o.Incarnation()}, FetchHolds: s.fetch, Append: s.append}
+	s.Dispatcher = Dispatcher{Self: broker.Entry{Name: o.Entry(), Incarnation: o.Incarnation()}, FetchHolds: s.fetch, Append: s.append}
 	assert.NilError(t, s.Start(duty.System(nil)))
 	t.Cleanup(s.Stop)
 	return s
@@ -105,7 +105,7 @@
 	assert.ErrorIs(t, err, ErrNotOwner)
 }
 
-// otherEntries returns the entries but the desk's own.
+// otherEntries returns the entries but the dispatcher's own.
 func (s *stand) otherEntries() []string {
 	var l []string
 	for _, e := range s.fleet.View().Entries() {
@@ -187,7 +187,7 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
-// successor is the desk of the entry that follows a suspect owner.
+// successor is the dispatcher of the entry that follows a suspect owner.
 type successor struct {
 	*stand
 	before, after *view.View
@@ -203,7 +203,7 @@
 	after := s.fleet.View()
 	o, _ := after.Broker("fitting")
 	n := &stand{silent: map[string]bool{}, holds: map[string][]broker.Hold{}, log: s.log}
-	n.Desk = Desk{Self: broker.Entry{Name: o.Entry(), Incarnation: o.Incarnation()}, FetchHolds: n.fetch, Append: n.append}
+	n.Dispatcher = Dispatcher{Self: broker.Entry{Name: o.Entry(), Incarnation: o.Incarnation()}, FetchHolds: n.fetch, Append: n.append}
 	assert.NilError(t, n.Start(duty.System(nil)))
 	t.Cleanup(n.Stop)
 	return successor{stand: n, before: before, after: after}, former
@@ -261,8 +261,8 @@
 	assert.ErrorIs(t, <-c, ErrNotOwner)
 }
 
-// TestOwnershipThatCameBackIsANewTerm has the desk miss the view between: in it
-// another entry was the broker and handed out slots.
+// TestOwnershipThatCameBackIsANewTerm has the dispatcher miss the view between:
+// in it another entry was the broker and handed out slots.
 func TestOwnershipThatCameBackIsANewTerm(t *testing.T) {
 	s := newStand(t)
 	s.Show(s.fleet.View())
--- a/entry/internal/slots/doc.go
+++ b/entry/internal/slots/doc.go
@@ -5,7 +5,7 @@
 // wait for one answer; what it needs from elsewhere it asks through function
 // fields and is told by messages:
 //
-//	d := slots.Desk{Self: self, FetchHolds: peers.FetchHolds, Append: client.Append}
+//	d := slots.Dispatcher{Self: self, FetchHolds: peers.FetchHolds, Append: client.Append}
 //	if err := d.Start(system); err != nil {
 //		return err
 //	}
--- a/entry/internal/slots/book.go
+++ b/entry/internal/slots/keylog.go
@@ -25,8 +25,8 @@
 	_releaseTimeout = 300 * time.Millisecond
 )
 
-// book is the journal of started keys with what waits for it.
-type book struct {
+// keyLog is the journal of started keys with what waits for it.
+type keyLog struct {
 	journal keys.Journal
 	batcher keys.Batcher
 	// waiting has the requests whose key is to be read back.
@@ -56,29 +56,29 @@
 }
 
 // grant notes the slot of a key that was started for a request.
-func (b *book) grant(g broker.Grant) {
-	s, ok := b.begun[g.Request]
+func (l *keyLog) grant(g broker.Grant) {
+	s, ok := l.begun[g.Request]
 	if !ok {
 		return
 	}
-	delete(b.begun, g.Request)
-	if len(b.held) >= _maxHeld {
-		maps.DeleteFunc(b.held, func(_ uint64, o start) bool { return o.until.Before(g.Until) })
+	delete(l.begun, g.Request)
+	if len(l.held) >= _maxHeld {
+		maps.DeleteFunc(l.held, func(_ uint64, o start) bool { return o.until.Before(g.Until) })
 	}
 	s.until = g.Until
-	b.held[g.Slot] = s
+	l.held[g.Slot] = s
 }
 
 // end returns the key of a slot, or zero, and forgets it.
-func (b *book) end(slot uint64) start {
-	s := b.held[slot]
-	delete(b.held, slot)
+func (l *keyLog) end(slot uint64) start {
+	s := l.held[slot]
+	delete(l.held, slot)
 	return s
 }
 
 // idle reports whether no key is on its way to or from the log.
-func (b *book) idle() bool {
-	return !b.busy && len(b.waiting) == 0 && len(b.doubts) == 0 && b.batcher.Next().IsZero()
+func (l *keyLog) idle() bool {
+	return !l.busy && len(l.waiting) == 0 && len(l.doubts) == 0 && l.batcher.Next().IsZero()
 }
 
 // awaiting is a request that waits for its key.
@@ -89,24 +89,24 @@
 }
 
 // journal puts a key into the next append.
-func (d *Desk) journal(now time.Time, p *pool, o broker.Journal) {
-	d.book.waiting[o.Key] = awaiting{pool: p.name, term: p.term, request: o.Request}
-	d.book.batcher.Add(keys.Pending{Pool: p.name, Term: o.Term, Key: o.Key})
+func (d *Dispatcher) journal(now time.Time, p *pool, o broker.Journal) {
+	d.keyLog.waiting[o.Key] = awaiting{pool: p.name, term: p.term, request: o.Request}
+	d.keyLog.batcher.Add(keys.Pending{Pool: p.name, Term: o.Term, Key: o.Key})
 	d.flushKeys(now)
 }
 
 // flushKeys begins an append where one is due, one at a time: a fence must not
 // be overtaken by a batch that relies on it.
-func (d *Desk) flushKeys(now time.Time) {
-	if d.book.busy {
+func (d *Dispatcher) flushKeys(now time.Time) {
+	if d.keyLog.busy {
 		return
 	}
-	r := d.book.batcher.Flush(now)
+	r := d.keyLog.batcher.Flush(now)
 	if r == nil {
 		return
 	}
 	r.Entry, r.Incarnation = d.Self.Name, d.Self.Incarnation
-	d.book.busy = true
+	d.keyLog.busy = true
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, _appendTimeout)
 		defer cancel()
@@ -118,8 +118,8 @@
 // its fences are written again before anything else. Where only the answer was
 // lost, the keys are waited for: refused and then read back, they would stand
 // for started at every other broker.
-func (d *Desk) written(now time.Time, m written) {
-	d.book.busy = false
+func (d *Dispatcher) written(now time.Time, m written) {
+	d.keyLog.busy = false
 	if m.err == nil {
 		return
 	}
@@ -128,45 +128,45 @@
 	}
 	for _, f := range m.record.GetFences() {
 		if p := d.pools[f.GetPool()]; p != nil && p.term == f.GetTerm() {
-			d.book.batcher.AddFence(f.GetPool(), f.GetTerm())
+			d.keyLog.batcher.AddFence(f.GetPool(), f.GetTerm())
 		}
 	}
 	for _, l := range m.record.GetReleases() {
-		for i := 0; i+keys.Size <= len(l.GetKeys()); i += keys.Size {
-			d.book.batcher.AddRelease(keys.Key(l.GetKeys()[i:i+keys.Size]), l.GetOffset())
+		for k := range keys.All(l.GetKeys()) {
+			d.keyLog.batcher.AddRelease(k, l.GetOffset())
 		}
 	}
 	if errors.Is(m.err, platform.ErrUnknownOutcome) {
-		d.book.doubts = append(d.book.doubts, doubt{record: m.record, until: now.Add(_doubtTimeout)})
+		d.keyLog.doubts = append(d.keyLog.doubts, doubt{record: m.record, until: now.Add(_doubtTimeout)})
 		return
 	}
 	d.refuseKeys(now, m.record)
 }
 
 // endDoubts refuses the keys of records that were not read back in time.
-func (d *Desk) endDoubts(now time.Time) {
-	for len(d.book.doubts) > 0 && !now.Before(d.book.doubts[0].until) {
-		d.refuseKeys(now, d.book.doubts[0].record)
-		d.book.doubts = d.book.doubts[1:]
+func (d *Dispatcher) endDoubts(now time.Time) {
+	for len(d.keyLog.doubts) > 0 && !now.Before(d.keyLog.doubts[0].until) {
+		d.refuseKeys(now, d.keyLog.doubts[0].record)
+		d.keyLog.doubts = d.keyLog.doubts[1:]
 	}
 }
 
-func (d *Desk) refuseKeys(now time.Time, r *keys.Record) {
+func (d *Dispatcher) refuseKeys(now time.Time, r *keys.Record) {
 	for _, b := range r.GetBatches() {
-		for i := 0; i+keys.Size <= len(b.GetKeys()); i += keys.Size {
-			d.settle(now, keys.Key(b.GetKeys()[i:i+keys.Size]), broker.JournalFailed)
+		for k := range keys.All(b.GetKeys()) {
+			d.settle(now, k, broker.JournalFailed)
 		}
 	}
 }
 
 // readKeys applies the keys stream and settles the requests that wait for it.
-func (d *Desk) readKeys(now time.Time, l []platform.Record) {
+func (d *Dispatcher) readKeys(now time.Time, l []platform.Record) {
 	for _, r := range l {
 		var m keys.Record
 		if err := proto.Unmarshal(r.Data(), &m); err != nil {
 			m.Reset()
 		}
-		starts, err := d.book.journal.Apply(r.Offset(), &m)
+		starts, err := d.keyLog.journal.Apply(r.Offset(), &m)
 		if err != nil && d.Log != nil {
 			d.Log.Warn("Keys record is damaged.", "err", err)
 		}
@@ -174,29 +174,29 @@
 			d.started(now, s)
 		}
 	}
-	d.book.journal.Expire(now)
+	d.keyLog.journal.Expire(now)
 }
 
 // started settles one key. A key that this process started for a request that
 // was refused meanwhile may be used by the next request with it; where the pool
 // has another broker by now, the key is given back through the log.
-func (d *Desk) started(now time.Time, s keys.Start) {
+func (d *Dispatcher) started(now time.Time, s keys.Start) {
 	own := s.Entry == d.Self.Name && s.Incarnation == d.Self.Incarnation
 	if !own {
 		return
 	}
-	w, waits := d.book.waiting[s.Key]
+	w, waits := d.keyLog.waiting[s.Key]
 	waits = waits && w.term == s.Term
 	switch {
 	case s.Verdict == keys.Started && d.owned(s.Pool, s.Term) == nil:
-		delete(d.book.waiting, s.Key)
-		d.book.batcher.AddRelease(s.Key, s.Offset)
+		delete(d.keyLog.waiting, s.Key)
+		d.keyLog.batcher.AddRelease(s.Key, s.Offset)
 	case s.Verdict == keys.Started && waits:
-		d.book.begun[w.request] = start{key: s.Key, offset: s.Offset, term: s.Term}
+		d.keyLog.begun[w.request] = start{key: s.Key, offset: s.Offset, term: s.Term}
 		d.settle(now, s.Key, broker.JournalStarted)
-		delete(d.book.begun, w.request)
+		delete(d.keyLog.begun, w.request)
 	case s.Verdict == keys.Started:
-		d.book.journal.Finish(s.Key, keys.NotRun, nil)
+		d.keyLog.journal.Finish(s.Key, keys.NotRun, nil)
 	case waits && s.Verdict == keys.Duplicate:
 		d.settle(now, s.Key, broker.JournalDuplicate)
 	case waits:
@@ -204,19 +204,19 @@
 	}
 }
 
-func (d *Desk) settle(now time.Time, k keys.Key, r broker.JournalResult) {
-	w, ok := d.book.waiting[k]
+func (d *Dispatcher) settle(now time.Time, k keys.Key, r broker.JournalResult) {
+	w, ok := d.keyLog.waiting[k]
 	if !ok {
 		return
 	}
-	delete(d.book.waiting, k)
+	delete(d.keyLog.waiting, k)
 	if p := d.owned(w.pool, w.term); p != nil {
 		d.perform(now, p, p.broker.Journaled(now, w.request, r))
 	}
 }
 
 // owned returns a pool that this process owns under a term, or nil.
-func (d *Desk) owned(name string, term uint64) *pool {
+func (d *Dispatcher) owned(name string, term uint64) *pool {
 	if p := d.pools[name]; p != nil && p.term == term {
 		return p
 	}
@@ -225,10 +225,10 @@
 
 // inDoubt reports whether a key was started, perhaps by the pool's former
 // broker for nothing: soon after a takeover its release may be on its way.
-func (d *Desk) inDoubt(now time.Time, p *pool, k keys.Key) bool {
-	if k.IsZero() || !now.Before(p.doubtUntil) || !d.book.journal.Started(k) {
+func (d *Dispatcher) inDoubt(now time.Time, p *pool, k keys.Key) bool {
+	if k.IsZero() || !now.Before(p.doubtUntil) || !d.keyLog.journal.Started(k) {
 		return false
 	}
-	o, _ := d.book.journal.Outcome(k)
+	o, _ := d.keyLog.journal.Outcome(k)
 	return o == keys.Unknown
 }
--- a/entry/internal/slots/message.go
+++ b/entry/internal/slots/message.go
@@ -9,7 +9,7 @@
 	"fescuelanding/fleet/platform"
 )
 
-// message is what the desk's duty receives.
+// message is what the dispatcher's duty receives.
 type message interface{ isMessage() }
 
 // ask wants a slot; the reply channel holds one op.
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -13,9 +13,9 @@
 const (
 	_fetchTimeout = 300 * time.Millisecond
 	_fetchPause   = 50 * time.Millisecond
-	// _formerPatience is how long a former owner is waited for before its
+	// _formerTimeout is how long a former owner is waited for before its
 	// witness speaks for it.
-	_formerPatience = 500 * time.Millisecond
+	_formerTimeout = 500 * time.Millisecond
 )
 
 // pool is a pool that this entry owns.
@@ -72,14 +72,14 @@
 }
 
 // shown takes up, goes on with, and lets go of pools as a view says.
-func (d *Desk) shown(now time.Time, v *view.View) {
+func (d *Dispatcher) shown(now time.Time, v *view.View) {
 	if v.Offset() < d.view.Offset() {
 		return
 	}
 	old := d.view
 	d.view = v
 	if t := v.Config().Fleet().KeyWindow(); t > 0 {
-		d.book.journal.SetWindow(t)
+		d.keyLog.journal.SetWindow(t)
 	}
 	for n, p := range d.pools {
 		if o, ok := v.Broker(n); !ok || !d.owns(o) || o.Term() != p.term {
@@ -100,13 +100,13 @@
 	}
 }
 
-func (d *Desk) owns(o fleet.Owner) bool {
+func (d *Dispatcher) owns(o fleet.Owner) bool {
 	return o.Entry() == d.Self.Name && o.Incarnation() == d.Self.Incarnation
 }
 
 // takeOver begins a term: the broker counts every slot as taken until the
 // registered entries have reported what they hold.
-func (d *Desk) takeOver(now time.Time, name string, o fleet.Owner, old, v *view.View) {
+func (d *Dispatcher) takeOver(now time.Time, name string, o fleet.Owner, old, v *view.View) {
 	ctx, stop := context.WithCancel(d.ctx)
 	p := &pool{
 		name: name, term: o.Term(), stop: stop, began: now,
@@ -118,7 +118,7 @@
 		p.former = broker.Entry{Name: f.Entry(), Incarnation: f.Incarnation()}
 	}
 	d.pools[name] = p
-	p.broker.SetKeys(&d.book.journal)
+	p.broker.SetKeys(&d.keyLog.journal)
 	d.update(now, p, v)
 	t := broker.Takeover{Term: p.term, Owner: d.Self, Staleness: v.Config().Fleet().StalenessBound()}
 	for _, e := range v.Entries() {
@@ -127,7 +127,7 @@
 		p.missing[b] = true
 		go d.fetch(ctx, p.name, p.term, b)
 	}
-	d.book.batcher.AddFence(name, p.term)
+	d.keyLog.batcher.AddFence(name, p.term)
 	d.perform(now, p, p.broker.Takeover(now, t))
 	if d.Log != nil {
 		d.Log.Info("Pool taken over.", "pool", name, "term", p.term)
@@ -135,7 +135,7 @@
 }
 
 // fetch asks one entry for its holds until it answers or the term ends.
-func (d *Desk) fetch(ctx context.Context, pool string, term uint64, e broker.Entry) {
+func (d *Dispatcher) fetch(ctx context.Context, pool string, term uint64, e broker.Entry) {
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, _fetchTimeout)
 		l, err := d.FetchHolds(c, e.Name, pool, term)
@@ -152,7 +152,7 @@
 }
 
 // reported takes in one report.
-func (d *Desk) reported(now time.Time, m reported) {
+func (d *Dispatcher) reported(now time.Time, m reported) {
 	p := d.pools[m.pool]
 	if p == nil || p.term != m.term {
 		return
@@ -173,19 +173,20 @@
 	}
 	delete(p.missing, m.of)
 	d.perform(now, p, p.broker.Report(now, m.of, own))
-	d.standIn(now, p)
+	d.reportFormerOwner(now, p)
 }
 
-func (d *Desk) registered(b broker.Entry) bool {
+func (d *Dispatcher) registered(b broker.Entry) bool {
 	e, ok := d.view.Entry(b.Name)
 	return ok && e.Incarnation() == b.Incarnation
 }
 
-// standIn takes what the others witnessed for the former owner for its report,
-// where only that is missing and it has been silent. A former owner that lives
-// reports itself: no witness knows what it held from the owner before it.
-func (d *Desk) standIn(now time.Time, p *pool) {
-	if len(p.missing) != 1 || !p.missing[p.former] || now.Sub(p.began) < _formerPatience {
+// reportFormerOwner takes what the others witnessed for the former owner for
+// its report, where only that is missing and it has been silent. A former owner
+// that lives reports itself: no witness knows what it held from the owner
+// before it.
+func (d *Dispatcher) reportFormerOwner(now time.Time, p *pool) {
+	if len(p.missing) != 1 || !p.missing[p.former] || now.Sub(p.began) < _formerTimeout {
 		return
 	}
 	delete(p.missing, p.former)
@@ -204,7 +205,7 @@
 }
 
 // update gives a broker the configuration and the hosts of a view.
-func (d *Desk) update(now time.Time, p *pool, v *view.View) {
+func (d *Dispatcher) update(now time.Time, p *pool, v *view.View) {
 	if o := v.ConfigOffset(); o != p.configured {
 		p.configured = o
 		d.perform(now, p, p.broker.SetLimits(now, limits(v.Config(), p.name)))
--- a/entry/internal/slots/status.go
+++ b/entry/internal/slots/status.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// Status is what the desk knows of a pool that it owns.
+// Status is what the dispatcher knows of a pool that it owns.
 type Status struct {
 	Pool string `json:"pool"`
 	// Term is the offset at which this entry became the broker.
@@ -21,7 +21,7 @@
 }
 
 // Status returns the status of the pools that this entry owns, by name.
-func (d *Desk) Status(ctx context.Context) ([]Status, error) {
+func (d *Dispatcher) Status(ctx context.Context) ([]Status, error) {
 	c := make(chan []Status, 1)
 	if err := d.duty.Post(inspect{reply: c}); err != nil {
 		return nil, fmt.Errorf("ask for status: %w", err)
@@ -35,7 +35,7 @@
 }
 
 // status runs on the duty.
-func (d *Desk) status() []Status {
+func (d *Dispatcher) status() []Status {
 	l := make([]Status, 0, len(d.pools))
 	for _, p := range d.pools {
 		l = append(l, Status{
--- a/entry/internal/slots/wait.go
+++ b/entry/internal/slots/wait.go
@@ -9,10 +9,10 @@
 
 // Wait is an ask that was begun.
 type Wait struct {
-	desk    *Desk
-	pool    string
-	request uint64
-	reply   <-chan broker.Op
+	dispatcher *Dispatcher
+	pool       string
+	request    uint64
+	reply      <-chan broker.Op
 }
 
 // Wait waits for the broker's answer.
@@ -24,7 +24,7 @@
 		}
 		return o, nil
 	case <-ctx.Done():
-		w.desk.Cancel(w.pool, w.request)
+		w.dispatcher.Cancel(w.pool, w.request)
 		return nil, fmt.Errorf("wait for slot: %w", ctx.Err())
 	}
 }
--- a/entry/keys/answers.go
+++ b/entry/keys/answers.go
@@ -48,7 +48,7 @@
 }
 
 func (a *answers) put(k Key, o Outcome, body []byte) {
-	a.take(k)
+	a.remove(k)
 	v := answer{outcome: o, body: body}
 	if v.size() > a.max() {
 		v = answer{outcome: Unknown}
@@ -66,7 +66,7 @@
 	}
 }
 
-func (a *answers) take(k Key) {
+func (a *answers) remove(k Key) {
 	if v, ok := a.byKey[k]; ok {
 		a.bytes -= v.size()
 		delete(a.byKey, k)
@@ -77,7 +77,7 @@
 	r := a.order[0]
 	a.order = a.order[1:]
 	if a.byKey[r.key].serial == r.serial {
-		a.take(r.key)
+		a.remove(r.key)
 	}
 }
 
@@ -108,7 +108,7 @@
 	if !j.Reusable(k) {
 		return false
 	}
-	j.answers.take(k)
+	j.answers.remove(k)
 	return true
 }
 
--- a/entry/keys/release.go
+++ b/entry/keys/release.go
@@ -24,8 +24,9 @@
 	}
 }
 
-// take reports whether the key's latest start has that offset, once.
-func (r *recent) take(k Key, offset uint64) bool {
+// remove forgets the key's latest start if it has that offset, and reports
+// whether it had.
+func (r *recent) remove(k Key, offset uint64) bool {
 	f := k.fingerprint()
 	if o, ok := r.offsets[f]; !ok || o != offset {
 		return false
@@ -43,7 +44,7 @@
 			return fmt.Errorf("release of offset %d at offset %d: %w", l.GetOffset(), j.offset, err)
 		}
 		for _, k := range ks {
-			if j.recent.take(k, l.GetOffset()) {
+			if j.recent.remove(k, l.GetOffset()) {
 				j.forget(k)
 			}
 		}
@@ -56,5 +57,5 @@
 	for i := range j.generations {
 		delete(j.generations[i].keys, k.fingerprint())
 	}
-	j.answers.take(k)
+	j.answers.remove(k)
 }
--- a/fleet/plan/drain.go
+++ b/fleet/plan/drain.go
@@ -8,7 +8,7 @@
 	"fescuelanding/fleet/record"
 )
 
-// drain takes hosts out for their errands, as many as the rules let go.
+// drain takes out the hosts that have a reason, as many as the rules let go.
 func (p *planner) drain() {
 	for _, l := range p.byUrgency() {
 		var waiting []*host
@@ -58,10 +58,10 @@
 
 func (p *planner) drainHost(h *host) {
 	r := &record.Record{Body: &record.Record_HostDrain{
-		HostDrain: &record.HostDrain{Host: h.Name(), Cause: h.errand.cause, CauseId: h.errand.id},
+		HostDrain: &record.HostDrain{Host: h.Name(), Cause: h.reason.cause, CauseId: h.reason.id},
 	}}
 	if p.propose(h, "drain", r) {
-		p.take(h, comesBack(h.errand.cause))
+		p.markOut(h, comesBack(h.reason.cause))
 	}
 }
 
@@ -72,7 +72,7 @@
 func (p *planner) exposes(h *host) bool {
 	l := h.pool
 	id := p.domains.exposed(h)
-	if id < 0 || h.errand.rank == _rankLeaving && h.wanted() {
+	if id < 0 || h.reason.rank == _rankLeaving && h.wanted() {
 		return false
 	}
 	if l.outNow() > l.out[h.domain()] && l.config.Tolerate() != config.DomainNone {
@@ -97,8 +97,8 @@
 	return fmt.Sprintf("with it out, the loss of %s would ask for more than the %d hosts in reserve", p.domains.list[id].name, p.domains.reserve(id))
 }
 
-// spareMayLeave reports whether a host of a spare pool may go for an errand:
-// the reserve stays large enough, or no other spare is out.
+// spareMayLeave reports whether a host of a spare pool may be drained: the
+// reserve stays large enough, or no other spare is out.
 func (p *planner) spareMayLeave(h *host) bool {
 	if p.domains.spares > p.domains.needed() {
 		return true
--- a/fleet/plan/loss.go
+++ b/fleet/plan/loss.go
@@ -74,7 +74,7 @@
 func (p *planner) evacuate() {
 	var d doubt
 	for _, h := range p.hosts {
-		leaving := h.errand.cause == record.Cause_CAUSE_LEAVING
+		leaving := h.reason.cause == record.Cause_CAUSE_LEAVING
 		if h.Duty() != fleet.Down || leaving {
 			d.count(h, h.missing() || leaving)
 		}
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, h := range p.hosts {
-		if h.errand.cause == record.Cause_CAUSE_LEAVING && h.Available() && !h.acted {
+		if h.reason.cause == record.Cause_CAUSE_LEAVING && h.Available() && !h.acted {
 			p.drainHost(h)
 		}
 	}
@@ -128,7 +128,7 @@
 // fail records the loss of a host.
 func (p *planner) fail(h *host) {
 	if p.propose(h, "count as lost", &record.Record{Body: &record.Record_HostFail{HostFail: &record.HostFail{Host: h.Name()}}}) {
-		p.take(h, false)
+		p.markOut(h, false)
 	}
 }
 
@@ -154,7 +154,7 @@
 func (p *planner) serve(h *host, step string, m *record.HostServe) {
 	m.Host = h.Name()
 	if p.propose(h, step, &record.Record{Body: &record.Record_HostServe{HostServe: m}}) && h.MovingTo() == "" {
-		p.give(h)
+		p.markAvailable(h)
 	}
 }
 
@@ -175,7 +175,7 @@
 
 // keptOut tells whether an operator or the platform keeps a host out.
 func (p *planner) keptOut(h *host) bool {
-	switch h.errand.cause {
+	switch h.reason.cause {
 	case record.Cause_CAUSE_OPERATOR:
 		h.held(RuleIntent, "an operator drains it", "the drain's end")
 		return true
@@ -199,7 +199,7 @@
 }
 
 func (p *planner) endRepair(h *host) {
-	cancelled := h.errand.cause != record.Cause_CAUSE_RECALL
+	cancelled := h.reason.cause != record.Cause_CAUSE_RECALL
 	switch {
 	case h.away && h.back(h.holdDown(p.now), p.now):
 		p.serve(h, "return from repair", &record.HostServe{Maintained: true, Repaired: true})
--- a/fleet/plan/errand.go
+++ b/fleet/plan/reason.go
@@ -12,15 +12,15 @@
 // is due.
 const _lead = 8
 
-// errand is what a host is to be taken out for. The zero value is nothing.
-type errand struct {
+// drainReason is what a host is to be taken out for. The zero value is nothing.
+type drainReason struct {
 	cause record.Cause
 	id    string
-	// rank orders the errands of a pool; the lowest goes first.
+	// rank orders the reasons within a pool; the lowest goes first.
 	rank int
 }
 
-// The ranks of errands.
+// The ranks of reasons.
 const (
 	_rankLeaving = iota
 	_rankOperator
@@ -29,56 +29,56 @@
 	_rankDue
 )
 
-// String says what the errand is, or "".
-func (e errand) String() string {
-	switch e.rank {
+// String says what the reason is, or "".
+func (r drainReason) String() string {
+	switch r.rank {
 	case _rankOperator:
 		return "an operator's drain"
 	case _rankRecall:
-		return "recall " + e.id
+		return "recall " + r.id
 	case _rankWave:
-		return "wave " + e.id
+		return "wave " + r.id
 	case _rankDue:
 		return "periodic maintenance"
 	}
-	if e.cause == record.Cause_CAUSE_LEAVING {
+	if r.cause == record.Cause_CAUSE_LEAVING {
 		return "leaving the platform"
 	}
 	return ""
 }
 
-// errandOf returns the most pressing errand of a host.
-func (p *planner) errandOf(h *host) errand {
+// drainReasonOf returns the most pressing reason to drain a host.
+func (p *planner) drainReasonOf(h *host) drainReason {
 	if h.seen && h.listed && h.leaving {
-		return errand{cause: record.Cause_CAUSE_LEAVING, rank: _rankLeaving}
+		return drainReason{cause: record.Cause_CAUSE_LEAVING, rank: _rankLeaving}
 	}
 	if h.intent.Drain() {
-		return errand{cause: record.Cause_CAUSE_OPERATOR, rank: _rankOperator}
+		return drainReason{cause: record.Cause_CAUSE_OPERATOR, rank: _rankOperator}
 	}
 	if b := h.config.Batch(); b != "" && h.RepairedBatch() != b {
 		i := slices.IndexFunc(p.recalls, func(r fleet.Recall) bool { return r.Batch() == b })
 		if i >= 0 {
-			return errand{cause: record.Cause_CAUSE_RECALL, id: p.recalls[i].Name(), rank: _rankRecall}
+			return drainReason{cause: record.Cause_CAUSE_RECALL, id: p.recalls[i].Name(), rank: _rankRecall}
 		}
 	}
-	return p.maintenanceOf(h)
+	return p.maintenanceReasonOf(h)
 }
 
-// maintenanceOf returns the errand of a host that a wave or its age asks to be
-// maintained.
-func (p *planner) maintenanceOf(h *host) errand {
+// maintenanceReasonOf returns the reason of a host that a wave or its age asks
+// to be maintained.
+func (p *planner) maintenanceReasonOf(h *host) drainReason {
 	for _, w := range p.waves {
 		if h.MaintainedOffset() > w.Offset() {
 			continue
 		}
 		if l := p.waved[w.Name()]; len(l) == 0 || slices.Contains(l, h.Pool()) {
-			return errand{cause: record.Cause_CAUSE_MAINTENANCE, id: w.Name(), rank: _rankWave}
+			return drainReason{cause: record.Cause_CAUSE_MAINTENANCE, id: w.Name(), rank: _rankWave}
 		}
 	}
 	if p.due(h) {
-		return errand{cause: record.Cause_CAUSE_MAINTENANCE, rank: _rankDue}
+		return drainReason{cause: record.Cause_CAUSE_MAINTENANCE, rank: _rankDue}
 	}
-	return errand{}
+	return drainReason{}
 }
 
 // due reports whether the host's maintenance is due by its age.
@@ -92,11 +92,11 @@
 	return p.now.Sub(h.MaintainedAt()) >= p.policy.MaintenanceEvery()
 }
 
-// before orders hosts of a pool: by errand, then those whose domain is already
+// before orders hosts of a pool: by reason, then those whose domain is already
 // out, then by the age of their maintenance, then by their load, then by name.
 func before(a, b *host) int {
-	if a.errand.rank != b.errand.rank {
-		return a.errand.rank - b.errand.rank
+	if a.reason.rank != b.reason.rank {
+		return a.reason.rank - b.reason.rank
 	}
 	if o := b.pool.out[b.domain()] - a.pool.out[a.domain()]; o != 0 {
 		return o
--- a/fleet/plan/repair.go
+++ b/fleet/plan/repair.go
@@ -55,7 +55,7 @@
 		to.incoming--
 	}
 	if h.Duty() == fleet.Serving {
-		p.give(h)
+		p.markAvailable(h)
 	}
 }
 
@@ -74,8 +74,8 @@
 }
 
 // bestFor returns the host to move into a pool, from pools that may give one:
-// one without errand that was lost least often of late and whose rack has the
-// fewest hosts of the pool, from the pool with the most room.
+// one without a reason to be drained that was lost least often of late and whose
+// rack has the fewest hosts of the pool, from the pool with the most room.
 func (p *planner) bestFor(l *pool, may func(*pool) bool) *host {
 	var best *host
 	for _, d := range p.order {
@@ -113,7 +113,7 @@
 	if !p.propose(h, "release to pool "+to.config.Name(), r) {
 		return false
 	}
-	p.take(h, h.Duty() == fleet.Serving)
+	p.markOut(h, h.Duty() == fleet.Serving)
 	to.incoming++
 	return true
 }
--- a/fleet/plan/view.go
+++ b/fleet/plan/view.go
@@ -19,7 +19,7 @@
 	pool   *pool
 	rack   int
 	centre int
-	errand errand
+	reason drainReason
 	// acted tells that a step of the host is proposed; it has one at a time.
 	acted bool
 	step  string
@@ -47,7 +47,7 @@
 // explanation returns what was decided about the host.
 func (h *host) explanation() Explanation {
 	return Explanation{
-		host: h.Name(), pool: h.Pool(), duty: h.Duty(), want: h.errand.String(),
+		host: h.Name(), pool: h.Pool(), duty: h.Duty(), want: h.reason.String(),
 		step: h.step, rule: h.rule, why: h.why, frees: h.frees,
 	}
 }
@@ -55,8 +55,8 @@
 // missing reports whether the live list lacks the host.
 func (h *host) missing() bool { return h.seen && !h.listed }
 
-// wanted reports whether the host has an errand.
-func (h *host) wanted() bool { return h.errand.cause != record.Cause_CAUSE_UNSPECIFIED }
+// wanted reports whether the host has a reason to be drained.
+func (h *host) wanted() bool { return h.reason.cause != record.Cause_CAUSE_UNSPECIFIED }
 
 // returns reports whether the host is out by the planner's will, for a time.
 func (h *host) returns() bool {
@@ -78,7 +78,7 @@
 // usable reports whether the host can be moved to another pool for work there.
 func (h *host) usable() bool {
 	return !h.acted && h.Available() && !h.missing() && h.intent.ToPool() == "" &&
-		h.errand.cause != record.Cause_CAUSE_LEAVING && h.errand.cause != record.Cause_CAUSE_OPERATOR
+		h.reason.cause != record.Cause_CAUSE_LEAVING && h.reason.cause != record.Cause_CAUSE_OPERATOR
 }
 
 // pool is a pool as the planner sees it, with the steps proposed so far counted.
@@ -148,7 +148,7 @@
 		p.addHost(h, c)
 	}
 	for _, h := range p.hosts {
-		h.errand = p.errandOf(h)
+		h.reason = p.drainReasonOf(h)
 		if to, ok := p.pools[h.MovingTo()]; ok && h.Duty() == fleet.Serving {
 			to.incoming++
 		}
@@ -178,9 +178,9 @@
 	}
 }
 
-// take counts a host as out of its pool's available ones; returns tells that it
-// is by the planner's will.
-func (p *planner) take(h *host, returns bool) {
+// markOut counts a host as out of its pool's available ones; returns tells that
+// it is by the planner's will.
+func (p *planner) markOut(h *host, returns bool) {
 	if h.Available() {
 		p.domains.change(h.pool, func() { h.pool.lose(h, 1) })
 	}
@@ -189,15 +189,15 @@
 	}
 }
 
-// give counts a host as available again in its pool.
-func (p *planner) give(h *host) {
+// markAvailable counts a host as available again in its pool.
+func (p *planner) markAvailable(h *host) {
 	p.domains.change(h.pool, func() { h.pool.lose(h, -1) })
 	if h.returns() {
 		h.pool.out[h.domain()]--
 	}
 }
 
-// work returns how many available hosts of the pool wait for their errand.
+// work returns how many available hosts of the pool have a reason to be drained.
 func (l *pool) work() int {
 	n := 0
 	for _, h := range l.hosts {
