--- a/entry/internal/slots/keylog.go
+++ b/entry/internal/slots/keylog.go
@@ -19,9 +19,9 @@
 
 	_appendTimeout = 2 * time.Second
 	_doubtTimeout  = time.Second
+	_maxHeld       = 4096
 	// _releaseTimeout is how long a new broker waits for the former one to
 	// release keys it started for nothing.
-	_maxHeld        = 4096
 	_releaseTimeout = 300 * time.Millisecond
 )
 
