--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -183,8 +183,7 @@
 
 // reportFormerOwner takes what the others witnessed for the former owner for
 // its report, where only that is missing and it has been silent. A former owner
-// that lives reports itself: no witness knows what it held from the owner
-// before it.
+// that lives reports itself: what it says is newer.
 func (d *Dispatcher) reportFormerOwner(now time.Time, p *pool) {
 	if len(p.missing) != 1 || !p.missing[p.former] || now.Sub(p.began) < _formerTimeout {
 		return
