--- a/entry/internal/slots/dispatcher.go
+++ b/entry/internal/slots/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -39,12 +40,15 @@
 	// Log receives what is worth noting; it may be nil.
 	Log *log.Logger
 
-	duty   *duty.Duty[message]
-	stop   context.CancelFunc
-	ctx    context.Context
-	pools  map[string]*pool
-	view   *view.View
-	keyLog keyLog
+	// reading is set while keys are waited for; news tells that it begins.
+	reading atomic.Bool
+	news    chan struct{}
+	duty    *duty.Duty[message]
+	stop    context.CancelFunc
+	ctx     context.Context
+	pools   map[string]*pool
+	view    *view.View
+	keyLog  keyLog
 }
 
 // Start begins the duty.
@@ -53,6 +57,7 @@
 	d.pools = map[string]*pool{}
 	d.view = &view.View{}
 	d.keyLog.waiting = map[keys.Key]awaiting{}
+	d.news = make(chan struct{}, 1)
 	d.keyLog.begun, d.keyLog.held = map[uint64]start{}, map[uint64]start{}
 	u, err := duty.Spawn(s, "slots", _ring, duty.Refuse, d.handle, duty.WithTick[message](_tick, tick{}))
 	if err != nil {
@@ -212,6 +217,7 @@
 	}
 	d.endDoubts(now)
 	d.flushKeys(now)
+	d.noteReading(now)
 }
 
 // perform carries out what a broker decided.
