--- a/standin/internal/publish/publish.go
+++ b/standin/internal/publish/publish.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -34,7 +35,8 @@
 	}
 	r := &record.Record{
 		Id: record.NewID(), Writer: "measurement", Basis: p.state.ConfigOffset(),
-		Body: &record.Record_ConfigChange{ConfigChange: p.state.Config().Diff(to)},
+		AtUnixMs: time.Now().UnixMilli(),
+		Body:     &record.Record_ConfigChange{ConfigChange: p.state.Config().Diff(to)},
 	}
 	b, err := proto.Marshal(r)
 	if err != nil {
