process: ports outside those of outgoing connections

The address had been found with port 0, so it lay in the range of outgoing connections, and the probes of a program that does not listen yet come from that range; that one of them had the port is inferred, not seen. Change: ports from 10,000 to 29,999, below that range.

--- a/standin/internal/process/process.go
+++ b/standin/internal/process/process.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,11 @@
 	_poll         = 20 * time.Millisecond
 	_probeTimeout = 500 * time.Millisecond
 	_maxOctet     = 254
+	// Ports are taken below those that systems give to outgoing connections: a
+	// probe of a program that doesn't listen yet may be given its very port.
+	_lowPort   = 10_000
+	_highPort  = 30_000
+	_portTries = 1000
 )
 
 // ErrStillRunning reports a program that did not exit in time.
@@ -124,8 +130,12 @@
 func FreeAddresses(n int) ([]string, error) {
 	ip := randomLoopback()
 	var l []string
-	for range n {
-		s, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	for tries := 0; len(l) < n; tries++ {
+		port := strconv.Itoa(_lowPort + rand.IntN(_highPort-_lowPort))
+		s, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+		if err != nil && tries < _portTries {
+			continue
+		}
 		if err != nil {
 			return nil, fmt.Errorf("find free port: %w", err)
 		}
