slots: forget a slot by its number

Cause: pool.done took a time that it didn't use and a whole message for its slot alone, and cancel built a message for the call. Change: forget(slot). Behaviour is as before; entry/internal passed with the race detector.

--- a/entry/internal/slots/dispatcher.go
+++ b/entry/internal/slots/dispatcher.go
@@ -181,7 +181,7 @@
 func (d *Dispatcher) done(now time.Time, m done) {
 	k := d.keyLog.end(m.slot)
 	if p := d.pools[m.pool]; p != nil {
-		p.done(now, m)
+		p.forget(m.slot)
 		d.perform(now, p, p.broker.Done(now, m.slot, m.result))
 		if p.term == k.term {
 			return
@@ -199,7 +199,7 @@
 	}
 	p.reply(m.request, notOwner{})
 	if slot, ok := p.granted[m.request]; ok {
-		p.done(now, done{slot: slot})
+		p.forget(slot)
 		d.perform(now, p, p.broker.Done(now, slot, broker.Result{Outcome: broker.NotSent}))
 		return
 	}
--- a/entry/internal/slots/pool.go
+++ b/entry/internal/slots/pool.go
@@ -55,11 +55,11 @@
 	return true
 }
 
-// done forgets which request had a slot.
-func (p *pool) done(_ time.Time, m done) {
-	if r, ok := p.requests[m.slot]; ok {
+// forget drops the relation of a slot and the request that had it.
+func (p *pool) forget(slot uint64) {
+	if r, ok := p.requests[slot]; ok {
 		delete(p.granted, r)
-		delete(p.requests, m.slot)
+		delete(p.requests, slot)
 	}
 }
 
