follow: checkpoints are put together by fleet.Assembler

Cause: the follower's collector did what fleet.Assembler, which fescue uses, does too, and took chunks only in one uninterrupted order. Change: the assembler serves both. The follower's tests of a whole and of half a checkpoint are unchanged and pass.

--- a/entry/internal/follow/recover.go
+++ b/entry/internal/follow/recover.go
@@ -24,14 +24,17 @@
 // recover takes the state of the newest complete checkpoint in the log, where
 // that is ahead of the own state. The records behind it are read as usual.
 func (f *Follower) recover(ctx context.Context, first uint64) error {
-	var c collector
+	var a fleet.Assembler
+	var whole []*record.Checkpoint
 	for from := first; ; {
 		b, err := f.Read(ctx, from, 0)
 		if err != nil {
 			return fmt.Errorf("read checkpoint: %w", err)
 		}
 		for _, r := range b.Records() {
-			c.add(r)
+			if l := add(&a, r); l != nil {
+				whole = l
+			}
 			from = r.Offset() + 1
 		}
 		if len(b.Records()) == 0 || from > b.Head() {
@@ -39,10 +42,10 @@
 		}
 	}
 	// Whatever follows the checkpoint has to be retained still.
-	if len(c.whole) == 0 || c.whole[0].GetAtOffset()+1 < first {
+	if len(whole) == 0 || whole[0].GetAtOffset()+1 < first {
 		return ErrNoCheckpoint
 	}
-	if err := f.Restore(c.whole); err != nil {
+	if err := f.Restore(whole); err != nil {
 		return fmt.Errorf("%w: %w", ErrNoCheckpoint, err)
 	}
 	return nil
@@ -68,29 +71,12 @@
 	return nil
 }
 
-// collector finds the newest complete checkpoint among records.
-type collector struct {
-	part  []*record.Checkpoint
-	whole []*record.Checkpoint
-}
-
-func (c *collector) add(r platform.Record) {
+// add gives the chunk in a record to the assembler, and returns the checkpoint
+// that it makes whole. Other records, and damaged ones, are passed over.
+func add(a *fleet.Assembler, r platform.Record) []*record.Checkpoint {
 	var m record.Record
-	if proto.Unmarshal(r.Data(), &m) != nil {
-		return
-	}
-	k := m.GetCheckpoint()
-	if k == nil {
-		return
-	}
-	if k.GetChunk() == 0 {
-		c.part = nil
-	}
-	if int(k.GetChunk()) != len(c.part) || len(c.part) > 0 && c.part[0].GetAtOffset() != k.GetAtOffset() {
-		return
-	}
-	c.part = append(c.part, k)
-	if len(c.part) == int(k.GetChunks()) {
-		c.whole, c.part = c.part, nil
+	if proto.Unmarshal(r.Data(), &m) != nil || m.GetCheckpoint() == nil {
+		return nil
 	}
+	return a.Add(m.GetCheckpoint())
 }
