--- /dev/null
+++ b/entry/internal/group/group.go
@@ -0,0 +1,173 @@
+// Package group keeps an entry in the group of entries that share the pools.
+// The platform's store deals the pools out; nothing is agreed between entries.
+package group
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fescuelanding/platform"
+)
+
+const (
+	_group = "entries"
+	_topic = "pools"
+	// _ttl is how long a silent member keeps its partitions: a takeover begins
+	// this long after an entry died, and a pause of half of it is harmless.
+	_ttl = 1500 * time.Millisecond
+	// _interval is between joins; two may be lost within _ttl.
+	_interval = 450 * time.Millisecond
+	// _timeout of a call. A slow store answers within a quarter second.
+	_timeout = 600 * time.Millisecond
+	// _refresh is the least time between two questions after the owners.
+	_refresh = 120 * time.Millisecond
+)
+
+// Change tells what an entry holds now.
+type Change struct {
+	// Generation rises with each change of the group.
+	Generation int64
+	Partitions []int
+	// Confirmed is when the call was sent that confirmed it.
+	Confirmed time.Time
+}
+
+// Group is this entry's membership.
+type Group struct {
+	store  *platform.Store
+	member string
+	// OnChange is called after each answer, on the goroutine of Run.
+	OnChange func(Change)
+	// OnTrouble is called when the store stops answering, and with nil when it
+	// answers again.
+	OnTrouble func(error)
+
+	mu         sync.Mutex
+	owners     map[int]string
+	generation int64
+	asked      time.Time
+	asking     chan struct{}
+	failing    bool
+}
+
+// New returns the membership of an entry that listens for others at an
+// address. Each incarnation is a member of its own, so that none is taken for
+// the one before.
+func New(s *platform.Store, address, incarnation string) *Group {
+	return &Group{store: s, member: address + "/" + incarnation}
+}
+
+// Run joins again and again until ctx ends, and then leaves.
+func (g *Group) Run(ctx context.Context) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		pause := _interval
+		if err := g.join(ctx); err != nil {
+			pause = _interval / 3
+			g.trouble(err)
+		} else {
+			g.trouble(nil)
+		}
+		t.Reset(pause)
+	}
+}
+
+func (g *Group) trouble(err error) {
+	if (err != nil) == g.failing {
+		return
+	}
+	g.failing = err != nil
+	g.OnTrouble(err)
+}
+
+func (g *Group) join(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, _timeout)
+	defer cancel()
+	g.mu.Lock()
+	n := g.generation
+	g.mu.Unlock()
+	sent := time.Now()
+	m, err := g.store.Join(c, _group, g.member, _topic, max(_ttl, time.Second), n)
+	if err != nil {
+		return fmt.Errorf("join: %w", err)
+	}
+	g.mu.Lock()
+	changed := m.Generation != g.generation
+	g.generation = m.Generation
+	g.mu.Unlock()
+	if changed {
+		g.Refresh(ctx)
+	}
+	slices.Sort(m.Partitions)
+	g.OnChange(Change{Generation: m.Generation, Partitions: m.Partitions, Confirmed: sent})
+	return nil
+}
+
+// Leave gives the partitions back at once.
+func (g *Group) Leave(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, _timeout)
+	defer cancel()
+	if err := g.store.Leave(c, _group, g.member); err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	return nil
+}
+
+// Owner returns the address of the entry that holds a partition, as far as is
+// known.
+func (g *Group) Owner(partition int) (address string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.owners[partition]
+	address, _, _ = strings.Cut(m, "/")
+	return address, ok
+}
+
+// Owners returns all that is known of the owners.
+func (g *Group) Owners() map[int]string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.owners)
+}
+
+// Refresh asks the store for the owners, unless that was done just now. Those
+// who ask at the same time share one question.
+func (g *Group) Refresh(ctx context.Context) {
+	g.mu.Lock()
+	if w := g.asking; w != nil {
+		g.mu.Unlock()
+		select {
+		case <-w:
+		case <-ctx.Done():
+		}
+		return
+	}
+	if time.Since(g.asked) < _refresh {
+		g.mu.Unlock()
+		return
+	}
+	w := make(chan struct{})
+	g.asking, g.asked = w, time.Now()
+	g.mu.Unlock()
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), _timeout)
+	defer cancel()
+	o, err := g.store.Owners(c, _group)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asking = nil
+	close(w)
+	if err == nil {
+		g.owners = o
+	}
+}
--- /dev/null
+++ b/entry/internal/journal/journal.go
@@ -0,0 +1,192 @@
+// Package journal keeps what has to last about a pool in a keyed topic of the
+// platform's store, which holds the newest record of each key for good.
+//
+// One owner at a time writes for a pool: its token is the epoch of the pool's
+// producer, so that the store refuses a former owner. An append whose answer
+// was lost is repeated under its sequence number until its outcome is known.
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fescuelanding/entry/scheduler"
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+const (
+	_topic = "keyed.jobs"
+	// _timeout is when an append or read is taken to be unanswered. Answers
+	// take milliseconds, and up to a quarter of a second while the store is
+	// slow.
+	_timeout = 900 * time.Millisecond
+	// _firstPause and _maxPause are between attempts.
+	_firstPause = 60 * time.Millisecond
+	_maxPause   = 400 * time.Millisecond
+)
+
+// ErrFenced says that a later owner writes for the pool.
+var ErrFenced = errors.New("a later owner writes")
+
+// Journal is the part of the topic that belongs to a pool.
+type Journal struct {
+	store *platform.Store
+	pool  string
+	part  int
+	epoch int64
+	// next is the sequence number of the next append.
+	next int64
+}
+
+// New returns the journal of a pool for the owner with a token.
+func New(s *platform.Store, pool string, token int64, parts int) *Journal {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(pool)) // A hash never fails.
+	return &Journal{store: s, pool: pool, part: int(h.Sum32() % uint32(max(1, parts))), epoch: token}
+}
+
+// Claim shuts former owners out.
+func (j *Journal) Claim(ctx context.Context) error {
+	pause := _firstPause
+	for {
+		err := j.try(ctx, nil)
+		switch {
+		case err == nil:
+			return nil
+		case platform.Reason(err) == "seq":
+			return nil // The epoch stands, and was claimed by a lost call.
+		case platform.Status(err) == http.StatusConflict:
+			return fmt.Errorf("claim: %w", errors.Join(ErrFenced, err))
+		}
+		if !sleep(ctx, &pause) {
+			return fmt.Errorf("claim: %w", err)
+		}
+	}
+}
+
+// Load reads what former owners appended.
+func (j *Journal) Load(ctx context.Context) (scheduler.Loaded, error) {
+	pause := _firstPause
+	for {
+		c, cancel := context.WithTimeout(ctx, 3*_timeout)
+		b, err := j.store.Newest(c, _topic, j.part)
+		cancel()
+		if err == nil {
+			return j.decode(b.Records)
+		}
+		if platform.Status(err) == http.StatusNotFound {
+			return scheduler.Loaded{}, nil
+		}
+		if !sleep(ctx, &pause) {
+			return scheduler.Loaded{}, fmt.Errorf("load: %w", err)
+		}
+	}
+}
+
+func (j *Journal) decode(records []platform.Record) (scheduler.Loaded, error) {
+	l := scheduler.Loaded{Progress: make(map[string]*work.Progress)}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		if err := j.decodeOne(r, &l); err != nil {
+			return l, fmt.Errorf("decode %q: %w", r.Key, err)
+		}
+	}
+	return l, nil
+}
+
+func (j *Journal) decodeOne(r platform.Record, l *scheduler.Loaded) error {
+	if id, ok := strings.CutPrefix(r.Key, scheduler.JobKey(j.pool, "")); ok {
+		m := &work.Job{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return fmt.Errorf("job %s: %w", id, err)
+		}
+		l.Jobs = append(l.Jobs, m)
+	}
+	if id, ok := strings.CutPrefix(r.Key, scheduler.ProgressKey(j.pool, "")); ok {
+		m := &work.Progress{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return fmt.Errorf("progress %s: %w", id, err)
+		}
+		l.Progress[id] = m
+	}
+	if id, ok := strings.CutPrefix(r.Key, scheduler.HostKey(j.pool, "")); ok {
+		m := &work.Host{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return fmt.Errorf("host %s: %w", id, err)
+		}
+		l.Hosts = append(l.Hosts, platform.Upstream{ID: m.GetId(), Address: m.GetAddress(), Pool: j.pool})
+	}
+	return nil
+}
+
+// Append adds records. It fails with a status if nothing was appended, with
+// 409 where a later owner writes, and else returns only once they are in the
+// store or ctx has ended.
+func (j *Journal) Append(ctx context.Context, records []platform.Record) error {
+	pause := _firstPause
+	unsure := false
+	for {
+		err := j.try(ctx, records)
+		switch {
+		case err == nil:
+			j.next++
+			return nil
+		case platform.Reason(err) == "seq":
+			if done := j.resync(err, unsure); done {
+				return nil
+			}
+			continue
+		case platform.Status(err) == http.StatusConflict:
+			return fmt.Errorf("append: %w", err)
+		case platform.Status(err) == 0:
+			unsure = true
+		case !unsure:
+			return fmt.Errorf("append: %w", err)
+		}
+		if !sleep(ctx, &pause) {
+			return fmt.Errorf("append: %w", err)
+		}
+	}
+}
+
+// resync takes the sequence number that the store expects, and reports whether
+// that shows that an attempt without an answer was carried out.
+func (j *Journal) resync(err error, unsure bool) bool {
+	var e *platform.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	was := j.next
+	j.next = e.Expected
+	return unsure && e.Expected == was+1
+}
+
+func (j *Journal) try(ctx context.Context, records []platform.Record) error {
+	c, cancel := context.WithTimeout(ctx, _timeout)
+	defer cancel()
+	p := platform.Producer{Name: j.pool, Epoch: j.epoch, Sequence: j.next}
+	return j.store.Append(c, _topic, j.part, p, records)
+}
+
+// sleep pauses for longer each time, and reports whether ctx goes on.
+func sleep(ctx context.Context, pause *time.Duration) bool {
+	t := time.NewTimer(*pause)
+	defer t.Stop()
+	*pause = min(2**pause, _maxPause)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/entry/scheduler/admit.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"time"
+
+	"fescuelanding/entry/link"
+)
+
+const (
+	// _minRetry and _maxRetry bound when a refused caller may come back.
+	_minRetry = time.Second
+	_maxRetry = 8 * time.Second
+	// _lastingShare is how much of a pool long-running tasks may take, so that
+	// the others keep running.
+	_lastingShare = 0.8
+)
+
+// verdict is a decision on a job that is handed in.
+type verdict struct {
+	outcome link.Outcome
+	why     string
+	// predicted is when the job would be done, from now.
+	predicted time.Duration
+	retry     time.Duration
+}
+
+// admit decides whether a job is taken. It is refused at once where it would
+// miss its objective: while a queue asks for more than its pool holds, late jobs
+// would only make those after them late as well.
+func (s *Scheduler) admit(now time.Time, j *job) verdict {
+	if s.journal.inFlight != nil && now.Sub(s.journal.inFlight.sent) >= _journalSilence || !s.mayOrder(now) {
+		return verdict{outcome: link.Outcome_OUTCOME_UNAVAILABLE, why: "journal unanswered", retry: _storeRetry}
+	}
+	if !s.fits(j) {
+		return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "no upstream is that large", retry: _maxRetry}
+	}
+	if j.lasting() || j.timed() {
+		return verdict{outcome: link.Outcome_OUTCOME_OK}
+	}
+	b := s.backlog(now)
+	if b.capacity <= 0 {
+		return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "pool has no room", retry: _minRetry}
+	}
+	p := b.wait(s.workOf(j)) + s.chain(j)
+	if p <= j.objective {
+		return verdict{outcome: link.Outcome_OUTCOME_OK, predicted: p}
+	}
+	r := min(max(p-j.objective, _minRetry), _maxRetry)
+	return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "late", predicted: p, retry: r}
+}
+
+// fits reports whether each task fits some upstream at all. An unknown pool
+// gets the benefit of the doubt.
+func (s *Scheduler) fits(j *job) bool {
+	if len(s.hosts) == 0 {
+		return true
+	}
+	for _, d := range j.def.GetSteps() {
+		ok := false
+		for _, h := range s.hosts {
+			c := h.up.Capacity
+			if h.gone || !h.listed && !h.inRoster {
+				continue
+			}
+			if (d.GetFills() || c.MilliCPU >= d.GetMilliCpu()) && c.MemoryMB >= d.GetMemoryMb() && c.GPUs >= d.GetGpus() {
+				ok = true
+				break
+			}
+		}
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// backlog is the work ahead of a new job.
+type backlog struct {
+	// capacity for tasks that end, in thousandths of a core.
+	capacity float64
+	// work that waits, and the rest of what runs, in thousandths of a core
+	// times seconds.
+	waiting float64
+	running float64
+}
+
+// wait predicts how long a job that brings some work waits until it runs.
+func (b backlog) wait(work float64) time.Duration {
+	// Work that runs side by side with the new job doesn't hold it up.
+	ahead := b.waiting + b.running + work - b.capacity*_window.Seconds()
+	if ahead <= 0 || b.capacity <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / b.capacity * float64(time.Second))
+}
+
+// _window is the work, as time of the whole pool, that is always in hand: the
+// pool runs about this long on what is placed already.
+const _window = 500 * time.Millisecond
+
+// backlog sums up the work of all accepted jobs.
+func (s *Scheduler) backlog(now time.Time) backlog {
+	var b backlog
+	for _, h := range s.hosts {
+		if h.usable(now) {
+			b.capacity += float64(h.up.Capacity.MilliCPU)
+		}
+	}
+	for _, j := range s.active {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				s.addStep(now, st, &b)
+			}
+		}
+		if len(j.occurrences) == 0 && !j.timed() && !j.lasting() {
+			b.waiting += s.workOf(j)
+		}
+	}
+	return b
+}
+
+func (s *Scheduler) addStep(now time.Time, st *step, b *backlog) {
+	if st.left <= 0 || st.def.GetFills() {
+		return
+	}
+	cpu := float64(st.def.GetMilliCpu())
+	if st.def.GetLongRunning() {
+		b.capacity -= cpu * float64(st.def.GetCount())
+		return
+	}
+	d := s.learned.duration(st.def)
+	b.waiting += float64(max(0, st.left-st.running)) * cpu * d.Seconds()
+	for i := range st.tasks {
+		for _, r := range st.tasks[i].runs {
+			b.running += cpu * max(0, d-now.Sub(r.ordered)).Seconds()
+		}
+	}
+}
+
+// workOf sums up the work of a job, in thousandths of a core times seconds.
+func (s *Scheduler) workOf(j *job) float64 {
+	w := 0.0
+	for _, d := range j.def.GetSteps() {
+		if !d.GetLongRunning() && !d.GetFills() {
+			w += float64(d.GetMilliCpu()) * float64(d.GetCount()) * s.learned.duration(d).Seconds()
+		}
+	}
+	return w
+}
+
+// chain returns the longest chain of work of a job.
+func (s *Scheduler) chain(j *job) time.Duration {
+	end := make([]time.Duration, len(j.def.GetSteps()))
+	longest := time.Duration(0)
+	for i, d := range j.def.GetSteps() {
+		for _, a := range d.GetAfter() {
+			end[i] = max(end[i], end[a])
+		}
+		if !d.GetLongRunning() {
+			end[i] += s.learned.duration(d)
+		}
+		longest = max(longest, end[i])
+	}
+	return longest
+}
+
+// objective returns how soon a job should be done.
+func (s *Scheduler) objective(j *job) time.Duration {
+	f := j.queue.Stretch
+	if f < 1 {
+		f = 1
+	}
+	return time.Duration(f*float64(s.chain(j))) + j.queue.Target
+}
--- /dev/null
+++ b/entry/scheduler/host.go
@@ -0,0 +1,204 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"fescuelanding/platform"
+)
+
+// host is the life of an upstream, as far as its owner knows it.
+type host struct {
+	up     platform.Upstream
+	target platform.Target
+	rack   string
+	// listed is false once the platform's list doesn't have it, since
+	// unlistedAt.
+	listed     bool
+	unlistedAt time.Time
+	// gone is set when its life is over.
+	gone bool
+	// fenced is set when a look with this owner's token was answered, so that
+	// former owners are shut out.
+	fenced bool
+	born   int64
+	// The upstream's clock was at least clockMs at clockAt.
+	clockMs int64
+	clockAt time.Time
+	// deadlineMs is the latest lease that may have reached it.
+	deadlineMs int64
+
+	looking  bool
+	lookDue  time.Time
+	lookSent time.Time
+	lastSeen time.Time
+	failed   int
+
+	// seen is the highest end that was taken in, durable the highest that was
+	// appended, acked the highest that the upstream may have forgotten.
+	seen, durable, acked int64
+
+	used platform.Capacity
+	runs map[*run]struct{}
+
+	vacatedUntil time.Time
+	health       health
+	inRoster     bool
+}
+
+func newHost(u platform.Upstream, now time.Time) *host {
+	h := &host{runs: make(map[*run]struct{}), lookDue: now}
+	h.list(u, now)
+	return h
+}
+
+// list takes in an entry of the platform's list.
+func (h *host) list(u platform.Upstream, now time.Time) {
+	h.up, h.listed = u, true
+	h.target = platform.Target{Address: u.Address, ID: u.ID}
+	h.rack = u.Rack()
+	if h.born == 0 {
+		h.born = u.Born
+	}
+	if u.ClockMs > h.clockNow(now) {
+		h.clockMs, h.clockAt = u.ClockMs, now
+	}
+}
+
+// clockNow returns a time that the upstream's clock has surely reached.
+func (h *host) clockNow(now time.Time) int64 {
+	if h.clockAt.IsZero() {
+		return 0
+	}
+	return h.clockMs + int64(float64(now.Sub(h.clockAt).Milliseconds())*_slowClock)
+}
+
+// lapsed reports whether every lease that this owner gave is over.
+func (h *host) lapsed(now time.Time) bool {
+	return h.clockNow(now) >= h.deadlineMs+_lapseMargin.Milliseconds()
+}
+
+// lapse returns when lapsed becomes true.
+func (h *host) lapse() time.Time {
+	left := float64(h.deadlineMs + _lapseMargin.Milliseconds() - h.clockMs)
+	return h.clockAt.Add(time.Duration(left/_slowClock)*time.Millisecond + time.Millisecond)
+}
+
+// lease returns the end of a lease that begins now, and remembers it.
+func (h *host) lease(now time.Time, d time.Duration) int64 {
+	h.deadlineMs = max(h.deadlineMs, h.clockNow(now)+d.Milliseconds())
+	return h.deadlineMs
+}
+
+// _unlisted is how long an upstream that answers stays in use without an entry:
+// entries that lapsed in an outage of the store are back by then.
+const _unlisted = 2500 * time.Millisecond
+
+// usable reports whether tasks may be placed on it.
+func (h *host) usable(now time.Time) bool {
+	known := h.listed || now.Sub(h.unlistedAt) < _unlisted && now.Sub(h.lastSeen) < _unlisted
+	return known && !h.gone && h.fenced && !h.up.Draining && h.failed == 0 &&
+		!now.Before(h.health.ejectedUntil) && !now.Before(h.vacatedUntil)
+}
+
+func (h *host) free() platform.Capacity {
+	c := h.up.Capacity
+	return platform.Capacity{
+		MilliCPU: c.MilliCPU - h.used.MilliCPU,
+		MemoryMB: c.MemoryMB - h.used.MemoryMB,
+		GPUs:     c.GPUs - h.used.GPUs,
+	}
+}
+
+func (h *host) add(r *run) {
+	h.runs[r] = struct{}{}
+	r.host = h
+	h.charge(r.task.step, 1)
+}
+
+func (h *host) remove(r *run) {
+	if _, ok := h.runs[r]; !ok {
+		return
+	}
+	delete(h.runs, r)
+	h.charge(r.task.step, -1)
+}
+
+func (h *host) charge(s *step, sign int64) {
+	if !s.def.GetFills() {
+		h.used.MilliCPU += sign * s.def.GetMilliCpu()
+	}
+	h.used.MemoryMB += sign * s.def.GetMemoryMb()
+	h.used.GPUs += sign * s.def.GetGpus()
+}
+
+func (h *host) has(label string) bool {
+	return label == "" || slices.Contains(h.up.Labels, label)
+}
+
+// find returns the run of a task by its name and number.
+func (h *host) find(task string, n int64) *run {
+	for r := range h.runs {
+		if r.number == n && r.task.name == task {
+			return r
+		}
+	}
+	return nil
+}
+
+// ofStep counts the runs of a step here.
+func (h *host) ofStep(s *step) int {
+	n := 0
+	for r := range h.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// _ejectAfter is how many runs in a row must fail here. One failure can be
+	// the task's own.
+	_ejectAfter = 3
+	// _ejection grows with each ejection in a row, up to _maxEjection.
+	_ejection    = 3 * time.Second
+	_maxEjection = 12 * time.Second
+)
+
+// health is what the outcomes of runs say about an upstream, whatever it says
+// of itself.
+type health struct {
+	// streak counts failures since the last success.
+	streak       int
+	lastJob      string
+	ejections    int
+	ejectedUntil time.Time
+	lastFailure  time.Time
+}
+
+func (e *health) succeed() { e.streak, e.ejections = 0, 0 }
+
+// fail notes a failed run of a job and reports whether the upstream is ejected
+// now. A job that fails everywhere counts once.
+func (e *health) fail(now time.Time, job string) bool {
+	e.lastFailure = now
+	if e.lastJob == job {
+		return false
+	}
+	e.lastJob = job
+	e.streak++
+	if e.streak < _ejectAfter {
+		return false
+	}
+	e.eject(now)
+	return true
+}
+
+func (e *health) eject(now time.Time) {
+	d := min(_ejection<<min(e.ejections, 4), _maxEjection)
+	e.ejections++
+	// The next failure after the pause ejects again.
+	e.streak = _ejectAfter - 1
+	e.ejectedUntil = now.Add(d)
+}
--- /dev/null
+++ b/entry/scheduler/job.go
@@ -0,0 +1,246 @@
+package scheduler
+
+import (
+	"time"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// job is an accepted job, or one that is being accepted.
+type job struct {
+	def     *work.Job
+	queue   platform.Queue
+	arrived time.Time
+	// durable is set once the job has been appended; waiting are those who
+	// want to know.
+	durable bool
+	waiting []Ref
+	// cancelling wait for the cancellation to be appended.
+	cancelling []Ref
+
+	cancelled bool
+	failed    bool
+	completed bool
+	// shown is what callers may be told, as it has been appended.
+	shown   link.JobState
+	endedAt time.Time
+
+	begun       bool
+	occurrences map[int]*occurrence
+	// next is the number of the first occurrence that isn't due yet.
+	next int
+	// dirty is set while the progress has to be appended.
+	dirty bool
+	// inherited is set for jobs accepted by a former owner.
+	inherited bool
+	objective time.Duration
+}
+
+// over reports whether no task of the job may start any more.
+func (j *job) over() bool { return j.cancelled || j.failed || j.completed }
+
+func (j *job) lasting() bool {
+	for _, s := range j.def.GetSteps() {
+		if s.GetLongRunning() {
+			return true
+		}
+	}
+	return false
+}
+
+// times returns the number of occurrences.
+func (j *job) times() int { return max(1, int(j.def.GetOccurrences())) }
+
+func (j *job) timed() bool { return j.def.GetOccurrences() > 0 }
+
+// due returns when an occurrence may start.
+func (j *job) due(k int) time.Time {
+	if !j.timed() {
+		return j.arrived
+	}
+	ms := j.def.GetFirstRunUnixMs() + int64(k)*j.def.GetIntervalMs()
+	return time.UnixMilli(ms)
+}
+
+// allDone reports whether every task of every occurrence has ended done.
+func (j *job) allDone() bool {
+	if j.next < j.times() {
+		return false
+	}
+	for _, o := range j.occurrences {
+		if !o.done() {
+			return false
+		}
+	}
+	return true
+}
+
+// state returns what callers are told.
+func (j *job) state() link.JobState {
+	if j.shown != link.JobState_JOB_STATE_UNSPECIFIED {
+		return j.shown
+	}
+	if j.begun {
+		return link.JobState_JOB_STATE_RUNNING
+	}
+	return link.JobState_JOB_STATE_QUEUED
+}
+
+// occurrence is one run of the job's steps.
+type occurrence struct {
+	job    *job
+	number int
+	due    time.Time
+	steps  []*step
+}
+
+func newOccurrence(j *job, k int) *occurrence {
+	o := &occurrence{job: j, number: k, due: j.due(k)}
+	for i, d := range j.def.GetSteps() {
+		s := &step{occurrence: o, number: i, def: d, left: int(d.GetCount())}
+		s.tasks = make([]task, d.GetCount())
+		s.name = platform.StepName(j.def.GetId(), k, i)
+		for x := range s.tasks {
+			n := platform.TaskName{Job: j.def.GetId(), Occurrence: k, Step: i, Index: x}
+			s.tasks[x] = task{step: s, index: x, name: n.String()}
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+func (o *occurrence) done() bool {
+	for _, s := range o.steps {
+		if s.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// step is the step of an occurrence.
+type step struct {
+	occurrence *occurrence
+	number     int
+	name       string
+	def        *work.Step
+	tasks      []task
+	// left counts the tasks that haven't ended done.
+	left int
+	// readyAt is when the steps before it were done.
+	readyAt time.Time
+	// running counts its runs.
+	running int
+	tickets tickets
+}
+
+// tickets are the policy's answer for a step.
+type tickets struct {
+	asking bool
+	byHost map[string]string
+	until  time.Time
+	// askAt is when the policy may be asked again.
+	askAt time.Time
+}
+
+// ready reports whether all steps that it comes after are done.
+func (s *step) ready() bool {
+	for _, a := range s.def.GetAfter() {
+		if s.occurrence.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// away counts the tasks other than t that aren't at work.
+func (s *step) away(t *task) int {
+	n := 0
+	for i := range s.tasks {
+		if u := &s.tasks[i]; u != t && !u.atWork() {
+			n++
+		}
+	}
+	return n
+}
+
+// sparable reports whether a task may be taken away.
+func (s *step) sparable(t *task) bool {
+	if s.occurrence.job.over() || s.def.GetMayMiss() == 0 || !t.atWork() {
+		return true
+	}
+	return s.away(t) < int(s.def.GetMayMiss())
+}
+
+// task is a task of a step.
+type task struct {
+	step     *step
+	index    int
+	name     string
+	done     bool
+	failures int
+	// last is the highest run that was given.
+	last       int64
+	checkpoint string
+	// runs that may be running.
+	runs []*run
+	// waitingSince is when it could first be placed.
+	waitingSince time.Time
+	// avoid is the upstream where it failed last.
+	avoid string
+}
+
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.state == runRunning && r.percent >= 100 {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *task) drop(r *run) {
+	for i, x := range t.runs {
+		if x == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			return
+		}
+	}
+}
+
+// runState is how far a run is.
+type runState uint8
+
+const (
+	// runOrdered: the start has not been answered.
+	runOrdered runState = iota
+	// runUnsure: the start may still be carried out.
+	runUnsure
+	// runRunning: the upstream has it.
+	runRunning
+	// runStopping: a stop has been ordered.
+	runStopping
+)
+
+// run is one start of a task.
+type run struct {
+	task   *task
+	host   *host
+	number int64
+	state  runState
+	// started is when the upstream confirmed it.
+	ordered time.Time
+	started time.Time
+	// stopped is when a stop was confirmed; zero before.
+	stopped  time.Time
+	stopSent bool
+	stopDue  time.Time
+	percent  int
+	moved    time.Time
+	gauge    int64
+	pace     int
+	// adopted runs were started by a former owner or late.
+	adopted bool
+}
--- /dev/null
+++ b/entry/scheduler/look.go
@@ -0,0 +1,503 @@
+package scheduler
+
+import (
+	"net/http"
+	"time"
+
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// list takes in the platform's list of the pool's upstreams.
+func (s *Scheduler) list(now time.Time, all []platform.Upstream) {
+	seen := make(map[string]bool, len(all))
+	for _, u := range all {
+		seen[u.ID] = true
+		h := s.hosts[u.ID]
+		switch {
+		case h == nil:
+			s.hosts[u.ID] = newHost(u, now)
+			s.note("Upstream listed.", "", "upstream", u.ID, "born", u.Born, "draining", u.Draining)
+			s.replan = true
+		case u.Born > h.born && h.born != 0:
+			s.reborn(now, h, u.Born)
+			h.list(u, now)
+		default:
+			s.relist(now, h, u)
+		}
+	}
+	for id, h := range s.hosts {
+		if h.listed && !seen[id] {
+			h.listed, h.unlistedAt = false, now
+			h.lookDue = now
+			s.note("Upstream no longer listed.", "", "upstream", id, "runs", len(h.runs))
+		}
+		if !h.listed {
+			s.bury(h)
+		}
+	}
+}
+
+func (s *Scheduler) relist(now time.Time, h *host, u platform.Upstream) {
+	if !h.listed || u.Draining != h.up.Draining {
+		s.note("Upstream changed.", "", "upstream", u.ID, "draining", u.Draining)
+		s.replan = true
+	}
+	h.list(u, now)
+	if u.Draining {
+		s.evacuate(now, h)
+	}
+}
+
+// reborn ends the life of an upstream that started anew under its ID.
+func (s *Scheduler) reborn(now time.Time, h *host, born int64) {
+	s.note("Upstream was reborn.", "", "upstream", h.up.ID, "runs", len(h.runs), "born", born)
+	s.loseRuns(now, h, "reborn")
+	h.born, h.fenced, h.gone = born, false, false
+	h.clockMs, h.clockAt, h.deadlineMs = 0, time.Time{}, 0
+	h.seen, h.durable, h.acked, h.failed = 0, 0, 0, 0
+	h.health = health{}
+	h.lookDue = now
+	delete(s.journal.ends, h)
+	if s.journal.inFlight != nil {
+		delete(s.journal.inFlight.ends, h)
+	}
+	delete(s.unheard, h.up.ID)
+	s.replan = true
+}
+
+// over ends the life of an upstream for good.
+func (s *Scheduler) over(now time.Time, h *host, why string) {
+	if h.gone {
+		return
+	}
+	s.note("Upstream's life is over.", "", "upstream", h.up.ID, "runs", len(h.runs), "why", why)
+	h.gone = true
+	s.loseRuns(now, h, why)
+	delete(s.unheard, h.up.ID)
+}
+
+// bury forgets an upstream that isn't listed and runs nothing.
+func (s *Scheduler) bury(h *host) {
+	id := h.up.ID
+	if _, waited := s.unheard[id]; waited || len(h.runs) > 0 || h.looking {
+		return
+	}
+	if h.failed == 0 && !h.gone && h.fenced {
+		return // It answers; its entry may come back.
+	}
+	delete(s.hosts, id)
+	if h.inRoster {
+		s.journal.others = append(s.journal.others, platform.Record{Key: HostKey(s.set.Pool, id)})
+	}
+}
+
+// loseRuns has the tasks of an upstream placed again.
+func (s *Scheduler) loseRuns(now time.Time, h *host, why string) {
+	for r := range h.runs {
+		s.note("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
+			"run", r.number, "upstream", h.up.ID, "why", why)
+		s.release(now, r)
+	}
+}
+
+// release ends a run: its task may be placed again.
+func (s *Scheduler) release(now time.Time, r *run) {
+	r.host.remove(r)
+	t := r.task
+	t.drop(r)
+	t.step.running--
+	if len(t.runs) == 0 && !t.done {
+		t.waitingSince = now
+	}
+	s.replan = true
+}
+
+// expire gives up what runs on an upstream whose leases have lapsed.
+func (s *Scheduler) expire(now time.Time, h *host) {
+	if len(h.runs) > 0 && h.failed > 0 && h.lapsed(now) {
+		s.loseRuns(now, h, "lease lapsed")
+	}
+}
+
+// hear forgets upstreams of a former owner whose leases are surely over.
+func (s *Scheduler) hear(now time.Time) {
+	for id, t := range s.unheard {
+		if !now.Before(t) {
+			delete(s.unheard, id)
+			s.note("Upstream of a former owner given up.", "", "upstream", id)
+			s.replan = true
+		}
+	}
+}
+
+func (s *Scheduler) wantsLook(h *host) bool {
+	if h.gone {
+		return false
+	}
+	if !h.fenced || len(h.runs) > 0 {
+		return h.listed || len(h.runs) > 0 || h.inRoster
+	}
+	return h.durable > h.acked && h.failed == 0
+}
+
+// _leaseFloor is the rest of a lease at which it is extended, ends or not.
+const _leaseFloor = 2500 * time.Millisecond
+
+// lookTime returns when an upstream is looked at next. While its ends are being
+// appended that waits, as it would list the same ends at once.
+func (s *Scheduler) lookTime(now time.Time, h *host) time.Time {
+	if h.seen <= h.durable || len(h.runs) == 0 {
+		return h.lookDue
+	}
+	floor := h.clockAt.Add(time.Duration(h.deadlineMs-h.clockMs)*time.Millisecond - _leaseFloor)
+	if floor.Before(h.lookDue) {
+		return h.lookDue
+	}
+	return floor
+}
+
+// look extends the leases of an upstream if that is due.
+func (s *Scheduler) look(now time.Time, h *host) {
+	if h.looking || !s.wantsLook(h) || now.Before(s.lookTime(now, h)) {
+		return
+	}
+	hold := platform.Hold{Token: s.set.Token, Acked: h.durable, Wait: s.lookWait(h)}
+	if s.mayOrder(now) && !h.clockAt.IsZero() && len(h.runs) > 0 {
+		hold.DeadlineMs = h.lease(now, s.leaseTime())
+	}
+	h.looking, h.lookSent = true, now
+	s.emit(Look{Host: h.up.ID, Target: h.target, Hold: hold})
+}
+
+func (s *Scheduler) leaseTime() time.Duration {
+	if s.set.HoldMax > 0 {
+		return min(_lease, s.set.HoldMax)
+	}
+	return _lease
+}
+
+// lookWait returns how long the answer may wait for an end.
+func (s *Scheduler) lookWait(h *host) time.Duration {
+	if len(h.runs) == 0 || !h.fenced {
+		return 0
+	}
+	for r := range h.runs {
+		if r.state == runUnsure || r.state == runStopping && !r.stopped.IsZero() {
+			return 0
+		}
+	}
+	return _lookWait
+}
+
+// looked takes in the answer to a look.
+func (s *Scheduler) looked(now time.Time, e Looked) {
+	h := s.hosts[e.Host]
+	if h == nil {
+		return
+	}
+	h.looking = false
+	if e.Err != nil {
+		s.lookFailed(now, h, e.Err)
+		return
+	}
+	if e.Look.Born != 0 && h.born != 0 && e.Look.Born != h.born {
+		if e.Look.Born < h.born {
+			return
+		}
+		s.reborn(now, h, e.Look.Born)
+	}
+	if h.born == 0 {
+		h.born = e.Look.Born
+	}
+	if h.failed > 0 {
+		s.note("Upstream answers again.", "", "upstream", h.up.ID, "failed", h.failed)
+	}
+	if !h.fenced || h.failed > 0 {
+		s.replan = true
+	}
+	h.failed, h.fenced, h.lastSeen = 0, true, now
+	h.clockMs, h.clockAt = e.Look.ClockMs, now
+	delete(s.unheard, h.up.ID)
+	s.enroll(now, h)
+	s.takeEnds(now, h, e.Look.Ended)
+	s.takeRunning(now, h, e)
+	h.lookDue = now
+	if s.lookWait(h) == 0 {
+		h.lookDue = now.Add(_pollStopping)
+	}
+}
+
+// _pollStopping is the pause between looks that can't wait for an end.
+const _pollStopping = 60 * time.Millisecond
+
+// enroll appends the upstream to those that a later owner has to hear.
+func (s *Scheduler) enroll(now time.Time, h *host) {
+	if h.inRoster {
+		return
+	}
+	h.inRoster = true
+	s.journal.others = append(s.journal.others, record(HostKey(s.set.Pool, h.up.ID),
+		&work.Host{Id: h.up.ID, Address: h.up.Address}))
+	s.journal.wake(now.Add(_endDelay))
+}
+
+func (s *Scheduler) lookFailed(now time.Time, h *host, err error) {
+	switch platform.Status(err) {
+	case http.StatusMisdirectedRequest:
+		s.over(now, h, "address serves another upstream")
+		return
+	case http.StatusConflict:
+		s.lose(h.up.ID)
+		return
+	}
+	h.failed++
+	h.lookDue = now.Add(_retryLook)
+	if h.failed == 1 {
+		s.note("Upstream doesn't answer.", "", "upstream", h.up.ID, "runs", len(h.runs), "err", err)
+	}
+}
+
+// takeEnds takes in ends that weren't seen before.
+func (s *Scheduler) takeEnds(now time.Time, h *host, ends []platform.Ended) {
+	before := h.seen
+	for _, e := range ends {
+		if e.Number <= before {
+			continue
+		}
+		h.seen = max(h.seen, e.Number)
+		s.takeEnd(now, h, e)
+	}
+	if h.seen > before {
+		s.cover(now, h)
+	}
+}
+
+// find returns the task of a name.
+func (s *Scheduler) find(name string) *task {
+	n, ok := platform.ParseTaskName(name)
+	if !ok {
+		return nil
+	}
+	j := s.jobs[n.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occurrences[n.Occurrence]
+	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
+		return nil
+	}
+	return &o.steps[n.Step].tasks[n.Index]
+}
+
+// takeEnd takes in the end of a run, whoever started it.
+func (s *Scheduler) takeEnd(now time.Time, h *host, e platform.Ended) {
+	t := s.find(e.Task)
+	if t == nil {
+		return
+	}
+	r := h.find(e.Task, e.Run)
+	t.last = max(t.last, e.Run)
+	if e.Checkpoint != "" {
+		s.keep(t, e.Checkpoint)
+	}
+	var took time.Duration
+	if r != nil {
+		if !r.started.IsZero() {
+			took = now.Sub(r.started)
+		}
+		s.release(now, r)
+	}
+	switch e.End {
+	case platform.EndDone:
+		h.health.succeed()
+		s.finish(now, t, h, took)
+	case platform.EndFailed:
+		s.failure(now, t, h, e)
+	default:
+		if !t.step.occurrence.job.over() {
+			s.note("Run ended early.", t.step.occurrence.job.def.GetId(), "task", e.Task, "run", e.Run,
+				"end", string(e.End), "upstream", h.up.ID)
+		}
+	}
+}
+
+// keep notes the point from which a task resumes. Members of a gang resume
+// from the same.
+func (s *Scheduler) keep(t *task, checkpoint string) {
+	if !t.step.def.GetCheckpointing() {
+		return
+	}
+	t.checkpoint = checkpoint
+	if t.step.def.GetGang() {
+		for i := range t.step.tasks {
+			t.step.tasks[i].checkpoint = checkpoint
+		}
+	}
+}
+
+// finish notes that a task has ended done.
+func (s *Scheduler) finish(now time.Time, t *task, h *host, took time.Duration) {
+	st := t.step
+	j := st.occurrence.job
+	if t.done || j.over() {
+		return
+	}
+	if took > 0 && t.checkpoint == "" {
+		s.learned.note(st.def, took, s.remote(st, h))
+	}
+	if st.def.GetGang() {
+		for i := range st.tasks {
+			st.tasks[i].done = true
+		}
+		st.left = 0
+	} else {
+		t.done = true
+		st.left--
+	}
+	s.stopAll(now, t)
+	s.soil(now, j, _endDelay)
+	s.replan = true
+	if j.allDone() {
+		j.completed = true
+		s.end(now, j)
+	}
+}
+
+// failure notes that a task has failed, and ends its job if that was once too
+// often.
+func (s *Scheduler) failure(now time.Time, t *task, h *host, e platform.Ended) {
+	j := t.step.occurrence.job
+	if j.over() || t.done {
+		return
+	}
+	t.avoid = h.up.ID
+	s.note("Run failed.", j.def.GetId(), "task", e.Task, "run", e.Run, "upstream", h.up.ID,
+		"failures", t.failures+1, "allowed", j.queue.Attempts)
+	if t.step.def.GetLongRunning() {
+		return
+	}
+	t.failures++
+	s.soil(now, j, _endDelay)
+	if h.health.fail(now, j.def.GetId()) {
+		s.note("Upstream ejected.", "", "upstream", h.up.ID, "until", h.health.ejectedUntil)
+	}
+	if n := t.step.failures(t); j.queue.Attempts > 0 && n >= j.queue.Attempts {
+		j.failed = true
+		s.end(now, j)
+	}
+}
+
+// takeRunning compares what runs on an upstream with what should.
+func (s *Scheduler) takeRunning(now time.Time, h *host, e Looked) {
+	listed := make(map[*run]bool, len(e.Look.Running))
+	for _, n := range e.Look.Running {
+		r := h.find(n.Task, n.Run)
+		if r == nil {
+			r = s.meet(now, h, n)
+		}
+		if r != nil {
+			listed[r] = true
+			s.watch(now, r, n)
+		}
+	}
+	if len(e.Look.Ended) >= _endsPage {
+		return // More ends are to come.
+	}
+	for r := range h.runs {
+		if !listed[r] {
+			s.missing(now, r, e.Sent)
+		}
+	}
+}
+
+// _endsPage is how many ends an upstream lists at once.
+const _endsPage = 500
+
+// meet takes in a run that this owner didn't know: one of a former owner, or of
+// an order that was carried out late.
+func (s *Scheduler) meet(now time.Time, h *host, n platform.Running) *run {
+	t := s.find(n.Task)
+	if t == nil {
+		s.emit(Stop{Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token})
+		return nil
+	}
+	r := &run{task: t, number: n.Run, state: runRunning, started: now, percent: -1, pace: 100, adopted: true}
+	t.last = max(t.last, n.Run)
+	t.step.occurrence.job.begun = true
+	former := len(t.runs) > 0
+	t.runs = append(t.runs, r)
+	t.step.running++
+	h.add(r)
+	if t.done || t.step.occurrence.job.over() || former {
+		s.stop(now, r)
+	}
+	return r
+}
+
+// watch follows a run that is listed.
+func (s *Scheduler) watch(now time.Time, r *run, n platform.Running) {
+	if r.state == runOrdered || r.state == runUnsure {
+		r.state, r.started = runRunning, now
+	}
+	if n.Checkpoint != "" {
+		s.keep(r.task, n.Checkpoint)
+	}
+	if n.Percent != r.percent {
+		r.percent, r.moved = n.Percent, now
+	}
+	r.gauge = n.Gauge
+	if r.state == runRunning && s.stuck(now, r) {
+		s.note("Run stands still.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
+			"upstream", r.host.up.ID, "percent", r.percent, "sinceMs", now.Sub(r.moved).Milliseconds())
+		r.task.avoid = r.host.up.ID
+		r.host.health.eject(now)
+		s.stop(now, r)
+	}
+}
+
+// _stillAfter is when a run that doesn't move is taken to be stuck. A slow
+// upstream still moves by a percent within it.
+const _stillAfter = 1200 * time.Millisecond
+
+// stuck reports whether a run stands still.
+func (s *Scheduler) stuck(now time.Time, r *run) bool {
+	d := r.task.step.def
+	if d.GetLongRunning() || d.GetFills() || d.GetGang() || r.pace < 100 {
+		return false
+	}
+	return now.Sub(r.moved) >= _stillAfter
+}
+
+// missing decides about a run that a look doesn't list.
+func (s *Scheduler) missing(now time.Time, r *run, sent time.Time) {
+	switch r.state {
+	case runRunning:
+		if r.started.Before(sent) {
+			s.release(now, r)
+		}
+	case runStopping:
+		if !r.stopped.IsZero() && r.stopped.Before(sent) {
+			s.release(now, r)
+		}
+	case runUnsure:
+		if r.ordered.Before(sent) {
+			s.stop(now, r)
+		}
+	case runOrdered:
+	}
+}
+
+// failures counts the failed runs that a limit applies to: those of the task,
+// or of all members of a gang.
+func (st *step) failures(t *task) int {
+	if !st.def.GetGang() {
+		return t.failures
+	}
+	n := 0
+	for i := range st.tasks {
+		n += st.tasks[i].failures
+	}
+	return n
+}
+
--- /dev/null
+++ b/entry/scheduler/order.go
@@ -0,0 +1,186 @@
+package scheduler
+
+import (
+	"net/http"
+	"time"
+
+	"fescuelanding/platform"
+)
+
+// start gives a task to an upstream.
+func (s *Scheduler) start(now time.Time, t *task, h *host) {
+	t.last++
+	s.startAs(now, t, h, t.last)
+}
+
+func (s *Scheduler) startAs(now time.Time, t *task, h *host, n int64) {
+	st := t.step
+	r := &run{task: t, number: n, state: runOrdered, ordered: now, percent: -1, moved: now, pace: 100}
+	t.last = n
+	t.runs = append(t.runs, r)
+	st.running++
+	h.add(r)
+	j := st.occurrence.job
+	j.begun = true
+	o := platform.Start{
+		Task: t.name, Run: n, Spec: j.def.GetSpec(), Token: s.set.Token,
+		DeadlineMs: h.lease(now, s.leaseTime()), Checkpoint: t.checkpoint,
+	}
+	if st.tickets.byHost != nil {
+		o.Ticket = st.tickets.byHost[h.up.ID]
+	}
+	s.note("Task placed.", j.def.GetId(), "task", t.name, "run", n, "upstream", h.up.ID,
+		"waitedMs", now.Sub(t.waitingSince).Milliseconds())
+	s.emit(Start{Host: h.up.ID, Target: h.target, Order: o})
+}
+
+// stop ends a run. Until that is confirmed its task isn't placed again.
+func (s *Scheduler) stop(now time.Time, r *run) {
+	if r.state == runStopping {
+		return
+	}
+	r.state, r.stopDue = runStopping, now
+	s.sendStop(r)
+}
+
+func (s *Scheduler) sendStop(r *run) {
+	r.stopSent = true
+	s.emit(Stop{
+		Host: r.host.up.ID, Target: r.host.target, Task: r.task.name, Run: r.number, Token: s.set.Token,
+	})
+}
+
+// stopDue repeats stops that weren't confirmed.
+func (s *Scheduler) stopDue(now time.Time, h *host) {
+	for r := range h.runs {
+		if r.state == runStopping && !r.stopSent && !now.Before(r.stopDue) {
+			s.sendStop(r)
+		}
+	}
+}
+
+// ordered takes in the answer to an order.
+func (s *Scheduler) ordered(now time.Time, e Ordered) {
+	switch o := e.Op.(type) {
+	case Start:
+		if h := s.hosts[o.Host]; h != nil {
+			s.clock(now, h, e.ClockMs)
+			if r := h.find(o.Order.Task, o.Order.Run); r != nil {
+				s.started(now, r, e.Err)
+			}
+		}
+	case Stop:
+		if h := s.hosts[o.Host]; h != nil {
+			if r := h.find(o.Task, o.Run); r != nil {
+				s.stopped(now, r, e.Err)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) clock(now time.Time, h *host, ms int64) {
+	if ms > h.clockNow(now) {
+		h.clockMs, h.clockAt = ms, now
+	}
+}
+
+// started takes in the answer to a start.
+func (s *Scheduler) started(now time.Time, r *run, err error) {
+	if err == nil {
+		if r.state == runOrdered {
+			r.state, r.started, r.moved = runRunning, now, now
+		}
+		if r.host.lookDue.After(now) {
+			r.host.lookDue = now
+		}
+		return
+	}
+	h := r.host
+	code, reason := platform.Status(err), platform.Reason(err)
+	s.note("Start refused.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name, "run", r.number,
+		"upstream", h.up.ID, "status", code, "reason", reason, "err", err)
+	switch {
+	case code == http.StatusConflict && reason == platform.ReasonFence:
+		s.lose(h.up.ID)
+	case code == http.StatusConflict:
+		s.startConflict(now, r, reason)
+	case code == http.StatusMisdirectedRequest:
+		s.over(now, h, "address serves another upstream")
+	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
+		h.health.eject(now)
+		s.release(now, r)
+	case code == http.StatusBadRequest:
+		r.task.avoid = h.up.ID
+		s.release(now, r)
+	default:
+		if r.state == runOrdered {
+			r.state = runUnsure
+		}
+		h.lookDue = now
+	}
+}
+
+// startConflict takes in a refusal that the upstream gave a reason for.
+func (s *Scheduler) startConflict(now time.Time, r *run, reason string) {
+	h := r.host
+	switch reason {
+	case platform.ReasonOld:
+		r.task.last += _runGap
+	case platform.ReasonTicket:
+		r.task.step.tickets = tickets{}
+	case platform.ReasonRoom:
+		// What is there but not known yet is learned by the next look.
+		h.health.ejectedUntil = now.Add(_roomPause)
+		h.lookDue = now
+	}
+	s.release(now, r)
+}
+
+// _roomPause is how long an upstream that has less room than thought is left
+// alone.
+const _roomPause = 200 * time.Millisecond
+
+// stopped takes in the answer to a stop.
+func (s *Scheduler) stopped(now time.Time, r *run, err error) {
+	h := r.host
+	if err == nil {
+		r.stopped = now
+		h.lookDue = now
+		return
+	}
+	switch platform.Status(err) {
+	case http.StatusConflict:
+		s.lose(h.up.ID)
+	case http.StatusMisdirectedRequest:
+		s.over(now, h, "address serves another upstream")
+	default:
+		r.stopSent, r.stopDue = false, now.Add(_retryStop)
+	}
+}
+
+// advised takes in the policy's answer for a step.
+func (s *Scheduler) advised(now time.Time, e Advised) {
+	for _, j := range s.active {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.name != e.Step {
+					continue
+				}
+				st.tickets.asking = false
+				s.replan = true
+				if e.Err != nil {
+					st.tickets.askAt = now.Add(_retryAdvice)
+					s.learned.retryAt(st.tickets.askAt)
+					s.note("Advice failed.", j.def.GetId(), "step", e.Step, "err", e.Err)
+					return
+				}
+				st.tickets.byHost = e.Tickets.ByUpstream
+				st.tickets.until = now.Add(e.Tickets.Valid * 8 / 10)
+				return
+			}
+		}
+	}
+}
+
+// _retryAdvice is the pause after a question that wasn't answered.
+const _retryAdvice = 200 * time.Millisecond
--- /dev/null
+++ b/entry/scheduler/place.go
@@ -0,0 +1,342 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"fescuelanding/platform"
+)
+
+// occur begins occurrences that are due.
+func (s *Scheduler) occur(now time.Time) {
+	for _, j := range s.active {
+		if !j.durable {
+			continue
+		}
+		for j.next < j.times() && !now.Before(j.due(j.next)) {
+			j.occurrences[j.next] = newOccurrence(j, j.next)
+			j.next++
+			s.replan = true
+		}
+	}
+}
+
+// rank orders jobs: long-running ones first, as they must be at work however
+// full the pool is, then by priority, then by when they should be done. What is
+// late already comes last.
+type rank struct {
+	lasting  bool
+	late     bool
+	priority int
+	due      time.Time
+}
+
+func (s *Scheduler) rank(now time.Time, o *occurrence) rank {
+	j := o.job
+	due := o.due.Add(j.objective)
+	return rank{j.lasting(), now.After(due), j.queue.Priority, due}
+}
+
+func (a rank) compare(b rank) int {
+	if a.lasting != b.lasting {
+		return boolOrder(b.lasting)
+	}
+	if a.late != b.late {
+		return boolOrder(a.late)
+	}
+	if c := cmp.Compare(a.priority, b.priority); c != 0 {
+		return c
+	}
+	return a.due.Compare(b.due)
+}
+
+// boolOrder sorts what is true behind.
+func boolOrder(last bool) int {
+	if last {
+		return 1
+	}
+	return -1
+}
+
+type ranked struct {
+	rank rank
+	occ  *occurrence
+}
+
+// place gives waiting tasks to upstreams.
+func (s *Scheduler) place(now time.Time) {
+	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
+	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
+		if h := s.hosts[id]; h.usable(now) {
+			p.hosts = append(p.hosts, h)
+		}
+	}
+	if len(p.hosts) == 0 {
+		return
+	}
+	var all []ranked
+	for _, j := range s.active {
+		if !j.durable || j.inherited && len(s.unheard) > 0 {
+			continue
+		}
+		for _, o := range j.occurrences {
+			all = append(all, ranked{s.rank(now, o), o})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int { return a.rank.compare(b.rank) })
+	for _, r := range all {
+		for _, st := range r.occ.steps {
+			if st.left > st.running && st.ready() {
+				p.step(st)
+			}
+		}
+	}
+}
+
+// pass is one round of placing.
+type pass struct {
+	s     *Scheduler
+	now   time.Time
+	hosts []*host
+	// reserved upstreams are kept for tasks that have waited for long.
+	reserved map[*host]bool
+}
+
+const (
+	// _reserveAfter is when room is kept free for a task that doesn't fit
+	// between smaller ones.
+	_reserveAfter = 300 * time.Millisecond
+	// _maxReserved is how many upstreams may be kept so at once.
+	_maxReserved = 2
+)
+
+// step places the waiting tasks of a step.
+func (p *pass) step(st *step) {
+	if st.readyAt.IsZero() {
+		st.readyAt = p.now
+		for i := range st.tasks {
+			st.tasks[i].waitingSince = p.now
+		}
+	}
+	if !p.ticketed(st) {
+		return
+	}
+	if st.def.GetGang() {
+		p.gang(st)
+		return
+	}
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		h := p.pick(t, "")
+		if h != nil {
+			p.s.start(p.now, t, h)
+			continue
+		}
+		if p.now.Sub(t.waitingSince) < _reserveAfter && !st.def.GetLongRunning() {
+			return // The others of the step are as large.
+		}
+		if len(p.reserved) >= _maxReserved || !p.reserve(t) {
+			return
+		}
+	}
+}
+
+// pick returns the best upstream for a task, on one rack if that is given.
+func (p *pass) pick(t *task, rack string) *host {
+	var best *host
+	var low float64
+	for _, h := range p.hosts {
+		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !room(t.step, h.free()) {
+			continue
+		}
+		if c := p.cost(t, h); best == nil || c < low {
+			best, low = h, c
+		}
+	}
+	return best
+}
+
+// allowed reports whether a task may run on an upstream, room aside.
+func (p *pass) allowed(t *task, h *host) bool {
+	st := t.step
+	if !h.has(st.def.GetRequires()) {
+		return false
+	}
+	if n := int(st.def.GetAntiAffinity()); n > 0 && h.ofStep(st) >= n {
+		return false
+	}
+	if st.tickets.byHost != nil && st.tickets.byHost[h.up.ID] == "" {
+		return false
+	}
+	// On probation an upstream gets one task at a time.
+	return h.health.ejections == 0 || h.health.streak == 0 || len(h.runs) == 0
+}
+
+func room(st *step, f platform.Capacity) bool {
+	return (st.def.GetFills() || f.MilliCPU >= st.def.GetMilliCpu()) &&
+		f.MemoryMB >= st.def.GetMemoryMb() && f.GPUs >= st.def.GetGpus()
+}
+
+// Costs of an upstream for a task, against room left over on a scale from zero
+// to one.
+const (
+	_costRemote  = 4.0
+	_costAvoid   = 6.0
+	_costFailing = 3.0
+	_costSibling = 1.5
+	// _failingFor is how long a failure speaks against an upstream.
+	_failingFor = 2 * time.Second
+)
+
+// cost tells how ill an upstream suits a task. Tasks that end fill up the
+// fullest upstream that has room, so that wide ones find some; long-running
+// ones are spread.
+func (p *pass) cost(t *task, h *host) float64 {
+	st, f := t.step, h.free()
+	left := float64(f.MilliCPU-st.def.GetMilliCpu()) / float64(max(1, h.up.Capacity.MilliCPU))
+	c := left
+	if st.def.GetLongRunning() {
+		c = 1 - left + _costSibling*float64(h.ofStep(st))
+	}
+	if st.def.GetAffinity() != "" && h.rack != st.def.GetAffinity() {
+		c += _costRemote
+	}
+	if t.avoid == h.up.ID {
+		c += _costAvoid
+	}
+	if p.now.Sub(h.health.lastFailure) < _failingFor {
+		c += _costFailing * float64(min(1, h.health.streak))
+	}
+	return c
+}
+
+// reserve keeps the upstream with the most room for a task.
+func (p *pass) reserve(t *task) bool {
+	var best *host
+	for _, h := range p.hosts {
+		if p.reserved[h] || !p.allowed(t, h) || !room(t.step, h.up.Capacity) {
+			continue
+		}
+		if best == nil || h.free().MilliCPU > best.free().MilliCPU {
+			best = h
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.reserved[best] = true
+	return true
+}
+
+// gang places all tasks of a step at once, or none.
+func (p *pass) gang(st *step) {
+	if st.running > 0 || st.left < len(st.tasks) {
+		return // The former run has to be over everywhere.
+	}
+	racks := []string{""}
+	if st.def.GetSameRack() {
+		racks = append(p.racks(), "")
+	}
+	for _, rack := range racks {
+		if hosts := p.together(st, rack); hosts != nil {
+			n := int64(0)
+			for i := range st.tasks {
+				n = max(n, st.tasks[i].last)
+			}
+			for i := range st.tasks {
+				p.s.startAs(p.now, &st.tasks[i], hosts[i], n+1)
+			}
+			return
+		}
+	}
+	if p.now.Sub(st.readyAt) > _reserveAfter && len(p.reserved) < _maxReserved {
+		p.reserve(&st.tasks[0])
+	}
+}
+
+func (p *pass) racks() []string {
+	var l []string
+	for _, h := range p.hosts {
+		if h.rack != "" && !slices.Contains(l, h.rack) {
+			l = append(l, h.rack)
+		}
+	}
+	return l
+}
+
+// together finds an upstream for each task of a gang, on one rack if that is
+// given.
+func (p *pass) together(st *step, rack string) []*host {
+	free := make(map[*host]platform.Capacity, len(p.hosts))
+	count := make(map[*host]int)
+	var out []*host
+	for i := range st.tasks {
+		var best *host
+		for _, h := range p.hosts {
+			if _, ok := free[h]; !ok {
+				free[h] = h.free()
+			}
+			if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(&st.tasks[i], h) || !room(st, free[h]) {
+				continue
+			}
+			if n := int(st.def.GetAntiAffinity()); n > 0 && count[h] >= n {
+				continue
+			}
+			if best == nil || free[h].MilliCPU < free[best].MilliCPU {
+				best = h
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		f := free[best]
+		f.MilliCPU -= st.def.GetMilliCpu()
+		f.MemoryMB -= st.def.GetMemoryMb()
+		f.GPUs -= st.def.GetGpus()
+		free[best] = f
+		count[best]++
+		out = append(out, best)
+	}
+	return out
+}
+
+// ticketed reports whether a step may be placed as far as the queue's policy
+// goes, and asks the policy if it has to.
+func (p *pass) ticketed(st *step) bool {
+	if !st.occurrence.job.queue.Advice.Needed() {
+		return true
+	}
+	k := &st.tickets
+	if k.byHost != nil && p.now.Before(k.until) {
+		return true
+	}
+	if k.asking || p.now.Before(k.askAt) {
+		return false
+	}
+	var ids []string
+	for _, h := range p.hosts {
+		if h.has(st.def.GetRequires()) && len(ids) < platform.MaxAdviceHosts {
+			ids = append(ids, h.up.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return false
+	}
+	k.asking, k.byHost = true, nil
+	p.s.emit(Advise{Step: st.name, Hosts: ids})
+	return false
+}
+
+// remote returns how many times longer a task takes on an upstream than near
+// its data.
+func (s *Scheduler) remote(st *step, h *host) float64 {
+	if st.def.GetAffinity() == "" || h.rack == st.def.GetAffinity() || s.set.RemoteFactor < 1 {
+		return 1
+	}
+	return s.set.RemoteFactor
+}
--- /dev/null
+++ b/entry/scheduler/submit.go
@@ -0,0 +1,274 @@
+package scheduler
+
+import (
+	"time"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// configure takes in the queues of the pool. Jobs of a queue that is no longer
+// there go on as they were accepted.
+func (s *Scheduler) configure(queues []platform.Queue) {
+	clear(s.queues)
+	for _, q := range queues {
+		s.queues[q.Name] = q
+	}
+	for _, j := range s.active {
+		if q, ok := s.queues[j.def.GetQueue()]; ok {
+			j.queue = q
+		}
+	}
+	s.replan = true
+}
+
+// load takes in what former owners appended.
+func (s *Scheduler) load(now time.Time, e Loaded) {
+	s.loaded = true
+	for _, d := range e.Jobs {
+		j := s.adopt(d, e.Progress[d.GetId()])
+		s.jobs[d.GetId()] = j
+		if j.over() {
+			s.past = append(s.past, j)
+		} else {
+			s.active = append(s.active, j)
+		}
+	}
+	for _, u := range e.Hosts {
+		s.unheard[u.ID] = now.Add(_unheard)
+		if s.hosts[u.ID] == nil {
+			h := newHost(u, now)
+			h.listed, h.inRoster = false, true
+			s.hosts[u.ID] = h
+		}
+		s.hosts[u.ID].inRoster = true
+	}
+	s.note("Journal loaded.", "", "jobs", len(e.Jobs), "open", len(s.active), "upstreams", len(e.Hosts))
+	q := s.questions
+	s.questions = nil
+	for _, x := range q {
+		s.question(now, x.event)
+	}
+	s.replan = true
+}
+
+// adopt rebuilds a job from its records. Runs continue above any number that a
+// former owner can have used without appending it.
+func (s *Scheduler) adopt(d *work.Job, p *work.Progress) *job {
+	j := &job{
+		def: d, queue: s.queues[d.GetQueue()], arrived: time.UnixMilli(d.GetAcceptedUnixMs()),
+		durable: true, inherited: true, occurrences: make(map[int]*occurrence),
+		cancelled: p.GetCancelled(), failed: p.GetFailed(), completed: p.GetCompleted(),
+	}
+	j.objective = s.objective(j)
+	j.shown = endState(j)
+	j.endedAt = time.UnixMilli(p.GetEndedUnixMs())
+	for _, o := range p.GetOccurrences() {
+		k := int(o.GetNumber())
+		c := newOccurrence(j, k)
+		j.occurrences[k] = c
+		j.next = max(j.next, k+1)
+		for i, sp := range o.GetSteps() {
+			if i < len(c.steps) {
+				restore(c.steps[i], sp)
+			}
+		}
+	}
+	for k := range j.next {
+		if j.occurrences[k] == nil {
+			j.occurrences[k] = newOccurrence(j, k)
+		}
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for i := range st.tasks {
+				st.tasks[i].last += _runGap
+			}
+		}
+	}
+	return j
+}
+
+// _runGap is above the number of runs that one owner gives a task before it
+// appends something about the job.
+const _runGap = 16
+
+// restore sets a step to what was appended about it.
+func restore(st *step, p *work.StepProgress) {
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if b := p.GetDone(); i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 {
+			t.done = true
+			st.left--
+			st.occurrence.job.begun = true
+		}
+		if f := p.GetFailures(); i < len(f) {
+			t.failures = int(f[i])
+		}
+		t.last = int64(p.GetLastRun())
+	}
+}
+
+// submit decides on a job that a caller hands in.
+func (s *Scheduler) submit(now time.Time, e Submitted) {
+	id := e.Job.GetId()
+	if j := s.jobs[id]; j != nil {
+		if j.durable {
+			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
+			return
+		}
+		j.waiting = append(j.waiting, e.Ref)
+		return
+	}
+	j := &job{
+		def: e.Job, queue: s.queues[e.Job.GetQueue()], arrived: now,
+		occurrences: make(map[int]*occurrence), waiting: []Ref{e.Ref},
+	}
+	j.def.AcceptedUnixMs = now.UnixMilli()
+	j.objective = s.objective(j)
+	if v := s.admit(now, j); v.outcome != link.Outcome_OUTCOME_OK {
+		s.note("Job refused.", id, "queue", j.def.GetQueue(), "why", v.why,
+			"predictedMs", v.predicted.Milliseconds(), "objectiveMs", j.objective.Milliseconds(),
+			"retryAfterMs", v.retry.Milliseconds())
+		s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
+		return
+	}
+	s.jobs[id] = j
+	s.active = append(s.active, j)
+	s.journal.accepts = append(s.journal.accepts, j)
+	s.journal.wake(now.Add(_acceptDelay))
+}
+
+// ask tells a caller how far a job is.
+func (s *Scheduler) ask(e Asked) {
+	j := s.jobs[e.ID]
+	if j == nil || !j.durable {
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
+		return
+	}
+	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, State: j.state()})
+}
+
+// cancel ends a job. The caller hears of it once it can't come back.
+func (s *Scheduler) cancel(now time.Time, e Cancelled) {
+	j := s.jobs[e.ID]
+	switch {
+	case j == nil:
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
+		return
+	case j.shown != link.JobState_JOB_STATE_UNSPECIFIED:
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, State: j.shown})
+		return
+	}
+	j.cancelling = append(j.cancelling, e.Ref)
+	if !j.over() {
+		j.cancelled = true
+		s.end(now, j)
+		s.note("Job cancelled.", e.ID, "queue", j.def.GetQueue())
+	}
+	s.soil(now, j, _acceptDelay)
+}
+
+// end stops what runs of a job that is over.
+func (s *Scheduler) end(now time.Time, j *job) {
+	j.endedAt = now
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for i := range st.tasks {
+				s.stopAll(now, &st.tasks[i])
+			}
+		}
+	}
+	for i, x := range s.active {
+		if x == j {
+			s.active = append(s.active[:i], s.active[i+1:]...)
+			break
+		}
+	}
+	s.past = append(s.past, j)
+	s.replan = true
+}
+
+func (s *Scheduler) stopAll(now time.Time, t *task) {
+	for _, r := range t.runs {
+		s.stop(now, r)
+	}
+}
+
+// countPending counts the accepted jobs of a queue of which no task has begun.
+func (s *Scheduler) countPending(queue string) int64 {
+	var n int64
+	for _, j := range s.active {
+		if j.durable && !j.begun && j.def.GetQueue() == queue {
+			n++
+		}
+	}
+	return n
+}
+
+// vacate keeps an upstream free, or uses it again.
+func (s *Scheduler) vacate(now time.Time, e Vacated) {
+	h := s.hosts[e.Host]
+	if h == nil {
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Vacant: true})
+		return
+	}
+	if e.Release {
+		h.vacatedUntil = time.Time{}
+		s.replan = true
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
+		return
+	}
+	h.vacatedUntil = now.Add(_vacateLease)
+	s.evacuate(now, h)
+	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Vacant: len(h.runs) == 0})
+}
+
+// evacuate stops long-running tasks that may be away, so that they start
+// elsewhere. Others are waited for.
+func (s *Scheduler) evacuate(now time.Time, h *host) {
+	for r := range h.runs {
+		if r.task.step.def.GetLongRunning() && r.state == runRunning && r.task.step.sparable(r.task) {
+			s.stop(now, r)
+		}
+	}
+}
+
+// load64 sums up the pool for the planner.
+func (s *Scheduler) load64() *link.PoolLoad {
+	l := &link.PoolLoad{}
+	for _, h := range s.hosts {
+		if h.listed && !h.gone && !h.up.Draining {
+			l.Capacity += h.up.Capacity.MilliCPU
+			l.Used += h.used.MilliCPU
+		}
+	}
+	for _, j := range s.active {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				n := int64(st.left - st.running)
+				if n > 0 && !st.def.GetFills() && st.ready() {
+					l.Waiting += n * st.def.GetMilliCpu()
+				}
+				if st.def.GetLongRunning() && !st.def.GetFills() {
+					l.Lasting += int64(st.def.GetCount()) * st.def.GetMilliCpu()
+				}
+			}
+		}
+	}
+	return l
+}
+
+// endState is the final state of a job, if it has one.
+func endState(j *job) link.JobState {
+	switch {
+	case j.cancelled:
+		return link.JobState_JOB_STATE_CANCELLED
+	case j.failed:
+		return link.JobState_JOB_STATE_FAILED
+	case j.completed:
+		return link.JobState_JOB_STATE_COMPLETED
+	}
+	return link.JobState_JOB_STATE_UNSPECIFIED
+}
