--- /dev/null
+++ b/entry/hostplan/moves.go
@@ -0,0 +1,230 @@
+package hostplan
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/platform"
+)
+
+const (
+	// _headroom is the room kept above what is asked, as tasks don't pack
+	// without gaps.
+	_headroom = 1.25
+	// _base is the part of the hosts of a pool that stay when nothing is asked,
+	// so that a turn's first moments are served.
+	_base = 2
+	// _surplusFor is how long a host must be left over before it goes to
+	// standby: a move there and back costs as much as some seconds of it.
+	_surplusFor = 1500 * time.Millisecond
+	// _calmFor is how long demand must have been low before hosts are taken for
+	// another pool.
+	_calmFor = 400 * time.Millisecond
+	// _backlogSpan is how soon the backlog should be done.
+	_backlogSpan = 1.5
+)
+
+// poolState is what the planner derives of a pool.
+type poolState struct {
+	name    string
+	standby bool
+	load    *link.PoolLoad
+	hostCPU float64
+	// hosts are up in the pool or on their way to it; away are those among them
+	// that are leaving or down.
+	hosts int
+	away  int
+	// need is how many hosts the pool should have, of which the first are base.
+	need int
+	base int
+	// surplusSince is when it last had as many as it needs or fewer.
+	surplusSince time.Time
+	cycle        cycle
+}
+
+// runs returns the runs of an upstream, and the long-running among them.
+func (s *poolState) runs(upstream string) (all, lasting int) {
+	for _, h := range s.load.GetHosts() {
+		if h.GetUpstream() == upstream {
+			return int(h.GetRuns()), int(h.GetLasting())
+		}
+	}
+	return 0, 0
+}
+
+// observe derives the state of the pools.
+func (p *Planner) observe(now time.Time) {
+	seen := make(map[string]bool)
+	for _, v := range p.view.Pools {
+		seen[v.Name] = true
+		s := p.pools[v.Name]
+		if s == nil {
+			s = &poolState{name: v.Name, surplusSince: now}
+			p.pools[v.Name] = s
+		}
+		s.standby = v.Standby
+		if v.Load != nil {
+			s.load = v.Load
+			s.cycle.note(now, float64(v.Load.GetDemand()))
+		}
+		s.hosts, s.away = 0, 0
+	}
+	for name := range p.pools {
+		if !seen[name] {
+			delete(p.pools, name)
+		}
+	}
+	for _, m := range p.view.Machines {
+		p.count(m)
+	}
+	for _, s := range p.pools {
+		s.assess(now, p.set.Move)
+	}
+}
+
+// count adds a host to the pool where it is or will be.
+func (p *Planner) count(m platform.Machine) {
+	pool := m.Pool
+	t := p.tasks[m.Name]
+	if t != nil && t.to != "" {
+		pool = t.to
+	}
+	s := p.pools[pool]
+	if s == nil || m.State == platform.MachineDown {
+		return
+	}
+	s.hosts++
+	if s.hostCPU == 0 {
+		s.hostCPU = float64(m.Capacity.MilliCPU)
+	}
+	if m.State == platform.MachineUpkeep || t != nil && t.wave != 0 {
+		s.away++
+	}
+}
+
+// assess works out how many hosts the pool should have.
+func (s *poolState) assess(now time.Time, move time.Duration) {
+	if s.standby || s.load == nil || s.hostCPU <= 0 {
+		s.need = 0
+		return
+	}
+	rate := max(float64(s.load.GetDemand()), s.cycle.forecast(now, move+_lead))
+	backlog := float64(s.load.GetBacklog()) / _backlogSpan
+	lasting := float64(s.load.GetLasting())
+	s.need = int(math.Ceil((lasting + max(rate, backlog)*_headroom) / s.hostCPU))
+	lastingHosts := 0
+	for _, h := range s.load.GetHosts() {
+		if h.GetLasting() > 0 {
+			lastingHosts++
+		}
+	}
+	s.base = max(lastingHosts, _base)
+	s.need = max(s.need, s.base)
+	if s.hosts <= s.need {
+		s.surplusSince = now
+	}
+}
+
+// _lead is how much earlier than its turn a pool should have its hosts.
+const _lead = 700 * time.Millisecond
+
+// moves has hosts follow the demand.
+func (p *Planner) moves(now time.Time) {
+	var short []*poolState
+	for _, name := range sorted(p.pools) {
+		s := p.pools[name]
+		if !s.standby && s.load != nil && s.hosts-s.away < s.need {
+			short = append(short, s)
+		}
+	}
+	all := p.candidates(func(platform.Machine) bool { return true })
+	slices.SortStableFunc(short, func(a, b *poolState) int { return (b.need - b.hosts) - (a.need - a.hosts) })
+	for _, s := range short {
+		all = p.fill(now, s, all)
+	}
+	p.park(now, all)
+}
+
+// fill sends hosts to a pool that is short.
+func (p *Planner) fill(now time.Time, s *poolState, all []candidate) []candidate {
+	var rest []candidate
+	for _, c := range all {
+		if s.hosts-s.away >= s.need || c.pool == s || !p.spare(now, c) {
+			rest = append(rest, c)
+			continue
+		}
+		c.pool.hosts--
+		s.hosts++
+		p.emit(Note{"Host moves.", []any{
+			"machine", c.machine.Name, "from", c.machine.Pool, "to", s.name, "runs", c.runs,
+			"hosts", s.hosts, "need", s.need, "demand", s.load.GetDemand(), "backlog", s.load.GetBacklog(),
+		}})
+		p.begin(now, c.machine, 0, s.name)
+	}
+	return rest
+}
+
+// spare reports whether a pool can give a host to another.
+func (p *Planner) spare(now time.Time, c candidate) bool {
+	if c.pool.standby {
+		return true
+	}
+	return c.lasting == 0 && c.pool.load != nil && c.pool.hosts-c.pool.away > c.pool.need &&
+		now.Sub(c.pool.surplusSince) >= _calmFor
+}
+
+// park sends hosts that nothing asks for to a standby pool.
+func (p *Planner) park(now time.Time, all []candidate) {
+	var to string
+	for _, name := range sorted(p.pools) {
+		if p.pools[name].standby {
+			to = name
+			break
+		}
+	}
+	if to == "" {
+		return
+	}
+	for _, c := range all {
+		s := c.pool
+		if s.standby || c.runs > 0 || c.lasting > 0 || s.load == nil ||
+			s.hosts-s.away <= s.need || now.Sub(s.surplusSince) < _surplusFor {
+			continue
+		}
+		s.hosts--
+		p.emit(Note{"Host goes to standby.", []any{
+			"machine", c.machine.Name, "from", s.name, "hosts", s.hosts, "need", s.need,
+		}})
+		p.begin(now, c.machine, 0, to)
+	}
+}
+
+// Arrivals returns the room that will join a pool.
+func (p *Planner) Arrivals(now time.Time, pool string) []*link.Arrival {
+	var l []*link.Arrival
+	for _, name := range sorted(p.tasks) {
+		t := p.tasks[name]
+		back := t.wave != 0 && t.machine.Pool == pool && !t.ordered.IsZero()
+		if t.to != pool && !back {
+			continue
+		}
+		in := _vacateTime / 2
+		if !t.ordered.IsZero() {
+			in = -now.Sub(t.ordered)
+		}
+		if back {
+			in += p.set.Upkeep
+		} else {
+			in += p.set.Move
+		}
+		l = append(l, &link.Arrival{MilliCpu: t.machine.Capacity.MilliCPU, InMs: max(0, in).Milliseconds() + _joinMs})
+	}
+	slices.SortFunc(l, func(a, b *link.Arrival) int { return int(a.GetInMs() - b.GetInMs()) })
+	return l
+}
+
+// _joinMs is what passes, in milliseconds, from a host's start until its
+// pool's owner has found it in the list and heard it.
+const _joinMs = 300
--- /dev/null
+++ b/entry/hostplan/planner.go
@@ -0,0 +1,368 @@
+package hostplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/platform"
+)
+
+// Settings of a planner. Weights that are zero stand for the defaults.
+type Settings struct {
+	// Move and Upkeep are how long a host is away for either.
+	Move   time.Duration
+	Upkeep time.Duration
+}
+
+// Pool is what is known of a pool.
+type Pool struct {
+	Name    string
+	Standby bool
+	// Load is nil while the owner doesn't answer.
+	Load *link.PoolLoad
+}
+
+// View is what the caller observed.
+type View struct {
+	Machines []platform.Machine
+	Pools    []Pool
+}
+
+// Op is something that the planner wants done.
+type Op interface{ op() }
+
+// Vacate asks the owner of a pool to leave an upstream free. It is repeated
+// while it stands; Vacated answers.
+type Vacate struct{ Machine, Pool, Upstream string }
+
+// Release has an upstream used again.
+type Release struct{ Machine, Pool, Upstream string }
+
+// Move sends a host to another pool; Ordered answers.
+type Move struct{ Machine, Pool string }
+
+// Upkeep takes a host down for a wave; Ordered answers.
+type Upkeep struct {
+	Machine string
+	Wave    int64
+}
+
+// Report says how far a wave is.
+type Report struct {
+	Wave      int64
+	Completed bool
+}
+
+// Note is a decision worth a line in the log.
+type Note struct {
+	What  string
+	Pairs []any
+}
+
+func (Vacate) op()  {}
+func (Release) op() {}
+func (Move) op()    {}
+func (Upkeep) op()  {}
+func (Report) op()  {}
+func (Note) op()    {}
+
+// Planner decides for all hosts.
+type Planner struct {
+	set    Settings
+	waves  []*wave
+	tasks  map[string]*errand
+	view   View
+	byName map[string]platform.Machine
+	pools  map[string]*poolState
+	ops    []Op
+}
+
+// wave is a wave that isn't completed.
+type wave struct {
+	platform.Wave
+	due      time.Time
+	begun    map[string]bool
+	reported bool
+}
+
+// errand is what is being done with a host.
+type errand struct {
+	machine platform.Machine
+	wave    int64
+	to      string
+	since   time.Time
+	// asked is when the pool's owner was asked last to vacate it.
+	asked    time.Time
+	vacant   bool
+	ordering bool
+	// ordered is when the order was confirmed.
+	ordered time.Time
+	retryAt time.Time
+}
+
+// New returns a planner that knows of no wave.
+func New(s Settings) *Planner {
+	return &Planner{set: s, tasks: make(map[string]*errand), pools: make(map[string]*poolState)}
+}
+
+// Declare takes in a wave; begun are its hosts whose upkeep has begun.
+func (p *Planner) Declare(now time.Time, w platform.Wave, begun []string) {
+	for _, x := range p.waves {
+		if x.Number == w.Number {
+			x.Wave = w
+			return
+		}
+	}
+	n := &wave{Wave: w, due: now.Add(w.Within), begun: make(map[string]bool)}
+	for _, m := range begun {
+		n.begun[m] = true
+	}
+	p.waves = append(p.waves, n)
+}
+
+// Idle reports whether nothing is asked of the planner but moves.
+func (p *Planner) Idle() bool { return len(p.waves) == 0 && len(p.tasks) == 0 }
+
+// Vacated takes in the answer to a Vacate.
+func (p *Planner) Vacated(machine string, vacant bool) {
+	if t := p.tasks[machine]; t != nil {
+		t.vacant = vacant
+	}
+}
+
+// Result is the answer to an order.
+type Result uint8
+
+// Results of an order.
+const (
+	// Unsure: it may be carried out later; it is repeated.
+	Unsure Result = iota
+	// Done: it was carried out.
+	Done
+	// Busy: the host can't go now.
+	Busy
+	// Refused: it can't be carried out at all.
+	Refused
+)
+
+// _retryOrder is the pause before an order is repeated.
+const _retryOrder = 250 * time.Millisecond
+
+// Ordered takes in the answer to a Move or an Upkeep.
+func (p *Planner) Ordered(now time.Time, machine string, r Result) {
+	t := p.tasks[machine]
+	if t == nil {
+		return
+	}
+	t.ordering = false
+	switch r {
+	case Done:
+		t.ordered = now
+		if t.wave != 0 {
+			p.began(t.wave, machine)
+		}
+	case Unsure:
+		t.retryAt = now.Add(_retryOrder)
+	case Busy, Refused:
+		if r == Refused && t.wave != 0 {
+			p.began(t.wave, machine)
+		}
+		t.to, t.wave = "", 0
+		t.ordered = now
+	}
+}
+
+func (p *Planner) began(number int64, machine string) {
+	for _, w := range p.waves {
+		if w.Number == number {
+			w.begun[machine] = true
+		}
+	}
+}
+
+// Step decides by what was observed.
+func (p *Planner) Step(now time.Time, v View) []Op {
+	p.ops = nil
+	p.view = v
+	p.byName = make(map[string]platform.Machine, len(v.Machines))
+	for _, m := range v.Machines {
+		p.byName[m.Name] = m
+	}
+	p.observe(now)
+	p.advance(now)
+	p.finishWaves(now)
+	p.upkeeps(now)
+	p.moves(now)
+	return p.ops
+}
+
+func (p *Planner) emit(o Op) { p.ops = append(p.ops, o) }
+
+// _giveUp is how long a host is waited for that doesn't become vacant.
+const _giveUp = 6 * time.Second
+
+// advance goes on with what was begun.
+func (p *Planner) advance(now time.Time) {
+	for _, name := range sorted(p.tasks) {
+		t := p.tasks[name]
+		m, there := p.byName[name]
+		switch {
+		case !there:
+			delete(p.tasks, name)
+		case !t.ordered.IsZero():
+			// The list shows an order somewhat later than it was confirmed.
+			if m.State == platform.MachineUp && now.Sub(t.ordered) > _listLag || now.Sub(t.ordered) > _giveUp {
+				delete(p.tasks, name)
+			}
+		case t.ordering || now.Before(t.retryAt):
+		case !t.retryAt.IsZero() || t.vacant:
+			p.order(now, t)
+		case m.State != platform.MachineUp || m.Upstream != t.machine.Upstream ||
+			t.to != "" && now.Sub(t.since) > _giveUp:
+			p.emit(Release{name, t.machine.Pool, t.machine.Upstream})
+			delete(p.tasks, name)
+		default:
+			p.vacate(now, t)
+		}
+	}
+}
+
+// _askInterval is between two questions whether a host is vacant.
+const _askInterval = 180 * time.Millisecond
+
+// vacate asks the owner of the pool, unless that was done just now.
+func (p *Planner) vacate(now time.Time, t *errand) {
+	if now.Sub(t.asked) < _askInterval {
+		return
+	}
+	t.asked = now
+	p.emit(Vacate{t.machine.Name, t.machine.Pool, t.machine.Upstream})
+}
+
+// _listLag is how far the list of hosts may be behind an order.
+const _listLag = time.Second
+
+// order sends a vacant host away, unless too many of its wave are down.
+func (p *Planner) order(now time.Time, t *errand) {
+	name := t.machine.Name
+	if t.wave == 0 {
+		t.ordering = true
+		p.emit(Move{name, t.to})
+		return
+	}
+	w := p.wave(t.wave)
+	if w == nil || t.retryAt.IsZero() && p.down(now, w) >= w.AtOnce {
+		p.vacate(now, t)
+		return
+	}
+	t.ordering = true
+	p.emit(Upkeep{name, t.wave})
+}
+
+func (p *Planner) wave(number int64) *wave {
+	for _, w := range p.waves {
+		if w.Number == number {
+			return w
+		}
+	}
+	return nil
+}
+
+// down counts the hosts of a wave that are, or may be, down for it.
+func (p *Planner) down(now time.Time, w *wave) int {
+	n := 0
+	for _, name := range w.Machines {
+		t := p.tasks[name]
+		ordered := t != nil && t.wave == w.Number && (t.ordering || !t.retryAt.IsZero() || !t.ordered.IsZero())
+		if ordered || p.byName[name].State == platform.MachineUpkeep {
+			n++
+		}
+	}
+	return n
+}
+
+// finishWaves reports waves of which every host that stays has begun.
+func (p *Planner) finishWaves(now time.Time) {
+	var open []*wave
+	for _, w := range p.waves {
+		if !w.reported {
+			w.reported = true
+			p.emit(Report{w.Number, false})
+		}
+		left := 0
+		for _, m := range w.Machines {
+			if _, there := p.byName[m]; there && !w.begun[m] {
+				left++
+			}
+		}
+		if left > 0 || len(p.byName) == 0 {
+			open = append(open, w)
+			continue
+		}
+		p.emit(Report{w.Number, true})
+		p.emit(Note{"Wave completed.", []any{"wave", w.Number, "leftMs", w.due.Sub(now).Milliseconds()}})
+	}
+	p.waves = open
+}
+
+// candidate is a host that may go.
+type candidate struct {
+	machine platform.Machine
+	pool    *poolState
+	runs    int
+	lasting int
+}
+
+// candidates are hosts that are up and about which nothing is under way, those
+// that cost least first.
+func (p *Planner) candidates(keep func(platform.Machine) bool) []candidate {
+	var l []candidate
+	for _, m := range p.view.Machines {
+		ps := p.pools[m.Pool]
+		if ps == nil || p.tasks[m.Name] != nil || m.State != platform.MachineUp || !keep(m) {
+			continue
+		}
+		runs, lasting := ps.runs(m.Upstream)
+		l = append(l, candidate{m, ps, runs, lasting})
+	}
+	slices.SortStableFunc(l, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(order(!a.pool.standby), order(!b.pool.standby)),
+			cmp.Compare(a.lasting, b.lasting), cmp.Compare(a.runs, b.runs),
+			cmp.Compare(a.machine.Name, b.machine.Name),
+		)
+	})
+	return l
+}
+
+func order(last bool) int {
+	if last {
+		return 1
+	}
+	return 0
+}
+
+func (p *Planner) begin(now time.Time, m platform.Machine, wave int64, to string) {
+	t := &errand{machine: m, wave: wave, to: to, since: now}
+	// Nothing runs in a standby pool.
+	if ps := p.pools[m.Pool]; ps.standby || m.Upstream == "" {
+		t.vacant = true
+	}
+	p.tasks[m.Name] = t
+	if t.vacant {
+		p.order(now, t)
+		return
+	}
+	p.vacate(now, t)
+}
+
+func sorted[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -51,6 +51,7 @@
 	link   link.Client
 	self   string
 
+	bounds  atomic.Pointer[platform.Bounds]
 	config  atomic.Pointer[configured]
 	closing atomic.Bool
 	pools   pools
@@ -74,6 +75,7 @@
 		peers: owner.Peers{Store: s, Upstreams: platform.NewUpstreams(_orderConns)},
 		self:  netip.AddrPortFrom(b.Address, b.FirstPort).String(),
 	}
+	n.bounds.Store(&b.Bounds)
 	if b.Advice != "" {
 		n.peers.Adviser = platform.NewAdviser(b.Advice)
 	}
@@ -113,6 +115,7 @@
 	go n.list.run(work)
 	go n.group.Run(joined)
 	go n.waves.run(joined)
+	go n.watchBoot(work)
 	<-ctx.Done()
 	n.shutdown(callers, leave)
 	return nil
@@ -221,7 +224,7 @@
 	n.closing.Store(true)
 	leave()
 	n.pools.handOver()
-	ctx, cancel := context.WithTimeout(context.Background(), max(n.boot.Bounds.Grace-_graceMargin, time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), max(n.bounds.Load().Grace-_graceMargin, time.Second))
 	defer cancel()
 	if err := n.group.Leave(ctx); err != nil {
 		n.log.Warn("Group was not left.", "err", err)
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -124,7 +124,7 @@
 
 // gain starts the owner of a pool.
 func (p *pools) gain(c *configured, name string, token int64) {
-	b := p.node.boot.Bounds
+	b := p.node.bounds.Load()
 	set := scheduler.Settings{
 		Pool: name, Token: token, StopTimeout: b.StopTimeout, HoldMax: b.HoldMax, Status: b.Status,
 		RemoteFactor: b.RemoteFactor, Restore: b.Restore,
--- a/entry/internal/notes/notes.go
+++ b/entry/internal/notes/notes.go
@@ -7,7 +7,7 @@
 package notes
 
 import (
-	"bufio"
+	"bytes"
 	"io"
 	"sync/atomic"
 	"time"
@@ -21,9 +21,7 @@
 const (
 	// _ring is how many lines may wait.
 	_ring = 4096
-	// _buffer is how much is written at once, in bytes.
-	_buffer = 32 << 10
-	// _flush is how long a line may stay in the buffer.
+	// _flush is how long lines gather, so that they are written together.
 	_flush = 250 * time.Millisecond
 )
 
@@ -46,11 +44,11 @@
 // New returns a log that writes to w with a prefix.
 func New(w io.Writer, prefix string) *Log {
 	g := &Log{lines: make(chan line, _ring), done: make(chan struct{}), closed: make(chan struct{})}
-	b := bufio.NewWriterSize(w, _buffer)
+	b := &bytes.Buffer{}
 	l := log.NewWithOptions(b, log.Options{
 		Prefix: prefix, ReportTimestamp: false, Level: log.DebugLevel, Formatter: log.LogfmtFormatter,
 	})
-	go g.write(l, b)
+	go g.write(l, b, w)
 	return g
 }
 
@@ -88,7 +86,7 @@
 var _dropped = metrics.NewCounter("entry_log_lines_dropped_total")
 
 // write runs until Close.
-func (g *Log) write(l *log.Logger, b *bufio.Writer) {
+func (g *Log) write(l *log.Logger, b *bytes.Buffer, w io.Writer) {
 	defer close(g.closed)
 	for {
 		select {
@@ -96,10 +94,10 @@
 			g.one(l, n)
 			g.rest(l)
 			g.pause(l)
-			_ = b.Flush() // Nobody can be told that the log can't be written.
+			_, _ = b.WriteTo(w) // Nobody can be told that the log can't be written.
 		case <-g.done:
 			g.rest(l)
-			_ = b.Flush() // As above.
+			_, _ = b.WriteTo(w) // As above.
 			return
 		}
 	}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -158,7 +158,7 @@
 	case *link.Call_Vacate:
 		return scheduler.Vacated{Ref: r, Host: b.Vacate.GetMachine(), Release: b.Vacate.GetRelease()}
 	case *link.Call_Load:
-		return scheduler.Measured{Ref: r}
+		return scheduler.Measured{Ref: r, Arrivals: b.Load.GetArrivals()}
 	}
 	return nil
 }
--- a/entry/link/client.go
+++ b/entry/link/client.go
@@ -19,6 +19,9 @@
 	_dialTimeout = 400 * time.Millisecond
 	// _writeTimeout is how long a peer may not read.
 	_writeTimeout = time.Second
+	// _silence is when a connection without an answer is given up. Owners
+	// answer within some milliseconds of the store.
+	_silence = 900 * time.Millisecond
 	// _maxMessage bounds a message, in bytes: a job with its steps.
 	_maxMessage = 1 << 20
 	// _lane is the window of the one stream, in bytes.
@@ -55,7 +58,7 @@
 	l := c.lane(address)
 	a, err := l.call(ctx, q)
 	if err != nil {
-		if !errors.Is(err, ErrNotSent) || l.broken() {
+		if l.broken() || l.silent() {
 			c.drop(address, l)
 		}
 		return nil, fmt.Errorf("call %s: %w", address, err)
@@ -109,6 +112,8 @@
 	mu      sync.Mutex
 	last    uint64
 	waiting map[uint64]chan *Answer
+	// since is when the oldest call went out after which nothing was heard.
+	since time.Time
 }
 
 // open dials once.
@@ -143,6 +148,13 @@
 	}
 }
 
+// silent reports whether calls went out and nothing has come back for long.
+func (l *lane) silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.since.IsZero() && time.Since(l.since) > _silence
+}
+
 func (l *lane) close() {
 	l.ending.Do(func() { close(l.done) })
 	l.once.Do(func() { l.err = ErrNotSent })
@@ -163,6 +175,7 @@
 		l.mu.Lock()
 		w := l.waiting[a.GetNumber()]
 		delete(l.waiting, a.GetNumber())
+		l.since = time.Time{}
 		l.mu.Unlock()
 		if w != nil {
 			w <- &a
@@ -179,6 +192,9 @@
 	l.last++
 	n := l.last
 	l.waiting[n] = w
+	if l.since.IsZero() {
+		l.since = time.Now()
+	}
 	m := &Call{Number: n, Pool: q.GetPool(), Body: q.GetBody()}
 	err := send(l.stream, m)
 	l.mu.Unlock()
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -14,13 +16,21 @@
 
 // onPlatform runs the entry of the users' platform.
 func onPlatform(ctx context.Context, _ *cli.Command) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	b, err := platform.ReadBoot()
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
 	g := notes.New(os.Stdout, "entry")
 	defer g.Close()
-	if err := node.New(b, g).Run(ctx); err != nil {
+	n := node.New(b, g)
+	go func() {
+		for range reload {
+			n.Reload()
+		}
+	}()
+	if err := n.Run(ctx); err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
 	return nil
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -38,17 +38,24 @@
 		return verdict{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.backlog(now)
-	if b.capacity <= 0 {
+	wait, known := b.wait(now, s.workOf(j), s.arrivals)
+	if !known {
 		return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "pool has no room", retry: _minRetry}
 	}
-	p := b.wait(s.workOf(j)) + s.chain(j)
-	if p <= j.objective {
+	// A caller that was refused before counts from its first attempt.
+	late := now.Sub(j.arrived)
+	p := wait + s.chain(j)
+	if late+p <= j.objective || wait == 0 && late+p <= _lateFactor*j.objective {
 		return verdict{outcome: link.Outcome_OUTCOME_OK, predicted: p}
 	}
 	r := min(max(p-j.objective, _minRetry), _maxRetry)
 	return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "late", predicted: p, retry: r}
 }
 
+// _lateFactor is how many times its objective a job may take and still be worth
+// something.
+const _lateFactor = 3
+
 // fits reports whether each task fits some upstream at all. An unknown pool
 // gets the benefit of the doubt.
 func (s *Scheduler) fits(j *job) bool {
@@ -84,14 +91,30 @@
 	running float64
 }
 
-// wait predicts how long a job that brings some work waits until it runs.
-func (b backlog) wait(work float64) time.Duration {
+// wait predicts how long a job that brings some work waits until it runs, with
+// the room that will join. It isn't known where there is no room at all.
+func (b backlog) wait(now time.Time, work float64, arrivals []arrival) (time.Duration, bool) {
+	left := b.waiting + b.running + work
+	room, at := b.capacity, now
 	// Work that runs side by side with the new job doesn't hold it up.
-	ahead := b.waiting + b.running + work - b.capacity*_window.Seconds()
-	if ahead <= 0 || b.capacity <= 0 {
-		return 0
+	left -= max(0, room) * _window.Seconds()
+	for _, a := range arrivals {
+		d := max(0, a.at.Sub(at))
+		if room > 0 && left <= room*d.Seconds() {
+			break
+		}
+		left -= max(0, room) * d.Seconds()
+		at = at.Add(d)
+		room += a.cpu
+		left -= a.cpu * _window.Seconds()
+	}
+	if left <= 0 {
+		return at.Sub(now), true
+	}
+	if room <= 0 {
+		return 0, false
 	}
-	return time.Duration(ahead / b.capacity * float64(time.Second))
+	return at.Sub(now) + time.Duration(left/room*float64(time.Second)), true
 }
 
 // _window is the work, as time of the whole pool, that is always in hand: the
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -60,8 +60,12 @@
 	Release bool
 }
 
-// Measured is the planner's question after the load.
-type Measured struct{ Ref Ref }
+// Measured is the planner's question after the load. It announces the room
+// that will join.
+type Measured struct {
+	Ref      Ref
+	Arrivals []*link.Arrival
+}
 
 // Looked is the answer to a Look.
 type Looked struct {
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -500,4 +500,3 @@
 	}
 	return n
 }
-
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -25,11 +25,16 @@
 	storeSeen time.Time
 	lost      bool
 
-	journal  journal
-	learned  learned
+	// arrivals are room that the planner has announced.
+	arrivals []arrival
+	demand   demand
+	// first is when a caller handed a job in that was refused.
+	first     firstSeen
+	journal   journal
+	learned   learned
 	questions []question
-	replan   bool
-	ops      []Op
+	replan    bool
+	ops       []Op
 }
 
 // question waits until the journal has been loaded.
@@ -112,7 +117,8 @@
 	case Vacated:
 		s.vacate(now, e)
 	case Measured:
-		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: s.load64()})
+		s.announce(now, e.Arrivals)
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: s.measure(now)})
 	}
 }
 
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -125,8 +125,13 @@
 		def: e.Job, queue: s.queues[e.Job.GetQueue()], arrived: now,
 		occurrences: make(map[int]*occurrence), waiting: []Ref{e.Ref},
 	}
-	j.def.AcceptedUnixMs = now.UnixMilli()
+	first, fresh := s.first.note(now, id)
+	j.def.AcceptedUnixMs = first.UnixMilli()
+	j.arrived = first
 	j.objective = s.objective(j)
+	if fresh {
+		s.demand.note(now, s.workOf(j))
+	}
 	if v := s.admit(now, j); v.outcome != link.Outcome_OUTCOME_OK {
 		s.note("Job refused.", id, "queue", j.def.GetQueue(), "why", v.why,
 			"predictedMs", v.predicted.Milliseconds(), "objectiveMs", j.objective.Milliseconds(),
@@ -235,31 +240,6 @@
 	}
 }
 
-// load64 sums up the pool for the planner.
-func (s *Scheduler) load64() *link.PoolLoad {
-	l := &link.PoolLoad{}
-	for _, h := range s.hosts {
-		if h.listed && !h.gone && !h.up.Draining {
-			l.Capacity += h.up.Capacity.MilliCPU
-			l.Used += h.used.MilliCPU
-		}
-	}
-	for _, j := range s.active {
-		for _, o := range j.occurrences {
-			for _, st := range o.steps {
-				n := int64(st.left - st.running)
-				if n > 0 && !st.def.GetFills() && st.ready() {
-					l.Waiting += n * st.def.GetMilliCpu()
-				}
-				if st.def.GetLongRunning() && !st.def.GetFills() {
-					l.Lasting += int64(st.def.GetCount()) * st.def.GetMilliCpu()
-				}
-			}
-		}
-	}
-	return l
-}
-
 // endState is the final state of a job, if it has one.
 func endState(j *job) link.JobState {
 	switch {
