scheduler, hostplan: durations learned by queue, few hosts for long-running tasks

Cause: declared durations of fit-check are off by a factor of e^0.9, so admission refused what would have fitted, and demand read as three times what it was. Long-running tasks sat on 8 or 9 hosts of each pool, which can't leave it; one burst looked like a cycle and sent hosts back. Change: a trend of true on declared durations for each queue, steps known by their ended tasks; long-running tasks gather; a cycle needs two turns.

--- a/entry/hostplan/cycle.go
+++ b/entry/hostplan/cycle.go
@@ -74,7 +74,7 @@
 	}
 	mean /= float64(n)
 	best, found := _likeness, 0
-	for p := _minPeriod; p <= _maxPeriod && p < n-_minPeriod/2; p++ {
+	for p := _minPeriod; p <= _maxPeriod && p <= n/2; p++ {
 		num, a, b := 0.0, 0.0, 0.0
 		for i := p; i < n; i++ {
 			x, y := c.demand[i]-mean, c.demand[i-p]-mean
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -151,7 +151,7 @@
 		b.capacity -= cpu * float64(st.def.GetCount())
 		return
 	}
-	d := s.learned.duration(st.def)
+	d := s.expect(st)
 	b.waiting += float64(max(0, st.left-st.running)) * cpu * d.Seconds()
 	for i := range st.tasks {
 		for _, r := range st.tasks[i].runs {
@@ -160,12 +160,21 @@
 	}
 }
 
+// expect predicts how long a task of a step runs. Tasks of a step are alike, so
+// those that ended tell most.
+func (s *Scheduler) expect(st *step) time.Duration {
+	if st.took.n > 0 {
+		return time.Duration(st.took.mean)
+	}
+	return s.learned.duration(st.occurrence.job.def.GetQueue(), st.def)
+}
+
 // workOf sums up the work of a job, in thousandths of a core times seconds.
 func (s *Scheduler) workOf(j *job) float64 {
 	w := 0.0
 	for _, d := range j.def.GetSteps() {
 		if !d.GetLongRunning() && !d.GetFills() {
-			w += float64(d.GetMilliCpu()) * float64(d.GetCount()) * s.learned.duration(d).Seconds()
+			w += float64(d.GetMilliCpu()) * float64(d.GetCount()) * s.learned.duration(j.def.GetQueue(), d).Seconds()
 		}
 	}
 	return w
@@ -180,7 +189,7 @@
 			end[i] = max(end[i], end[a])
 		}
 		if !d.GetLongRunning() {
-			end[i] += s.learned.duration(d)
+			end[i] += s.learned.duration(j.def.GetQueue(), d)
 		}
 		longest = max(longest, end[i])
 	}
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -146,6 +146,17 @@
 	return nil
 }
 
+// lasting counts the long-running runs here.
+func (h *host) lasting() int {
+	n := 0
+	for r := range h.runs {
+		if r.task.step.def.GetLongRunning() {
+			n++
+		}
+	}
+	return n
+}
+
 // ofStep counts the runs of a step here.
 func (h *host) ofStep(s *step) int {
 	n := 0
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -133,6 +133,8 @@
 	readyAt time.Time
 	// running counts its runs.
 	running int
+	// took is how long its tasks have run, in nanoseconds.
+	took    average
 	tickets tickets
 }
 
--- a/entry/scheduler/learn.go
+++ b/entry/scheduler/learn.go
@@ -1,27 +1,39 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"fescuelanding/fleet/work"
 )
 
-// learned is what ended tasks say about the duration of those to come.
+// learned is what ended tasks say about the duration of those to come. Callers
+// declare durations; how much that is worth differs by queue, and is learned.
 type learned struct {
 	byImage map[string]*average
-	// ratio of true to declared durations, for images not seen yet.
-	ratio average
+	byQueue map[string]*trend
 	// retry is when the scheduler has to look again at what it put off.
 	retry time.Time
 }
 
-func newLearned() learned { return learned{byImage: make(map[string]*average)} }
+func newLearned() learned {
+	return learned{byImage: make(map[string]*average), byQueue: make(map[string]*trend)}
+}
 
 const (
 	// _weight is the share of a new sample in an average of many.
 	_weight = 0.15
 	// _defaultDuration stands in where nothing is declared or learned.
 	_defaultDuration = time.Second
+	// _memory is how many samples a trend looks back.
+	_memory = 200.0
+	// _priorSlope and _priorWeight are what a trend assumes before it has
+	// samples, and how many samples that counts for: a declaration half as
+	// telling as a true one.
+	_priorSlope  = 0.6
+	_priorWeight = 4.0
+	// _priorSpread is the variance of the logarithm of declared durations.
+	_priorSpread = 0.3
 )
 
 // average is a mean that forgets slowly.
@@ -35,8 +47,37 @@
 	a.mean += (v - a.mean) * max(_weight, 1/float64(a.n))
 }
 
-// note takes in how long a task ran, away from its data or not.
-func (l *learned) note(d *work.Step, took time.Duration, remote float64) {
+// trend is a line through true against declared durations, both as logarithms.
+type trend struct{ n, x, y, xx, xy float64 }
+
+// note takes in a sample.
+func (t *trend) note(declared, took float64) {
+	f := 1.0
+	if t.n >= _memory {
+		f = 1 - 1/_memory
+	}
+	x, y := math.Log(declared), math.Log(took)
+	t.n, t.x, t.y = t.n*f+1, t.x*f+x, t.y*f+y
+	t.xx, t.xy = t.xx*f+x*x, t.xy*f+x*y
+}
+
+// predict returns the duration expected for a declared one.
+func (t *trend) predict(declared float64) float64 {
+	if t == nil || t.n < 1 {
+		return declared
+	}
+	mx, my := t.x/t.n, t.y/t.n
+	vx, c := t.xx-t.n*mx*mx, t.xy-t.n*mx*my
+	p := _priorWeight * _priorSpread
+	slope := min(max((c+p*_priorSlope)/(vx+p), 0), 1)
+	// The first samples say little about the level of others.
+	w := t.n / (t.n + 1)
+	line := my + slope*(math.Log(declared)-mx)
+	return math.Exp(w*line + (1-w)*math.Log(declared))
+}
+
+// note takes in how long a task of a queue ran, away from its data or not.
+func (l *learned) note(queue string, d *work.Step, took time.Duration, remote float64) {
 	v := float64(took) / remote
 	if i := d.GetImage(); i != "" {
 		a := l.byImage[i]
@@ -46,13 +87,18 @@
 		}
 		a.note(v)
 	}
-	if e := d.GetEstimateMs(); e > 0 {
-		l.ratio.note(v / float64(time.Duration(e)*time.Millisecond))
+	if e := d.GetEstimateMs(); e > 0 && v > 0 {
+		t := l.byQueue[queue]
+		if t == nil {
+			t = &trend{}
+			l.byQueue[queue] = t
+		}
+		t.note(float64(time.Duration(e)*time.Millisecond), v)
 	}
 }
 
 // duration predicts how long a task of a step runs.
-func (l *learned) duration(d *work.Step) time.Duration {
+func (l *learned) duration(queue string, d *work.Step) time.Duration {
 	if a := l.byImage[d.GetImage()]; a != nil && a.n >= 2 {
 		return time.Duration(a.mean)
 	}
@@ -60,10 +106,7 @@
 	if e <= 0 {
 		return _defaultDuration
 	}
-	if l.ratio.n >= 5 {
-		return time.Duration(float64(e) * l.ratio.mean)
-	}
-	return e
+	return time.Duration(l.byQueue[queue].predict(float64(e)))
 }
 
 // retryAt asks for another look at a time.
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -344,7 +344,10 @@
 		return
 	}
 	if took > 0 && t.checkpoint == "" {
-		s.learned.note(st.def, took, s.remote(st, h))
+		st.took.note(float64(took) / s.remote(st, h))
+		if st.took.n == 1 {
+			s.learned.note(j.def.GetQueue(), st.def, took, s.remote(st, h))
+		}
 	}
 	if st.def.GetGang() {
 		for i := range st.tasks {
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -189,19 +189,24 @@
 	_costAvoid   = 6.0
 	_costFailing = 3.0
 	_costSibling = 1.5
+	_costFresh   = 0.8
+	_costRack    = 0.3
 	// _failingFor is how long a failure speaks against an upstream.
 	_failingFor = 2 * time.Second
 )
 
 // cost tells how ill an upstream suits a task. Tasks that end fill up the
-// fullest upstream that has room, so that wide ones find some; long-running
-// ones are spread.
+// fullest upstream that has room, so that wide ones find some. Long-running ones
+// gather on few upstreams, as those can't leave the pool, but those of one step
+// on different ones and racks.
 func (p *pass) cost(t *task, h *host) float64 {
 	st, f := t.step, h.free()
-	left := float64(f.MilliCPU-st.def.GetMilliCpu()) / float64(max(1, h.up.Capacity.MilliCPU))
-	c := left
+	c := float64(f.MilliCPU-st.def.GetMilliCpu()) / float64(max(1, h.up.Capacity.MilliCPU))
 	if st.def.GetLongRunning() {
-		c = 1 - left + _costSibling*float64(h.ofStep(st))
+		if h.lasting() == 0 {
+			c += _costFresh
+		}
+		c += _costSibling*float64(h.ofStep(st)) + _costRack*float64(p.onRack(st, h.rack))
 	}
 	if st.def.GetAffinity() != "" && h.rack != st.def.GetAffinity() {
 		c += _costRemote
@@ -215,6 +220,17 @@
 	return c
 }
 
+// onRack counts the runs of a step on a rack.
+func (p *pass) onRack(st *step, rack string) int {
+	n := 0
+	for _, h := range p.hosts {
+		if h.rack == rack {
+			n += h.ofStep(st)
+		}
+	}
+	return n
+}
+
 // reserve keeps the upstream with the most room for a task.
 func (p *pass) reserve(t *task) bool {
 	var best *host
