--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -54,6 +54,9 @@
 	return 0, 0
 }
 
+// idle reports whether nothing runs in the pool.
+func (s *poolState) idle() bool { return s == nil || s.standby }
+
 // observe derives the state of the pools.
 func (p *Planner) observe(now time.Time) {
 	seen := make(map[string]bool)
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -37,6 +37,9 @@
 // while it stands; Vacated answers.
 type Vacate struct{ Machine, Pool, Upstream string }
 
+// Gone tells the owner of a pool that an upstream's host was ordered away.
+type Gone struct{ Machine, Pool, Upstream string }
+
 // Release has an upstream used again.
 type Release struct{ Machine, Pool, Upstream string }
 
@@ -62,6 +65,7 @@
 }
 
 func (Vacate) op()  {}
+func (Gone) op()    {}
 func (Release) op() {}
 func (Move) op()    {}
 func (Upkeep) op()  {}
@@ -77,6 +81,8 @@
 	byName map[string]platform.Machine
 	pools  map[string]*poolState
 	ops    []Op
+	// later are ops for the next step.
+	later []Op
 }
 
 // wave is a wave that isn't completed.
@@ -160,6 +166,9 @@
 	switch r {
 	case Done:
 		t.ordered = now
+		if t.machine.Upstream != "" && !p.pools[t.machine.Pool].idle() {
+			p.later = append(p.later, Gone{machine, t.machine.Pool, t.machine.Upstream})
+		}
 		if t.wave != 0 {
 			p.began(t.wave, machine)
 		}
@@ -184,7 +193,7 @@
 
 // Step decides by what was observed.
 func (p *Planner) Step(now time.Time, v View) []Op {
-	p.ops = nil
+	p.ops, p.later = p.later, nil
 	p.view = v
 	p.byName = make(map[string]platform.Machine, len(v.Machines))
 	for _, m := range v.Machines {
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -207,9 +207,9 @@
 		case hostplan.Vacate:
 			go s.vacate(ctx, op)
 		case hostplan.Release:
-			go s.node.ask(ctx, &link.Call{Pool: op.Pool, Body: &link.Call_Vacate{
-				Vacate: &link.Vacate{Machine: op.Upstream, Release: true},
-			}})
+			go s.tell(ctx, op.Pool, &link.Vacate{Upstream: op.Upstream, Release: true})
+		case hostplan.Gone:
+			go s.tell(ctx, op.Pool, &link.Vacate{Upstream: op.Upstream, Gone: true})
 		case hostplan.Move:
 			go s.move(ctx, op)
 		case hostplan.Upkeep:
@@ -235,12 +235,22 @@
 func (s *shift) vacate(ctx context.Context, v hostplan.Vacate) {
 	c, cancel := context.WithTimeout(ctx, _loadTimeout)
 	defer cancel()
-	a := s.node.ask(c, &link.Call{Pool: v.Pool, Body: &link.Call_Vacate{Vacate: &link.Vacate{Machine: v.Upstream}}})
+	a := s.node.ask(c, &link.Call{Pool: v.Pool, Body: &link.Call_Vacate{Vacate: &link.Vacate{Upstream: v.Upstream}}})
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		s.post(ctx, func(time.Time) { s.plan.Vacated(v.Machine, a.GetVacant()) })
 	}
 }
 
+// tell passes a word about an upstream on to the owner of its pool.
+func (s *shift) tell(ctx context.Context, pool string, v *link.Vacate) {
+	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
+	defer cancel()
+	a := s.node.ask(c, &link.Call{Pool: pool, Body: &link.Call_Vacate{Vacate: v}})
+	if a.GetOutcome() != link.Outcome_OUTCOME_OK {
+		s.node.log.Info("Owner was not told.", "pool", pool, "upstream", v.GetUpstream(), "outcome", a.GetOutcome().String())
+	}
+}
+
 func (s *shift) move(ctx context.Context, m hostplan.Move) {
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -156,7 +156,8 @@
 	case *link.Call_Pending:
 		return scheduler.Counted{Ref: r, Queue: b.Pending.GetQueue()}
 	case *link.Call_Vacate:
-		return scheduler.Vacated{Ref: r, Host: b.Vacate.GetMachine(), Release: b.Vacate.GetRelease()}
+		v := b.Vacate
+		return scheduler.Vacated{Ref: r, Host: v.GetUpstream(), Release: v.GetRelease(), Gone: v.GetGone()}
 	case *link.Call_Load:
 		return scheduler.Measured{Ref: r, Arrivals: b.Load.GetArrivals()}
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -53,11 +53,12 @@
 }
 
 // Vacated is the planner's wish that nothing runs on an upstream, or that it is
-// used again.
+// used again, or its word that the upstream's host was ordered away.
 type Vacated struct {
 	Ref     Ref
 	Host    string
 	Release bool
+	Gone    bool
 }
 
 // Measured is the planner's question after the load. It announces the room
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -194,9 +194,11 @@
 	avoid string
 }
 
+// atWork reports whether a long-running task serves, as far as its upstream
+// says so.
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.state == runRunning && r.percent >= 100 {
+		if r.state == runRunning && r.percent >= 100 && r.host.failed == 0 && !r.host.gone {
 			return true
 		}
 	}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -138,6 +138,9 @@
 	if !h.fenced || len(h.runs) > 0 {
 		return h.listed || len(h.runs) > 0 || h.inRoster
 	}
+	if !h.listed {
+		return true // Whether it is still there decides if it is forgotten.
+	}
 	return h.durable > h.acked && h.failed == 0
 }
 
@@ -163,7 +166,9 @@
 		return
 	}
 	hold := platform.Hold{Token: s.set.Token, Acked: h.durable, Wait: s.lookWait(h)}
-	if s.mayOrder(now) && !h.clockAt.IsZero() && len(h.runs) > 0 {
+	// What doesn't answer gets no longer lease, so that its tasks can be placed
+	// elsewhere once the one it has is over.
+	if s.mayOrder(now) && !h.clockAt.IsZero() && len(h.runs) > 0 && h.failed == 0 {
 		hold.DeadlineMs = h.lease(now, s.leaseTime())
 	}
 	h.looking, h.lookSent = true, now
@@ -226,6 +231,9 @@
 	if s.lookWait(h) == 0 {
 		h.lookDue = now.Add(_pollStopping)
 	}
+	if len(h.runs) == 0 {
+		h.lookDue = now.Add(_lookWait)
+	}
 }
 
 // _pollStopping is the pause between looks that can't wait for an end.
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -18,7 +18,8 @@
 	// past are ended jobs in the order in which they are forgotten.
 	past []*job
 
-	loaded bool
+	loaded   bool
+	loadedAt time.Time
 	// unheard are upstreams of a former owner, and when they surely run
 	// nothing.
 	unheard   map[string]time.Time
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -25,7 +25,7 @@
 
 // load takes in what former owners appended.
 func (s *Scheduler) load(now time.Time, e Loaded) {
-	s.loaded = true
+	s.loaded, s.loadedAt = true, now
 	for _, d := range e.Jobs {
 		j := s.adopt(d, e.Progress[d.GetId()])
 		s.jobs[d.GetId()] = j
@@ -212,22 +212,29 @@
 	return n
 }
 
-// vacate keeps an upstream free, or uses it again.
+// vacate keeps an upstream free, or uses it again. It is vacant only once this
+// owner has heard it, as a former one may have left tasks there.
 func (s *Scheduler) vacate(now time.Time, e Vacated) {
 	h := s.hosts[e.Host]
-	if h == nil {
-		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Vacant: true})
-		return
-	}
-	if e.Release {
+	a := &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
+	switch {
+	case h == nil:
+		// The list has no such upstream, and nor had former owners.
+		a.Vacant = e.Gone || now.Sub(s.loadedAt) > _unlisted
+	case e.Gone:
+		s.over(now, h, "host was ordered away")
+		h.listed = false
+		s.bury(h)
+		a.Vacant = true
+	case e.Release:
 		h.vacatedUntil = time.Time{}
 		s.replan = true
-		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
-		return
+	default:
+		h.vacatedUntil = now.Add(_vacateLease)
+		s.evacuate(now, h)
+		a.Vacant = h.fenced && len(h.runs) == 0
 	}
-	h.vacatedUntil = now.Add(_vacateLease)
-	s.evacuate(now, h)
-	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Vacant: len(h.runs) == 0})
+	s.reply(e.Ref, a)
 }
 
 // evacuate stops long-running tasks that may be away, so that they start
