--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -183,6 +183,8 @@
 	name     string
 	done     bool
 	failures int
+	// failedRun is the highest run that was counted among the failures.
+	failedRun int64
 	// last is the highest run that was given.
 	last       int64
 	checkpoint string
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -171,8 +171,9 @@
 			if t.failures > 0 {
 				if p.Failures == nil {
 					p.Failures = make([]uint32, len(st.tasks))
+					p.FailedRuns = make([]uint32, len(st.tasks))
 				}
-				p.Failures[i] = uint32(t.failures)
+				p.Failures[i], p.FailedRuns[i] = uint32(t.failures), uint32(t.failedRun)
 			}
 			p.LastRun = max(p.LastRun, uint32(t.last))
 		}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -388,7 +388,11 @@
 	if t.step.def.GetLongRunning() {
 		return
 	}
+	if e.Run <= t.failedRun {
+		return // A former owner counted it.
+	}
 	t.failures++
+	t.failedRun = e.Run
 	s.soil(now, j, _endDelay)
 	if h.health.fail(now, j.def.GetId()) {
 		s.note("Upstream ejected.", "", "upstream", h.up.ID, "until", h.health.ejectedUntil)
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -106,6 +106,9 @@
 		if f := p.GetFailures(); i < len(f) {
 			t.failures = int(f[i])
 		}
+		if f := p.GetFailedRuns(); i < len(f) {
+			t.failedRun = int64(f[i])
+		}
 		t.last = int64(p.GetLastRun())
 	}
 }
