entry: takeovers without pauses

Cause: each restart of an entry dealt the pools anew, and every new owner waited: for the next join of the former one (up to 0.45 s, twice), for dead upstreams of the roster (10.6 s), for durations to be learned again, and the planner for the lease of the former holder's orders. Change: entries nudge one another when the group changes; the planner tells which upstreams no host names any more; what is learned and each order for a host are appended.

--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -142,7 +142,7 @@
 			short = append(short, s)
 		}
 	}
-	all := p.candidates(func(platform.Machine) bool { return true })
+	all := p.candidates(now, func(platform.Machine) bool { return true })
 	slices.SortStableFunc(short, func(a, b *poolState) int { return (b.need - b.hosts) - (a.need - a.hosts) })
 	for _, s := range short {
 		all = p.fill(now, s, all)
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -14,6 +14,8 @@
 	// Move and Upkeep are how long a host is away for either.
 	Move   time.Duration
 	Upkeep time.Duration
+	// Lease is the least time between orders of two holders for one host.
+	Lease time.Duration
 }
 
 // Pool is what is known of a pool.
@@ -81,8 +83,12 @@
 	byName map[string]platform.Machine
 	pools  map[string]*poolState
 	ops    []Op
+	// touched is when former holders ordered a host.
+	touched map[string]time.Time
 	// later are ops for the next step.
 	later []Op
+	// summarised is when the pools were last noted.
+	summarised time.Time
 }
 
 // wave is a wave that isn't completed.
@@ -128,6 +134,14 @@
 	p.waves = append(p.waves, n)
 }
 
+// Touched says when a former holder was about to order a host.
+func (p *Planner) Touched(machine string, at time.Time) {
+	if p.touched == nil {
+		p.touched = make(map[string]time.Time)
+	}
+	p.touched[machine] = at
+}
+
 // Idle reports whether nothing is asked of the planner but moves.
 func (p *Planner) Idle() bool { return len(p.waves) == 0 && len(p.tasks) == 0 }
 
@@ -151,6 +165,8 @@
 	Busy
 	// Refused: it can't be carried out at all.
 	Refused
+	// Unsent: it was never sent.
+	Unsent
 )
 
 // _retryOrder is the pause before an order is repeated.
@@ -172,6 +188,8 @@
 		if t.wave != 0 {
 			p.began(t.wave, machine)
 		}
+	case Unsent:
+		t.vacant = false
 	case Unsure:
 		t.retryAt = now.Add(_retryOrder)
 	case Busy, Refused:
@@ -200,13 +218,52 @@
 		p.byName[m.Name] = m
 	}
 	p.observe(now)
+	p.clear()
 	p.advance(now)
 	p.finishWaves(now)
 	p.upkeeps(now)
 	p.moves(now)
+	p.summarise(now)
 	return p.ops
 }
 
+// clear tells owners which upstreams' lives are surely over: those that no host
+// that is up names.
+func (p *Planner) clear() {
+	alive := make(map[string]bool, len(p.view.Machines))
+	for _, m := range p.view.Machines {
+		if m.State == platform.MachineUp {
+			alive[m.Upstream] = true
+		}
+	}
+	for _, name := range sorted(p.pools) {
+		for _, u := range p.pools[name].load.GetDoubtful() {
+			if !alive[u] {
+				p.emit(Gone{"", name, u})
+			}
+		}
+	}
+}
+
+// _summaryInterval is between two lines about all pools.
+const _summaryInterval = time.Second
+
+// summarise notes what is believed of the pools.
+func (p *Planner) summarise(now time.Time) {
+	if now.Sub(p.summarised) < _summaryInterval {
+		return
+	}
+	p.summarised = now
+	for _, name := range sorted(p.pools) {
+		s := p.pools[name]
+		p.emit(Note{"Pool planned.", []any{
+			"pool", name, "hosts", s.hosts, "away", s.away, "need", s.need, "base", s.base,
+			"demand", s.load.GetDemand(), "backlog", s.load.GetBacklog(), "lasting", s.load.GetLasting(),
+			"capacity", s.load.GetCapacity(), "errands", len(p.tasks),
+		}})
+	}
+}
+
 func (p *Planner) emit(o Op) { p.ops = append(p.ops, o) }
 
 // _giveUp is how long a host is waited for that doesn't become vacant.
@@ -324,13 +381,17 @@
 	lasting int
 }
 
+// _clockMargin is how far the clocks of two entries may be apart.
+const _clockMargin = 300 * time.Millisecond
+
 // candidates are hosts that are up and about which nothing is under way, those
 // that cost least first.
-func (p *Planner) candidates(keep func(platform.Machine) bool) []candidate {
+func (p *Planner) candidates(now time.Time, keep func(platform.Machine) bool) []candidate {
 	var l []candidate
 	for _, m := range p.view.Machines {
 		ps := p.pools[m.Pool]
-		if ps == nil || p.tasks[m.Name] != nil || m.State != platform.MachineUp || !keep(m) {
+		if ps == nil || p.tasks[m.Name] != nil || m.State != platform.MachineUp || !keep(m) ||
+			now.Sub(p.touched[m.Name]) < p.set.Lease+_clockMargin {
 			continue
 		}
 		runs, lasting := ps.runs(m.Upstream)
--- a/entry/hostplan/upkeep.go
+++ b/entry/hostplan/upkeep.go
@@ -21,7 +21,7 @@
 		for _, m := range w.Machines {
 			members[m] = true
 		}
-		all := p.candidates(func(m platform.Machine) bool { return members[m.Name] && !w.begun[m.Name] })
+		all := p.candidates(now, func(m platform.Machine) bool { return members[m.Name] && !w.begun[m.Name] })
 		room := max(1, w.AtOnce) - p.busy(w)
 		hurry := p.hurry(now, w, len(all))
 		for _, c := range all {
--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -43,6 +43,9 @@
 	member string
 	// OnChange is called after each answer, on the goroutine of Run.
 	OnChange func(Change)
+	// OnMoved is called when partitions were given up or the group has changed
+	// by this entry's joining: others have to join to learn of it.
+	OnMoved func()
 	// OnTrouble is called when the store stops answering, and with nil when it
 	// answers again.
 	OnTrouble func(error)
@@ -53,13 +56,15 @@
 	asked      time.Time
 	asking     chan struct{}
 	failing    bool
+	held       []int
+	nudge      chan struct{}
 }
 
 // New returns the membership of an entry that listens for others at an
 // address. Each incarnation is a member of its own, so that none is taken for
 // the one before.
 func New(s *platform.Store, address, incarnation string) *Group {
-	return &Group{store: s, member: address + "/" + incarnation}
+	return &Group{store: s, member: address + "/" + incarnation, nudge: make(chan struct{}, 1)}
 }
 
 // Run joins again and again until ctx ends, and then leaves.
@@ -71,6 +76,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-g.nudge:
+			// Several changes often come together.
+			sleep(ctx, _nudgePause)
 		}
 		pause := _interval
 		if err := g.join(ctx); err != nil {
@@ -83,6 +91,27 @@
 	}
 }
 
+// _nudgePause is how long an entry that was nudged waits for the change to be
+// in the store.
+const _nudgePause = 10 * time.Millisecond
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Nudge has the entry join again at once.
+func (g *Group) Nudge() {
+	select {
+	case g.nudge <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Group) trouble(err error) {
 	if (err != nil) == g.failing {
 		return
@@ -111,6 +140,11 @@
 	}
 	slices.Sort(m.Partitions)
 	g.OnChange(Change{Generation: m.Generation, Partitions: m.Partitions, Confirmed: sent})
+	released := slices.ContainsFunc(g.held, func(k int) bool { return !slices.Contains(m.Partitions, k) })
+	g.held = m.Partitions
+	if released || n == 0 {
+		g.OnMoved()
+	}
 	return nil
 }
 
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -105,6 +105,12 @@
 }
 
 func (j *Journal) decodeOne(r platform.Record, l *scheduler.Loaded) error {
+	if r.Key == scheduler.LearnedKey(j.pool) {
+		l.Learned = &work.Learned{}
+		if err := proto.Unmarshal(r.Value, l.Learned); err != nil {
+			return fmt.Errorf("learned: %w", err)
+		}
+	}
 	if id, ok := strings.CutPrefix(r.Key, scheduler.JobKey(j.pool, "")); ok {
 		m := &work.Job{}
 		if err := proto.Unmarshal(r.Value, m); err != nil {
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +83,7 @@
 	n.pools.node, n.list.node, n.waves.node = n, n, n
 	n.group = group.New(s, n.self, strconv.FormatInt(time.Now().UnixNano(), 36))
 	n.group.OnChange = n.pools.change
+	n.group.OnMoved = n.nudge
 	n.group.OnTrouble = func(err error) { n.trouble("group", err) }
 	return n
 }
@@ -217,6 +219,28 @@
 	n.pools.configure()
 }
 
+// _nudgeTimeout is when another entry is taken not to hear a nudge: it joins
+// again soon anyway.
+const _nudgeTimeout = 300 * time.Millisecond
+
+// nudge has the other members of the group join at once.
+func (n *Node) nudge() {
+	told := map[string]bool{n.self: true}
+	for _, m := range n.group.Owners() {
+		a, _, _ := strings.Cut(m, "/")
+		if told[a] {
+			continue
+		}
+		told[a] = true
+		go func() {
+			c, cancel := context.WithTimeout(context.Background(), _nudgeTimeout)
+			defer cancel()
+			// One that doesn't hear it joins again soon anyway.
+			_, _ = n.link.Call(c, a, &link.Call{Body: &link.Call_Rejoin{Rejoin: &link.Rejoin{}}})
+		}()
+	}
+}
+
 // shutdown hands the pools over and waits for requests that were begun.
 func (n *Node) shutdown(callers *http.Server, leave context.CancelFunc) {
 	begun := time.Now()
@@ -229,6 +253,7 @@
 	if err := n.group.Leave(ctx); err != nil {
 		n.log.Warn("Group was not left.", "err", err)
 	}
+	n.nudge()
 	err := callers.Shutdown(ctx)
 	n.log.Info("Entry stopped.", "tookMs", time.Since(begun).Milliseconds(), "err", err)
 }
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -187,6 +187,10 @@
 
 // handle answers another entry's call.
 func (n *Node) handle(ctx context.Context, q *link.Call) *link.Answer {
+	if q.GetRejoin() != nil {
+		n.group.Nudge()
+		return &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
+	}
 	o := n.pools.owner(q.GetPool())
 	if o == nil {
 		return &link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER}
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -27,6 +27,8 @@
 	_results = 256
 	// _begunTopic holds the hosts of each wave whose upkeep has begun.
 	_begunTopic = "keyed.upkeep"
+	// _orderKey begins the keys of the last order for each host there.
+	_orderKey = "order/"
 )
 
 // waves plans for all hosts while this entry is dealt that duty.
@@ -75,7 +77,7 @@
 	w.cloud = platform.NewCloud(w.node.boot.Cloud.Address)
 	for ctx.Err() == nil {
 		token := w.node.pools.token(_wavePartition)
-		if token > 0 && token != w.refused {
+		if token > 0 && token != w.refused && w.node.config.Load() != nil {
 			w.hold(ctx, token)
 		}
 		pause(ctx, _planInterval)
@@ -103,14 +105,13 @@
 	ended   map[int64]bool
 }
 
-// hold plans for as long as the duty is held. Orders of a former holder must be
-// some time past before the first of this one.
+// hold plans for as long as the duty is held.
 func (w *waves) hold(ctx context.Context, token int64) {
 	w.node.log.Info("Hosts are planned for here.", "token", token)
-	pause(ctx, w.node.bounds.Load().Lease)
 	b := w.node.bounds.Load()
 	s := &shift{
-		waves: w, token: token, plan: hostplan.New(hostplan.Settings{Move: b.Move, Upkeep: b.Upkeep}),
+		waves: w, token: token,
+		plan:    hostplan.New(hostplan.Settings{Move: b.Move, Upkeep: b.Upkeep, Lease: b.Lease}),
 		results: make(chan func(time.Time), _results), known: make(map[int64]bool),
 	}
 	for ctx.Err() == nil && w.node.pools.token(_wavePartition) == token && !s.load(ctx) {
@@ -142,6 +143,12 @@
 	}
 	s.begun = make(map[int64][]string)
 	for _, r := range b.Records {
+		if m, ok := strings.CutPrefix(r.Key, _orderKey); ok {
+			if ms, err := strconv.ParseInt(string(r.Value), 10, 64); err == nil {
+				s.plan.Touched(m, time.UnixMilli(ms))
+			}
+			continue
+		}
 		n, m, _ := strings.Cut(r.Key, "/")
 		if v, err := strconv.ParseInt(n, 10, 64); err == nil {
 			s.begun[v] = append(s.begun[v], m)
@@ -252,6 +259,9 @@
 }
 
 func (s *shift) move(ctx context.Context, m hostplan.Move) {
+	if !s.announce(ctx, m.Machine) {
+		return
+	}
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
 	err := s.cloud.Move(c, s.holder(), m.Machine, m.Pool)
@@ -259,6 +269,9 @@
 }
 
 func (s *shift) upkeep(ctx context.Context, u hostplan.Upkeep) {
+	if !s.announce(ctx, u.Machine) {
+		return
+	}
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
 	err := s.cloud.Upkeep(c, s.holder(), u.Machine, u.Wave)
@@ -268,6 +281,20 @@
 	}
 }
 
+// announce appends that a host is about to be ordered, so that a later holder
+// leaves it alone for a while.
+func (s *shift) announce(ctx context.Context, machine string) bool {
+	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
+	defer cancel()
+	r := platform.Record{Key: _orderKey + machine, Value: strconv.AppendInt(nil, time.Now().UnixMilli(), 10)}
+	err := s.node.store.Append(c, _begunTopic, 0, platform.Producer{}, []platform.Record{r})
+	if err != nil {
+		s.node.log.Info("Host was not ordered.", "machine", machine, "err", err)
+		s.post(ctx, func(now time.Time) { s.plan.Ordered(now, machine, hostplan.Unsent) })
+	}
+	return err == nil
+}
+
 func (s *shift) holder() platform.Holder {
 	return platform.Holder{Name: s.node.boot.Host, Token: s.token}
 }
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -22,6 +22,7 @@
 	// predicted is when the job would be done, from now.
 	predicted time.Duration
 	retry     time.Duration
+	backlog   backlog
 }
 
 // admit decides whether a job is taken. It is refused at once where it would
@@ -49,7 +50,7 @@
 		return verdict{outcome: link.Outcome_OUTCOME_OK, predicted: p}
 	}
 	r := min(max(p-j.objective, _minRetry), _maxRetry)
-	return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "late", predicted: p, retry: r}
+	return verdict{outcome: link.Outcome_OUTCOME_OVERLOADED, why: "late", predicted: p, retry: r, backlog: b}
 }
 
 // _lateFactor is how many times its objective a job may take and still be worth
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -90,6 +90,10 @@
 	b := s.backlog(now)
 	l.Backlog = int64(b.waiting + b.running)
 	for id, h := range s.hosts {
+		_, unheard := s.unheard[id]
+		if !h.gone && (unheard || h.failed > 0 && (!h.listed || len(h.runs) > 0)) {
+			l.Doubtful = append(l.Doubtful, id)
+		}
 		if h.gone || !h.listed || h.up.Draining {
 			continue
 		}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -23,6 +23,8 @@
 	Progress map[string]*work.Progress
 	// Hosts are upstreams that a former owner gave work to.
 	Hosts []platform.Upstream
+	// Learned is nil where no former owner appended it.
+	Learned *work.Learned
 }
 
 // Listed is the pool's part of the platform's list of upstreams.
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -16,8 +16,12 @@
 	_jobKey      = "/j/"
 	_progressKey = "/p/"
 	_hostKey     = "/h/"
+	_learnedKey  = "/l"
 )
 
+// _learnedInterval is the least time between two records of what was learned.
+const _learnedInterval = 2 * time.Second
+
 // JobKey, ProgressKey and HostKey are the keys of a pool's records in the
 // journal.
 func JobKey(pool, id string) string { return pool + _jobKey + id }
@@ -28,6 +32,9 @@
 // HostKey is the key of an upstream that has been given work.
 func HostKey(pool, id string) string { return pool + _hostKey + id }
 
+// LearnedKey is the key of what an owner has learned.
+func LearnedKey(pool string) string { return pool + _learnedKey }
+
 // journal collects what has to be appended. One batch is under way at a time.
 type journal struct {
 	number   int64
@@ -41,6 +48,8 @@
 	// others are records that nobody waits for: upstreams in use, and keys to
 	// forget.
 	others []platform.Record
+	// taught is when what was learned was appended last.
+	taught time.Time
 }
 
 // batch is an append under way.
@@ -110,6 +119,10 @@
 	n.ends, n.due = nil, time.Time{}
 	b.others, n.others = n.others, nil
 	b.records = append(b.records, b.others...)
+	if (len(n.accepts) > 0 || len(n.dirty) > 0) && now.Sub(n.taught) > _learnedInterval && len(s.learned.byQueue) > 0 {
+		n.taught = now
+		b.records = append(b.records, record(LearnedKey(s.set.Pool), s.learned.record()))
+	}
 	size := 0
 	for len(n.accepts) > 0 && size < _maxBatch {
 		j := n.accepts[0]
--- a/entry/scheduler/learn.go
+++ b/entry/scheduler/learn.go
@@ -115,3 +115,19 @@
 		l.retry = t
 	}
 }
+
+// record encodes what is known by queue.
+func (l *learned) record() *work.Learned {
+	m := &work.Learned{Queues: make(map[string]*work.Trend, len(l.byQueue))}
+	for q, t := range l.byQueue {
+		m.Queues[q] = &work.Trend{N: t.n, X: t.x, Y: t.y, Xx: t.xx, Xy: t.xy}
+	}
+	return m
+}
+
+// restore takes in what a former owner knew.
+func (l *learned) restore(m *work.Learned) {
+	for q, t := range m.GetQueues() {
+		l.byQueue[q] = &trend{t.GetN(), t.GetX(), t.GetY(), t.GetXx(), t.GetXy()}
+	}
+}
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -26,6 +26,7 @@
 // load takes in what former owners appended.
 func (s *Scheduler) load(now time.Time, e Loaded) {
 	s.loaded, s.loadedAt = true, now
+	s.learned.restore(e.Learned)
 	for _, d := range e.Jobs {
 		j := s.adopt(d, e.Progress[d.GetId()])
 		s.jobs[d.GetId()] = j
@@ -137,7 +138,9 @@
 	}
 	if v := s.admit(now, j); v.outcome != link.Outcome_OUTCOME_OK {
 		s.note("Job refused.", id, "queue", j.def.GetQueue(), "why", v.why,
-			"predictedMs", v.predicted.Milliseconds(), "objectiveMs", j.objective.Milliseconds(),
+			"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
+			"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
+			"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
 			"retryAfterMs", v.retry.Milliseconds())
 		s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
 		return
