--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -16,12 +16,11 @@
 	// _base is the part of the hosts of a pool that stay when nothing is asked,
 	// so that a turn's first moments are served.
 	_base = 2
-	// _surplusFor is how long a host must be left over before it goes to
-	// standby: a move there and back costs as much as some seconds of it.
-	_surplusFor = 1500 * time.Millisecond
-	// _calmFor is how long demand must have been low before hosts are taken for
-	// another pool.
-	_calmFor = 400 * time.Millisecond
+	// _parkAfter is for how long a pool must have needed fewer hosts before one
+	// goes to standby: a move there and back costs as much as some seconds of it.
+	_parkAfter = 2500 * time.Millisecond
+	// _giveAfter is the same before a host goes to a pool that is short.
+	_giveAfter = 700 * time.Millisecond
 	// _backlogSpan is how soon the backlog should be done.
 	_backlogSpan = 1.5
 )
@@ -39,9 +38,12 @@
 	// need is how many hosts the pool should have, of which the first are base.
 	need int
 	base int
-	// surplusSince is when it last had as many as it needs or fewer.
-	surplusSince time.Time
-	cycle        cycle
+	// needs are those of the last while.
+	needs []needAt
+	cycle cycle
+	// usual is the demand of the last seconds, as of usualAt.
+	usual   float64
+	usualAt time.Time
 }
 
 // runs returns the runs of an upstream, and the long-running among them.
@@ -64,7 +66,7 @@
 		seen[v.Name] = true
 		s := p.pools[v.Name]
 		if s == nil {
-			s = &poolState{name: v.Name, surplusSince: now}
+			s = &poolState{name: v.Name}
 			p.pools[v.Name] = s
 		}
 		s.standby = v.Standby
@@ -113,7 +115,7 @@
 		s.need = 0
 		return
 	}
-	rate := max(float64(s.load.GetDemand()), s.cycle.forecast(now, move+_lead))
+	rate := max(s.rise(now, float64(s.load.GetDemand())), s.cycle.forecast(now, move+_lead))
 	backlog := float64(s.load.GetBacklog()) / _backlogSpan
 	lasting := float64(s.load.GetLasting())
 	s.need = int(math.Ceil((lasting + max(rate, backlog)*_headroom) / s.hostCPU))
@@ -125,11 +127,50 @@
 	}
 	s.base = max(lastingHosts, _base)
 	s.need = max(s.need, s.base)
-	if s.hosts <= s.need {
-		s.surplusSince = now
+	s.needs = append(s.needs, needAt{now, s.need})
+	for now.Sub(s.needs[0].at) > _parkAfter {
+		s.needs = s.needs[1:]
 	}
 }
 
+// needAt is how many hosts a pool needed at a time.
+type needAt struct {
+	at    time.Time
+	hosts int
+}
+
+// needed returns the most hosts that the pool needed within a while.
+func (s *poolState) needed(now time.Time, within time.Duration) int {
+	n := s.need
+	for _, x := range s.needs {
+		if now.Sub(x.at) <= within {
+			n = max(n, x.hosts)
+		}
+	}
+	return n
+}
+
+const (
+	// _usualSpan is over how long the usual demand is averaged: a turn rises
+	// faster.
+	_usualSpan = 2 * time.Second
+	// _maxRise is how much of the demand is added while it rises steeply: by the
+	// time that a host has moved, a turn has grown by as much again.
+	_maxRise = 0.8
+)
+
+// rise returns the demand that is to be expected when a host that moves now has
+// arrived.
+func (s *poolState) rise(now time.Time, demand float64) float64 {
+	d := now.Sub(s.usualAt)
+	s.usualAt = now
+	s.usual += (demand - s.usual) * min(1, max(0, d.Seconds()/_usualSpan.Seconds()))
+	if s.usual <= 0 {
+		return demand
+	}
+	return demand * (1 + _maxRise*min(1, max(0, (demand/s.usual-1)/2)))
+}
+
 // _lead is how much earlier than its turn a pool should have its hosts.
 const _lead = 700 * time.Millisecond
 
@@ -174,8 +215,7 @@
 	if c.pool.standby {
 		return true
 	}
-	return c.lasting == 0 && c.pool.load != nil && c.pool.hosts-c.pool.away > c.pool.need &&
-		now.Sub(c.pool.surplusSince) >= _calmFor
+	return c.lasting == 0 && c.pool.load != nil && c.pool.hosts-c.pool.away > c.pool.needed(now, _giveAfter)
 }
 
 // park sends hosts that nothing asks for to a standby pool.
@@ -193,7 +233,7 @@
 	for _, c := range all {
 		s := c.pool
 		if s.standby || c.runs > 0 || c.lasting > 0 || s.load == nil ||
-			s.hosts-s.away <= s.need || now.Sub(s.surplusSince) < _surplusFor {
+			s.hosts-s.away <= s.needed(now, _parkAfter) {
 			continue
 		}
 		s.hosts--
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -168,9 +168,10 @@
 	return n
 }
 
-// sparable reports whether a task may be taken away.
+// sparable reports whether a task may be taken away. One that wasn't at work
+// when it was looked at last may be by now.
 func (s *step) sparable(t *task) bool {
-	if s.occurrence.job.over() || s.def.GetMayMiss() == 0 || !t.atWork() {
+	if s.occurrence.job.over() || s.def.GetMayMiss() == 0 {
 		return true
 	}
 	return s.away(t) < int(s.def.GetMayMiss())
@@ -178,13 +179,12 @@
 
 // task is a task of a step.
 type task struct {
-	step     *step
-	index    int
-	name     string
-	done     bool
-	failures int
-	// failedRun is the highest run that was counted among the failures.
-	failedRun int64
+	step  *step
+	index int
+	name  string
+	done  bool
+	// failed are the runs that failed.
+	failed []int64
 	// last is the highest run that was given.
 	last       int64
 	checkpoint string
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -181,12 +181,8 @@
 				}
 				p.Done[i/8] |= 1 << (i % 8)
 			}
-			if t.failures > 0 {
-				if p.Failures == nil {
-					p.Failures = make([]uint32, len(st.tasks))
-					p.FailedRuns = make([]uint32, len(st.tasks))
-				}
-				p.Failures[i], p.FailedRuns[i] = uint32(t.failures), uint32(t.failedRun)
+			for _, n := range t.failed {
+				p.Failures = append(p.Failures, &work.Failure{Task: uint32(i), Run: uint32(n)})
 			}
 			p.LastRun = max(p.LastRun, uint32(t.last))
 		}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"fescuelanding/fleet/work"
@@ -11,7 +12,11 @@
 // list takes in the platform's list of the pool's upstreams.
 func (s *Scheduler) list(now time.Time, all []platform.Upstream) {
 	seen := make(map[string]bool, len(all))
+	s.forgetDead(all)
 	for _, u := range all {
+		if born, ok := s.dead[u.ID]; ok && u.Born <= born {
+			continue
+		}
 		seen[u.ID] = true
 		h := s.hosts[u.ID]
 		switch {
@@ -38,6 +43,15 @@
 	}
 }
 
+// forgetDead forgets upstreams that the list no longer has.
+func (s *Scheduler) forgetDead(all []platform.Upstream) {
+	for id := range s.dead {
+		if !slices.ContainsFunc(all, func(u platform.Upstream) bool { return u.ID == id }) {
+			delete(s.dead, id)
+		}
+	}
+}
+
 func (s *Scheduler) relist(now time.Time, h *host, u platform.Upstream) {
 	if !h.listed || u.Draining != h.up.Draining {
 		s.note("Upstream changed.", "", "upstream", u.ID, "draining", u.Draining)
@@ -144,25 +158,25 @@
 	return h.durable > h.acked && h.failed == 0
 }
 
-// _leaseFloor is the rest of a lease at which it is extended, ends or not.
-const _leaseFloor = 2500 * time.Millisecond
+// _lookAgain is the pause between looks that list the same ends, while the
+// journal doesn't answer.
+const _lookAgain = 120 * time.Millisecond
 
 // lookTime returns when an upstream is looked at next. While its ends are being
 // appended that waits, as it would list the same ends at once.
-func (s *Scheduler) lookTime(now time.Time, h *host) time.Time {
-	if h.seen <= h.durable || len(h.runs) == 0 {
+func (s *Scheduler) lookTime(h *host) time.Time {
+	if h.seen <= h.durable || len(h.runs) == 0 || h.failed > 0 {
 		return h.lookDue
 	}
-	floor := h.clockAt.Add(time.Duration(h.deadlineMs-h.clockMs)*time.Millisecond - _leaseFloor)
-	if floor.Before(h.lookDue) {
-		return h.lookDue
+	if t := h.lastSeen.Add(_lookAgain); t.After(h.lookDue) {
+		return t
 	}
-	return floor
+	return h.lookDue
 }
 
 // look extends the leases of an upstream if that is due.
 func (s *Scheduler) look(now time.Time, h *host) {
-	if h.looking || !s.wantsLook(h) || now.Before(s.lookTime(now, h)) {
+	if h.looking || !s.wantsLook(h) || now.Before(s.lookTime(h)) {
 		return
 	}
 	hold := platform.Hold{Token: s.set.Token, Acked: h.durable, Wait: s.lookWait(h)}
@@ -384,15 +398,14 @@
 	}
 	t.avoid = h.up.ID
 	s.note("Run failed.", j.def.GetId(), "task", e.Task, "run", e.Run, "upstream", h.up.ID,
-		"failures", t.failures+1, "allowed", j.queue.Attempts)
+		"failures", len(t.failed)+1, "allowed", j.queue.Attempts)
 	if t.step.def.GetLongRunning() {
 		return
 	}
-	if e.Run <= t.failedRun {
+	if slices.Contains(t.failed, e.Run) {
 		return // A former owner counted it.
 	}
-	t.failures++
-	t.failedRun = e.Run
+	t.failed = append(t.failed, e.Run)
 	s.soil(now, j, _endDelay)
 	if h.health.fail(now, j.def.GetId()) {
 		s.note("Upstream ejected.", "", "upstream", h.up.ID, "until", h.health.ejectedUntil)
@@ -507,11 +520,11 @@
 // or of all members of a gang.
 func (st *step) failures(t *task) int {
 	if !st.def.GetGang() {
-		return t.failures
+		return len(t.failed)
 	}
 	n := 0
 	for i := range st.tasks {
-		n += st.tasks[i].failures
+		n += len(st.tasks[i].failed)
 	}
 	return n
 }
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -20,6 +20,9 @@
 
 	loaded   bool
 	loadedAt time.Time
+	// dead are upstreams that were ordered away, with the start of the life that
+	// ended: the platform's list has them for a while.
+	dead map[string]int64
 	// unheard are upstreams of a former owner, and when they surely run
 	// nothing.
 	unheard   map[string]time.Time
@@ -48,6 +51,7 @@
 		queues:  make(map[string]platform.Queue),
 		hosts:   make(map[string]*host),
 		jobs:    make(map[string]*job),
+		dead:    make(map[string]int64),
 		unheard: make(map[string]time.Time),
 		learned: newLearned(),
 	}
@@ -202,7 +206,7 @@
 // hostNext adds what is due about an upstream.
 func (s *Scheduler) hostNext(now time.Time, h *host, w *waker) {
 	if !h.looking && s.wantsLook(h) {
-		w.at(s.lookTime(now, h))
+		w.at(s.lookTime(h))
 	}
 	if len(h.runs) > 0 && h.failed > 0 {
 		w.at(h.lapse())
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -104,14 +104,13 @@
 			st.left--
 			st.occurrence.job.begun = true
 		}
-		if f := p.GetFailures(); i < len(f) {
-			t.failures = int(f[i])
-		}
-		if f := p.GetFailedRuns(); i < len(f) {
-			t.failedRun = int64(f[i])
-		}
 		t.last = int64(p.GetLastRun())
 	}
+	for _, f := range p.GetFailures() {
+		if i := int(f.GetTask()); i < len(st.tasks) {
+			st.tasks[i].failed = append(st.tasks[i].failed, int64(f.GetRun()))
+		}
+	}
 }
 
 // submit decides on a job that a caller hands in.
@@ -230,6 +229,7 @@
 	case e.Gone:
 		s.over(now, h, "host was ordered away")
 		h.listed = false
+		s.dead[e.Host] = h.born
 		s.bury(h)
 		a.Vacant = true
 	case e.Release:
