scheduler: an upstream is used once it has been appended to those in use

The next owner didn't wait to hear that host, and ran 10 tasks again that had ended done there. Change: no task is placed on an upstream before its record is durable.

--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -60,12 +60,12 @@
 // fits reports whether each task fits some upstream at all. An unknown pool
 // gets the benefit of the doubt.
 func (s *Scheduler) fits(j *job) bool {
-	if len(s.hosts) == 0 {
+	if len(s.hosts.order) == 0 {
 		return true
 	}
 	for _, d := range j.def.GetSteps() {
 		ok := false
-		for _, h := range s.hosts {
+		for _, h := range s.hosts.all() {
 			c := h.up.Capacity
 			if h.gone || !h.listed && !h.inRoster {
 				continue
@@ -125,7 +125,7 @@
 // backlog sums up the work of all accepted jobs.
 func (s *Scheduler) backlog(now time.Time) backlog {
 	var b backlog
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		if h.usable(now) {
 			b.capacity += float64(h.up.Capacity.MilliCPU)
 		}
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -89,7 +89,8 @@
 	l := &link.PoolLoad{Demand: int64(s.demand.rate(now))}
 	b := s.backlog(now)
 	l.Backlog = int64(b.waiting + b.running)
-	for id, h := range s.hosts {
+	for _, h := range s.hosts.all() {
+		id := h.up.ID
 		_, unheard := s.unheard[id]
 		if !h.gone && (unheard || h.failed > 0 && (!h.listed || len(h.runs) > 0)) {
 			l.Doubtful = append(l.Doubtful, id)
@@ -99,7 +100,7 @@
 		}
 		l.Capacity += h.up.Capacity.MilliCPU
 		n := &link.HostLoad{Upstream: id, Runs: int32(len(h.runs))}
-		for r := range h.runs {
+		for _, r := range h.running() {
 			if r.task.step.def.GetLongRunning() {
 				n.Lasting++
 			}
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"fescuelanding/platform"
@@ -39,15 +40,43 @@
 	seen, durable, acked int64
 
 	used platform.Capacity
-	runs map[*run]struct{}
+	runs []*run
 
 	vacatedUntil time.Time
 	health       health
-	inRoster     bool
+	// inRoster is set when it is being appended to the upstreams in use, and
+	// enrolled once it has been: a later owner then waits to hear it.
+	inRoster bool
+	enrolled bool
+}
+
+// hostSet holds upstreams by their IDs, and in that order.
+type hostSet struct {
+	byID  map[string]*host
+	order []*host
+}
+
+func (s *hostSet) get(id string) *host { return s.byID[id] }
+
+// all returns the upstreams; they may be dropped while they are gone through.
+func (s *hostSet) all() []*host { return slices.Clone(s.order) }
+
+func (s *hostSet) add(h *host) {
+	if s.byID == nil {
+		s.byID = make(map[string]*host)
+	}
+	s.byID[h.up.ID] = h
+	i, _ := slices.BinarySearchFunc(s.order, h, func(a, b *host) int { return strings.Compare(a.up.ID, b.up.ID) })
+	s.order = slices.Insert(s.order, i, h)
+}
+
+func (s *hostSet) drop(id string) {
+	delete(s.byID, id)
+	s.order = slices.DeleteFunc(s.order, func(h *host) bool { return h.up.ID == id })
 }
 
 func newHost(u platform.Upstream, now time.Time) *host {
-	h := &host{runs: make(map[*run]struct{}), lookDue: now}
+	h := &host{lookDue: now}
 	h.list(u, now)
 	return h
 }
@@ -97,7 +126,7 @@
 // usable reports whether tasks may be placed on it.
 func (h *host) usable(now time.Time) bool {
 	known := h.listed || now.Sub(h.unlistedAt) < _unlisted && now.Sub(h.lastSeen) < _unlisted
-	return known && !h.gone && h.fenced && !h.up.Draining && h.failed == 0 &&
+	return known && !h.gone && h.fenced && h.enrolled && !h.up.Draining && h.failed == 0 &&
 		!now.Before(h.health.ejectedUntil) && !now.Before(h.vacatedUntil)
 }
 
@@ -111,19 +140,23 @@
 }
 
 func (h *host) add(r *run) {
-	h.runs[r] = struct{}{}
+	h.runs = append(h.runs, r)
 	r.host = h
 	h.charge(r.task.step, 1)
 }
 
 func (h *host) remove(r *run) {
-	if _, ok := h.runs[r]; !ok {
+	i := slices.Index(h.runs, r)
+	if i < 0 {
 		return
 	}
-	delete(h.runs, r)
+	h.runs = slices.Delete(h.runs, i, i+1)
 	h.charge(r.task.step, -1)
 }
 
+// running returns the runs; they may end while they are gone through.
+func (h *host) running() []*run { return slices.Clone(h.runs) }
+
 func (h *host) charge(s *step, sign int64) {
 	if !s.def.GetFills() {
 		h.used.MilliCPU += sign * s.def.GetMilliCpu()
@@ -138,7 +171,7 @@
 
 // find returns the run of a task by its name and number.
 func (h *host) find(task string, n int64) *run {
-	for r := range h.runs {
+	for _, r := range h.runs {
 		if r.number == n && r.task.name == task {
 			return r
 		}
@@ -149,7 +182,7 @@
 // lasting counts the long-running runs here.
 func (h *host) lasting() int {
 	n := 0
-	for r := range h.runs {
+	for _, r := range h.runs {
 		if r.task.step.def.GetLongRunning() {
 			n++
 		}
@@ -160,7 +193,7 @@
 // ofStep counts the runs of a step here.
 func (h *host) ofStep(s *step) int {
 	n := 0
-	for r := range h.runs {
+	for _, r := range h.runs {
 		if r.task.step == s {
 			n++
 		}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -27,10 +27,9 @@
 	shown   link.JobState
 	endedAt time.Time
 
-	begun       bool
-	occurrences map[int]*occurrence
-	// next is the number of the first occurrence that isn't due yet.
-	next int
+	begun bool
+	// occurrences are those that are due, by number.
+	occurrences []*occurrence
 	// dirty is set while the progress has to be appended.
 	dirty bool
 	// inherited is set for jobs accepted by a former owner.
@@ -66,7 +65,7 @@
 
 // allDone reports whether every task of every occurrence has ended done.
 func (j *job) allDone() bool {
-	if j.next < j.times() {
+	if len(j.occurrences) < j.times() {
 		return false
 	}
 	for _, o := range j.occurrences {
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -48,21 +48,31 @@
 	// others are records that nobody waits for: upstreams in use, and keys to
 	// forget.
 	others []platform.Record
+	// enrolling are upstreams among them.
+	enrolling []*host
 	// taught is when what was learned was appended last.
 	taught time.Time
 }
 
 // batch is an append under way.
 type batch struct {
-	number  int64
-	sent    time.Time
-	accepts []*job
-	// progress holds the final state, if any, that a record carries.
-	progress map[*job]link.JobState
+	number   int64
+	sent     time.Time
+	accepts  []*job
+	progress []ending
 	ends     map[*host]int64
 	// others are records that nobody waits for.
-	others  []platform.Record
-	records []platform.Record
+	others []platform.Record
+	// enrolled are upstreams among them.
+	enrolled []*host
+	records  []platform.Record
+}
+
+// ending is a job whose progress is appended, with the final state, if any, that
+// the record carries.
+type ending struct {
+	job   *job
+	state link.JobState
 }
 
 // wake has the next batch go at a time, or earlier.
@@ -115,9 +125,10 @@
 func (s *Scheduler) collect(now time.Time) *batch {
 	n := &s.journal
 	n.number++
-	b := &batch{number: n.number, sent: now, ends: n.ends, progress: make(map[*job]link.JobState)}
+	b := &batch{number: n.number, sent: now, ends: n.ends}
 	n.ends, n.due = nil, time.Time{}
 	b.others, n.others = n.others, nil
+	b.enrolled, n.enrolling = n.enrolling, nil
 	b.records = append(b.records, b.others...)
 	if (len(n.accepts) > 0 || len(n.dirty) > 0) && now.Sub(n.taught) > _learnedInterval && len(s.learned.byQueue) > 0 {
 		n.taught = now
@@ -138,7 +149,7 @@
 		if j.dirty = false; s.jobs[j.def.GetId()] != j {
 			continue // It was refused meanwhile.
 		}
-		b.progress[j] = endState(j)
+		b.progress = append(b.progress, ending{j, endState(j)})
 		b.records = append(b.records, record(ProgressKey(s.set.Pool, j.def.GetId()), progress(j)))
 	}
 	n.dirty = nil
@@ -161,10 +172,8 @@
 		p.EndedUnixMs = j.endedAt.UnixMilli()
 		return p
 	}
-	for k := range j.next {
-		if o := j.occurrences[k]; o != nil {
-			p.Occurrences = append(p.Occurrences, occurrenceProgress(o))
-		}
+	for _, o := range j.occurrences {
+		p.Occurrences = append(p.Occurrences, occurrenceProgress(o))
 	}
 	return p
 }
@@ -209,10 +218,11 @@
 	// Nothing of it was appended: what callers wait for is refused, the rest
 	// goes with the next batch.
 	s.journal.others = append(b.others, s.journal.others...)
+	s.journal.enrolling = append(b.enrolled, s.journal.enrolling...)
 	s.journal.accepts = append(b.accepts, s.journal.accepts...)
 	s.refuseAccepts("journal refused")
-	for j := range b.progress {
-		s.soil(now, j, _retryAppend)
+	for _, p := range b.progress {
+		s.soil(now, p.job, _retryAppend)
 	}
 	for h, n := range b.ends {
 		if s.journal.ends == nil {
@@ -256,6 +266,10 @@
 
 // settled tells everybody who waited for a batch.
 func (s *Scheduler) settled(now time.Time, b *batch) {
+	for _, h := range b.enrolled {
+		h.enrolled = true
+		s.replan = true
+	}
 	for _, j := range b.accepts {
 		j.durable = true
 		s.note("Job accepted.", j.def.GetId(), "queue", j.def.GetQueue(),
@@ -266,7 +280,8 @@
 		j.waiting = nil
 		s.replan = true
 	}
-	for j, state := range b.progress {
+	for _, p := range b.progress {
+		j, state := p.job, p.state
 		if state == link.JobState_JOB_STATE_UNSPECIFIED {
 			continue
 		}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -18,10 +18,10 @@
 			continue
 		}
 		seen[u.ID] = true
-		h := s.hosts[u.ID]
+		h := s.hosts.get(u.ID)
 		switch {
 		case h == nil:
-			s.hosts[u.ID] = newHost(u, now)
+			s.hosts.add(newHost(u, now))
 			s.note("Upstream listed.", "", "upstream", u.ID, "born", u.Born, "draining", u.Draining)
 			s.replan = true
 		case u.Born > h.born && h.born != 0:
@@ -31,7 +31,8 @@
 			s.relist(now, h, u)
 		}
 	}
-	for id, h := range s.hosts {
+	for _, h := range s.hosts.all() {
+		id := h.up.ID
 		if h.listed && !seen[id] {
 			h.listed, h.unlistedAt = false, now
 			h.lookDue = now
@@ -100,7 +101,7 @@
 	if h.failed == 0 && !h.gone && h.fenced {
 		return // It answers; its entry may come back.
 	}
-	delete(s.hosts, id)
+	s.hosts.drop(id)
 	if h.inRoster {
 		s.journal.others = append(s.journal.others, platform.Record{Key: HostKey(s.set.Pool, id)})
 	}
@@ -108,7 +109,7 @@
 
 // loseRuns has the tasks of an upstream placed again.
 func (s *Scheduler) loseRuns(now time.Time, h *host, why string) {
-	for r := range h.runs {
+	for _, r := range h.running() {
 		s.note("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
 			"run", r.number, "upstream", h.up.ID, "why", why)
 		s.release(now, r)
@@ -201,7 +202,7 @@
 	if len(h.runs) == 0 || !h.fenced {
 		return 0
 	}
-	for r := range h.runs {
+	for _, r := range h.running() {
 		if r.state == runUnsure || r.state == runStopping && !r.stopped.IsZero() {
 			return 0
 		}
@@ -211,7 +212,7 @@
 
 // looked takes in the answer to a look.
 func (s *Scheduler) looked(now time.Time, e Looked) {
-	h := s.hosts[e.Host]
+	h := s.hosts.get(e.Host)
 	if h == nil {
 		return
 	}
@@ -261,7 +262,8 @@
 	h.inRoster = true
 	s.journal.others = append(s.journal.others, record(HostKey(s.set.Pool, h.up.ID),
 		&work.Host{Id: h.up.ID, Address: h.up.Address}))
-	s.journal.wake(now.Add(_endDelay))
+	s.journal.enrolling = append(s.journal.enrolling, h)
+	s.journal.wake(now)
 }
 
 func (s *Scheduler) lookFailed(now time.Time, h *host, err error) {
@@ -305,8 +307,11 @@
 	if j == nil {
 		return nil
 	}
+	if n.Occurrence >= len(j.occurrences) {
+		return nil
+	}
 	o := j.occurrences[n.Occurrence]
-	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
+	if n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
 		return nil
 	}
 	return &o.steps[n.Step].tasks[n.Index]
@@ -432,7 +437,7 @@
 	if len(e.Look.Ended) >= _endsPage {
 		return // More ends are to come.
 	}
-	for r := range h.runs {
+	for _, r := range h.running() {
 		if !listed[r] {
 			s.missing(now, r, e.Sent)
 		}
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -52,7 +52,7 @@
 
 // stopDue repeats stops that weren't confirmed.
 func (s *Scheduler) stopDue(now time.Time, h *host) {
-	for r := range h.runs {
+	for _, r := range h.running() {
 		if r.state == runStopping && !r.stopSent && !now.Before(r.stopDue) {
 			s.sendStop(r)
 		}
@@ -63,14 +63,14 @@
 func (s *Scheduler) ordered(now time.Time, e Ordered) {
 	switch o := e.Op.(type) {
 	case Start:
-		if h := s.hosts[o.Host]; h != nil {
+		if h := s.hosts.get(o.Host); h != nil {
 			s.clock(now, h, e.ClockMs)
 			if r := h.find(o.Order.Task, o.Order.Run); r != nil {
 				s.started(now, r, e.Err)
 			}
 		}
 	case Stop:
-		if h := s.hosts[o.Host]; h != nil {
+		if h := s.hosts.get(o.Host); h != nil {
 			if r := h.find(o.Task, o.Run); r != nil {
 				s.stopped(now, r, e.Err)
 			}
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -15,9 +14,8 @@
 		if !j.durable {
 			continue
 		}
-		for j.next < j.times() && !now.Before(j.due(j.next)) {
-			j.occurrences[j.next] = newOccurrence(j, j.next)
-			j.next++
+		for k := len(j.occurrences); k < j.times() && !now.Before(j.due(k)); k++ {
+			j.occurrences = append(j.occurrences, newOccurrence(j, k))
 			s.replan = true
 		}
 	}
@@ -68,8 +66,8 @@
 // place gives waiting tasks to upstreams.
 func (s *Scheduler) place(now time.Time) {
 	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
-	for _, id := range slices.Sorted(maps.Keys(s.hosts)) {
-		if h := s.hosts[id]; h.usable(now) {
+	for _, h := range s.hosts.order {
+		if h.usable(now) {
 			p.hosts = append(p.hosts, h)
 		}
 	}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -11,7 +11,7 @@
 type Scheduler struct {
 	set    Settings
 	queues map[string]platform.Queue
-	hosts  map[string]*host
+	hosts  hostSet
 	jobs   map[string]*job
 	// active are the jobs that aren't over, in order of arrival.
 	active []*job
@@ -49,7 +49,6 @@
 	return &Scheduler{
 		set:     set,
 		queues:  make(map[string]platform.Queue),
-		hosts:   make(map[string]*host),
 		jobs:    make(map[string]*job),
 		dead:    make(map[string]int64),
 		unheard: make(map[string]time.Time),
@@ -152,7 +151,7 @@
 		return
 	}
 	s.hear(now)
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		s.expire(now, h)
 	}
 	s.occur(now)
@@ -160,7 +159,7 @@
 		s.replan = false
 		s.place(now)
 	}
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		s.stopDue(now, h)
 		s.look(now, h)
 	}
@@ -188,12 +187,12 @@
 	for _, t := range s.unheard {
 		w.at(t)
 	}
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		s.hostNext(now, h, &w)
 	}
 	for _, j := range s.active {
-		if j.timed() && j.next < j.times() {
-			w.at(j.due(j.next))
+		if k := len(j.occurrences); j.timed() && k < j.times() {
+			w.at(j.due(k))
 		}
 	}
 	if len(s.past) > 0 {
@@ -211,7 +210,7 @@
 	if len(h.runs) > 0 && h.failed > 0 {
 		w.at(h.lapse())
 	}
-	for r := range h.runs {
+	for _, r := range h.runs {
 		if r.state == runStopping && !r.stopSent {
 			w.at(r.stopDue)
 		}
--- /dev/null
+++ b/entry/scheduler/script_test.go
@@ -0,0 +1,470 @@
+package scheduler
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+var _verbose = flag.Bool("notes", false, "have scripts print the scheduler's notes")
+
+// TestScripts plays the sessions of testdata. Each line of a script is an event;
+// the golden file holds the ops that came of each.
+//
+//	at MS                         go on to a time, waking the scheduler when it asks
+//	queue NAME attempts=N stretch=F target=MS priority=N advice=MS
+//	host ID cpu=N mem=N rack=R born=N clock=MS draining    an entry of the list
+//	list                          hand the list over
+//	load JOB [STEP ...] [done=STEP.INDEX,...]    a job of a former owner
+//	roster ID ...                 upstreams of a former owner
+//	loaded                        hand the journal over
+//	submit REF JOB queue=Q STEP ...
+//	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,rack][,lasts][,miss=N][,apart=N]
+//	          [,needs=L][,near=R][,saves][,fills][,twice]
+//	ask REF JOB | count REF QUEUE | cancel REF JOB | vacate REF ID [release|gone] | load? REF
+//	appended [STATUS]             the answer to the append under way
+//	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
+//	unlooked ID [STATUS REASON]   a look that failed
+//	started TASK/RUN [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
+//	advised STEP ID=TICKET ...
+//	silent                        the store no longer confirms the pool
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".txt")
+		t.Run(name, func(t *testing.T) {
+			golden.Assert(t, play(t, f), name+".golden")
+		})
+	}
+}
+
+// play returns what a script printed.
+func play(t *testing.T, file string) string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	p := newPlayer(t)
+	sc := bufio.NewScanner(strings.NewReader(string(text)))
+	for sc.Scan() {
+		line, _, _ := strings.Cut(sc.Text(), "#")
+		if f := strings.Fields(line); len(f) > 0 {
+			fmt.Fprintf(&p.out, "> %s\n", strings.TrimSpace(line))
+			p.do(f)
+		}
+	}
+	return p.out.String()
+}
+
+// player drives a scheduler by a script.
+type player struct {
+	t      *testing.T
+	s      *Scheduler
+	now    time.Time
+	out    strings.Builder
+	queues []platform.Queue
+	list   []platform.Upstream
+	loaded Loaded
+	starts map[string]Start
+	stops  map[string]Stop
+	batch  int64
+	quiet  bool
+}
+
+// _begin is when scripts begin.
+var _begin = time.Unix(1_000_000, 0)
+
+func newPlayer(t *testing.T) *player {
+	p := &player{t: t, now: _begin, starts: map[string]Start{}, stops: map[string]Stop{}}
+	p.s = New(Settings{
+		Pool: "pool", Token: 7, StopTimeout: 400 * time.Millisecond, HoldMax: 10 * time.Second,
+		Status: 2 * time.Minute, RemoteFactor: 2,
+	})
+	p.s.Step(p.now, StoreSeen{At: p.now})
+	return p
+}
+
+// step feeds an event and prints the ops.
+func (p *player) step(e Event) {
+	for _, op := range p.s.Step(p.now, e) {
+		p.print(op)
+	}
+	if !p.quiet {
+		p.s.storeSeen = p.now
+	}
+}
+
+func (p *player) print(op Op) {
+	at := p.now.Sub(_begin).Milliseconds()
+	w := func(format string, a ...any) {
+		fmt.Fprintf(&p.out, "  %6d  "+format+"\n", append([]any{at}, a...)...)
+	}
+	switch op := op.(type) {
+	case Start:
+		p.starts[runName(op.Order.Task, op.Order.Run)] = op
+		extra := ""
+		if op.Order.Checkpoint != "" {
+			extra += " checkpoint=" + op.Order.Checkpoint
+		}
+		if op.Order.Ticket != "" {
+			extra += " ticket=" + op.Order.Ticket
+		}
+		w("start %s on %s until %d%s", runName(op.Order.Task, op.Order.Run), op.Host, op.Order.DeadlineMs, extra)
+	case Stop:
+		p.stops[runName(op.Task, op.Run)] = op
+		w("stop %s on %s", runName(op.Task, op.Run), op.Host)
+	case Look:
+		w("look %s until %d acked %d wait %d", op.Host, op.Hold.DeadlineMs, op.Hold.Acked, op.Hold.Wait.Milliseconds())
+	case Append:
+		p.batch = op.Batch
+		var keys []string
+		for _, r := range op.Records {
+			k := r.Key
+			if len(r.Value) == 0 {
+				k = "-" + k
+			}
+			keys = append(keys, k)
+		}
+		w("append %s", strings.Join(keys, " "))
+	case Advise:
+		w("advise %s %s", op.Step, strings.Join(op.Hosts, " "))
+	case Reply:
+		w("reply %d %s", op.Ref, answerText(op.Answer))
+	case Pace:
+		w("pace %s on %s %d", runName(op.Task, op.Run), op.Host, op.Percent)
+	case Note:
+		if *_verbose {
+			w("note %s %s %v", op.What, op.Job, op.Pairs)
+		}
+	}
+}
+
+func runName(task string, run int64) string { return fmt.Sprintf("%s/%d", task, run) }
+
+func answerText(a *link.Answer) string {
+	o := strings.ToLower(strings.TrimPrefix(a.GetOutcome().String(), "OUTCOME_"))
+	if a.GetState() != 0 {
+		o += " " + strings.ToLower(strings.TrimPrefix(a.GetState().String(), "JOB_STATE_"))
+	}
+	if a.GetRetryAfterMs() > 0 {
+		o += " retry"
+	}
+	if a.GetPending() > 0 {
+		o += fmt.Sprintf(" pending=%d", a.GetPending())
+	}
+	if a.GetVacant() {
+		o += " vacant"
+	}
+	if l := a.GetLoad(); l != nil {
+		o += fmt.Sprintf(" capacity=%d lasting=%d doubtful=%v", l.GetCapacity(), l.GetLasting(), l.GetDoubtful())
+	}
+	return o
+}
+
+// pairs splits words of the form key=value; words without one are keys.
+func pairs(words []string) (map[string]string, []string) {
+	m := make(map[string]string)
+	var rest []string
+	for _, w := range words {
+		if k, v, ok := strings.Cut(w, "="); ok && !strings.Contains(k, "x") {
+			m[k] = v
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	return m, rest
+}
+
+func (p *player) number(s string) int64 {
+	if s == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	assert.NilError(p.t, err)
+	return n
+}
+
+func (p *player) float(s string) float64 {
+	f, err := strconv.ParseFloat(s, 64)
+	assert.NilError(p.t, err)
+	return f
+}
+
+func (p *player) do(f []string) {
+	m, rest := pairs(f[1:])
+	ref := func() Ref { return Ref(p.number(f[1])) }
+	switch f[0] {
+	case "at":
+		p.goTo(_begin.Add(time.Duration(p.number(f[1])) * time.Millisecond))
+	case "queue":
+		p.queue(f[1], m)
+	case "host":
+		p.host(f[1], m, rest)
+	case "unlist":
+		p.unlist(f[1])
+	case "list":
+		p.step(Listed{Upstreams: append([]platform.Upstream{}, p.list...)})
+	case "load":
+		p.load(f[1:])
+	case "roster":
+		for _, id := range f[1:] {
+			p.loaded.Hosts = append(p.loaded.Hosts, platform.Upstream{ID: id, Address: id})
+		}
+	case "loaded":
+		p.step(p.loaded)
+	case "submit":
+		p.step(Submitted{Ref: ref(), Job: p.job(f[2], f[3:])})
+	case "ask":
+		p.step(Asked{Ref: ref(), ID: f[2]})
+	case "count":
+		p.step(Counted{Ref: ref(), Queue: f[2]})
+	case "cancel":
+		p.step(Cancelled{Ref: ref(), ID: f[2]})
+	case "vacate":
+		last := f[len(f)-1]
+		p.step(Vacated{Ref: ref(), Host: f[2], Release: last == "release", Gone: last == "gone"})
+	case "load?":
+		p.step(Measured{Ref: ref()})
+	case "appended":
+		p.step(Appended{Batch: p.batch, Err: failure("append", f[1:])})
+	case "looked":
+		p.looked(f[1], f[2:])
+	case "unlooked":
+		e := failure("hold", f[2:])
+		if e == nil {
+			e = &platform.Error{Call: "hold"}
+		}
+		p.step(Looked{Host: f[1], Sent: p.now, Err: e})
+	case "started":
+		p.step(Ordered{Op: p.starts[f[1]], Err: failure("start", f[2:])})
+	case "stopped":
+		p.step(Ordered{Op: p.stops[f[1]], Err: failure("stop", f[2:])})
+	case "advised":
+		p.step(Advised{Step: f[1], Tickets: platform.Tickets{ByUpstream: m, Valid: 3 * time.Second}})
+	case "silent":
+		p.quiet = true
+	default:
+		p.t.Fatalf("unknown line: %v", f)
+	}
+}
+
+// failure decodes the status and the reason of a refusal; "lost" stands for no
+// answer.
+func failure(call string, f []string) error {
+	if len(f) == 0 {
+		return nil
+	}
+	e := &platform.Error{Call: call}
+	if f[0] != "lost" {
+		e.Status, _ = strconv.Atoi(f[0])
+	}
+	if len(f) > 1 {
+		e.Reason = f[1]
+	}
+	return e
+}
+
+// goTo wakes the scheduler whenever it asks for it until a time.
+func (p *player) goTo(t time.Time) {
+	for range 1000 {
+		n := p.s.Next(p.now)
+		if n.IsZero() || n.After(t) {
+			break
+		}
+		if n.After(p.now) {
+			p.now = n
+		}
+		before := p.out.Len()
+		p.step(Woken{})
+		if m := p.s.Next(p.now); !m.IsZero() && !m.After(p.now) && p.out.Len() == before {
+			p.now = p.now.Add(time.Millisecond)
+		}
+	}
+	p.now = t
+	p.step(Woken{})
+}
+
+func (p *player) queue(name string, m map[string]string) {
+	q := platform.Queue{Name: name, Pool: "pool", Attempts: int(p.number(m["attempts"])), Stretch: 1.6, Target: 600 * time.Millisecond}
+	if v := m["stretch"]; v != "" {
+		q.Stretch = p.float(v)
+	}
+	if v := m["target"]; v != "" {
+		q.Target = time.Duration(p.number(v)) * time.Millisecond
+	}
+	q.Priority = int(p.number(m["priority"]))
+	q.Advice.Valid = time.Duration(p.number(m["advice"])) * time.Millisecond
+	p.queues = append(p.queues, q)
+	p.step(Configured{Queues: p.queues})
+}
+
+func (p *player) host(id string, m map[string]string, rest []string) {
+	u := platform.Upstream{
+		ID: id, Address: id, Pool: "pool", Born: 1, ClockMs: p.now.Sub(_begin).Milliseconds(),
+		Capacity: platform.Capacity{MilliCPU: 16000, MemoryMB: 32000}, Labels: []string{"a", "r1-1"},
+	}
+	if v := m["cpu"]; v != "" {
+		u.Capacity.MilliCPU = p.number(v)
+	}
+	if v := m["born"]; v != "" {
+		u.Born = p.number(v)
+	}
+	if v := m["rack"]; v != "" {
+		u.Labels[1] = v
+	}
+	if v := m["kind"]; v != "" {
+		u.Labels[0] = v
+	}
+	u.Draining = len(rest) > 1 && rest[1] == "draining"
+	p.unlist(id)
+	p.list = append(p.list, u)
+}
+
+func (p *player) unlist(id string) {
+	var l []platform.Upstream
+	for _, u := range p.list {
+		if u.ID != id {
+			l = append(l, u)
+		}
+	}
+	p.list = l
+}
+
+// load adds a job of a former owner.
+func (p *player) load(f []string) {
+	var words []string
+	g := &work.Progress{}
+	for _, w := range f[1:] {
+		if v, ok := strings.CutPrefix(w, "done="); ok {
+			p.done(g, v)
+			continue
+		}
+		words = append(words, w)
+	}
+	j := p.job(f[0], words)
+	j.AcceptedUnixMs = p.now.UnixMilli()
+	p.loaded.Jobs = append(p.loaded.Jobs, j)
+	if p.loaded.Progress == nil {
+		p.loaded.Progress = make(map[string]*work.Progress)
+	}
+	p.loaded.Progress[j.GetId()] = g
+}
+
+func (p *player) done(g *work.Progress, v string) {
+	o := &work.Occurrence{}
+	for _, x := range strings.Split(v, ",") {
+		a, b, _ := strings.Cut(x, ".")
+		k, i := int(p.number(a)), int(p.number(b))
+		for len(o.Steps) <= k {
+			o.Steps = append(o.Steps, &work.StepProgress{Done: make([]byte, 4), LastRun: 1})
+		}
+		o.Steps[k].Done[i/8] |= 1 << (i % 8)
+	}
+	g.Occurrences = append(g.Occurrences, o)
+}
+
+// job decodes a job; its first word may be queue=NAME.
+func (p *player) job(id string, words []string) *work.Job {
+	j := &work.Job{Id: id, Queue: "q", Pool: "pool", Spec: "spec of " + id}
+	for _, w := range words {
+		switch k, v, _ := strings.Cut(w, "="); k {
+		case "queue":
+			j.Queue = v
+		case "times":
+			j.Occurrences = int32(p.number(v))
+		case "first":
+			j.FirstRunUnixMs = _begin.UnixMilli() + p.number(v)
+		case "every":
+			j.IntervalMs = p.number(v)
+		default:
+			j.Steps = append(j.Steps, p.stepOf(w))
+		}
+	}
+	return j
+}
+
+func (p *player) stepOf(w string) *work.Step {
+	f := strings.Split(w, ",")
+	size, ms, _ := strings.Cut(f[0], "~")
+	n := strings.Split(size, "x")
+	assert.Assert(p.t, len(n) == 3, w)
+	s := &work.Step{
+		Count: int32(p.number(n[0])), MilliCpu: p.number(n[1]), MemoryMb: p.number(n[2]), EstimateMs: p.number(ms),
+	}
+	for _, x := range f[1:] {
+		k, v, _ := strings.Cut(x, "=")
+		switch k {
+		case "after":
+			for _, a := range strings.Split(v, "+") {
+				s.After = append(s.After, int32(p.number(a)))
+			}
+		case "gang":
+			s.Gang = true
+		case "rack":
+			s.SameRack = true
+		case "lasts":
+			s.LongRunning = true
+		case "miss":
+			s.MayMiss = int32(p.number(v))
+		case "apart":
+			s.AntiAffinity = int32(p.number(v))
+		case "needs":
+			s.Requires = v
+		case "near":
+			s.Affinity = v
+		case "saves":
+			s.Checkpointing = true
+		case "fills":
+			s.Fills = true
+		case "twice":
+			s.Speculative = true
+		default:
+			p.t.Fatalf("unknown word %q in a step", k)
+		}
+	}
+	return s
+}
+
+func (p *player) looked(id string, words []string) {
+	l := platform.Look{Born: 1, ClockMs: p.now.Sub(_begin).Milliseconds()}
+	sent := p.now
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		f := strings.Split(v, "/")
+		switch k {
+		case "born":
+			l.Born = p.number(v)
+		case "clock":
+			l.ClockMs = p.number(v)
+		case "sent":
+			sent = _begin.Add(time.Duration(p.number(v)) * time.Millisecond)
+		case "run":
+			r := platform.Running{Task: f[0], Run: p.number(f[1]), Percent: int(p.number(f[2]))}
+			if len(f) > 3 {
+				r.Checkpoint = f[3]
+			}
+			l.Running = append(l.Running, r)
+		case "end":
+			e := platform.Ended{Number: p.number(f[0]), Task: f[1], Run: p.number(f[2]), End: platform.End(f[3])}
+			if len(f) > 4 {
+				e.Checkpoint = f[4]
+			}
+			l.Ended = append(l.Ended, e)
+		}
+	}
+	p.step(Looked{Host: id, Sent: sent, Look: l})
+}
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -38,12 +38,13 @@
 	}
 	for _, u := range e.Hosts {
 		s.unheard[u.ID] = now.Add(_unheard)
-		if s.hosts[u.ID] == nil {
+		if s.hosts.get(u.ID) == nil {
 			h := newHost(u, now)
-			h.listed, h.inRoster = false, true
-			s.hosts[u.ID] = h
+			h.listed = false
+			s.hosts.add(h)
 		}
-		s.hosts[u.ID].inRoster = true
+		h := s.hosts.get(u.ID)
+		h.inRoster, h.enrolled = true, true
 	}
 	s.note("Journal loaded.", "", "jobs", len(e.Jobs), "open", len(s.active), "upstreams", len(e.Hosts))
 	q := s.questions
@@ -59,28 +60,23 @@
 func (s *Scheduler) adopt(d *work.Job, p *work.Progress) *job {
 	j := &job{
 		def: d, queue: s.queues[d.GetQueue()], arrived: time.UnixMilli(d.GetAcceptedUnixMs()),
-		durable: true, inherited: true, occurrences: make(map[int]*occurrence),
+		durable: true, inherited: true,
 		cancelled: p.GetCancelled(), failed: p.GetFailed(), completed: p.GetCompleted(),
 	}
 	j.objective = s.objective(j)
 	j.shown = endState(j)
 	j.endedAt = time.UnixMilli(p.GetEndedUnixMs())
 	for _, o := range p.GetOccurrences() {
-		k := int(o.GetNumber())
-		c := newOccurrence(j, k)
-		j.occurrences[k] = c
-		j.next = max(j.next, k+1)
+		for k := len(j.occurrences); k <= int(o.GetNumber()); k++ {
+			j.occurrences = append(j.occurrences, newOccurrence(j, k))
+		}
+		c := j.occurrences[o.GetNumber()]
 		for i, sp := range o.GetSteps() {
 			if i < len(c.steps) {
 				restore(c.steps[i], sp)
 			}
 		}
 	}
-	for k := range j.next {
-		if j.occurrences[k] == nil {
-			j.occurrences[k] = newOccurrence(j, k)
-		}
-	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for i := range st.tasks {
@@ -126,7 +122,7 @@
 	}
 	j := &job{
 		def: e.Job, queue: s.queues[e.Job.GetQueue()], arrived: now,
-		occurrences: make(map[int]*occurrence), waiting: []Ref{e.Ref},
+		waiting: []Ref{e.Ref},
 	}
 	first, fresh := s.first.note(now, id)
 	j.def.AcceptedUnixMs = first.UnixMilli()
@@ -153,10 +149,14 @@
 // ask tells a caller how far a job is.
 func (s *Scheduler) ask(e Asked) {
 	j := s.jobs[e.ID]
-	if j == nil || !j.durable {
+	if j == nil {
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	}
+	if !j.durable {
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE})
+		return
+	}
 	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, State: j.state()})
 }
 
@@ -220,7 +220,7 @@
 // vacate keeps an upstream free, or uses it again. It is vacant only once this
 // owner has heard it, as a former one may have left tasks there.
 func (s *Scheduler) vacate(now time.Time, e Vacated) {
-	h := s.hosts[e.Host]
+	h := s.hosts.get(e.Host)
 	a := &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
 	switch {
 	case h == nil:
@@ -246,7 +246,7 @@
 // evacuate stops long-running tasks that may be away, so that they start
 // elsewhere. Others are waited for.
 func (s *Scheduler) evacuate(now time.Time, h *host) {
-	for r := range h.runs {
+	for _, r := range h.running() {
 		if r.task.step.def.GetLongRunning() && r.state == runRunning && r.task.step.sparable(r.task) {
 			s.stop(now, r)
 		}
