scheduler, hostplan: dead upstreams are told within a look at the hosts

Change: three starts in a row without an answer make an upstream suspect; the planner tells an owner when a host stops naming an upstream that it named before.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -83,6 +83,8 @@
 	byName map[string]platform.Machine
 	pools  map[string]*poolState
 	ops    []Op
+	// named are the upstreams that hosts named in the last view.
+	named map[string]bool
 	// touched is when former holders ordered a host.
 	touched map[string]time.Time
 	// later are ops for the next step.
@@ -228,21 +230,30 @@
 }
 
 // clear tells owners which upstreams' lives are surely over: those that no host
-// that is up names.
+// that is up names, if their owner doubts them or a host named them before. One
+// that its owner knows and no host ever named is only younger than the list.
 func (p *Planner) clear() {
 	alive := make(map[string]bool, len(p.view.Machines))
 	for _, m := range p.view.Machines {
-		if m.State == platform.MachineUp {
+		if m.State == platform.MachineUp && m.Upstream != "" {
 			alive[m.Upstream] = true
 		}
 	}
 	for _, name := range sorted(p.pools) {
-		for _, u := range p.pools[name].load.GetDoubtful() {
+		l := p.pools[name].load
+		gone := slices.Clone(l.GetDoubtful())
+		for _, h := range l.GetHosts() {
+			if u := h.GetUpstream(); p.named[u] && !slices.Contains(gone, u) {
+				gone = append(gone, u)
+			}
+		}
+		for _, u := range gone {
 			if !alive[u] {
 				p.emit(Gone{"", name, u})
 			}
 		}
 	}
+	p.named = alive
 }
 
 // _summaryInterval is between two lines about all pools.
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -34,6 +34,8 @@
 	lookSent time.Time
 	lastSeen time.Time
 	failed   int
+	// unanswered counts the starts in a row that had no answer.
+	unanswered int
 
 	// seen is the highest end that was taken in, durable the highest that was
 	// appended, acked the highest that the upstream may have forgotten.
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -236,7 +236,7 @@
 	if !h.fenced || h.failed > 0 {
 		s.replan = true
 	}
-	h.failed, h.fenced, h.lastSeen = 0, true, now
+	h.failed, h.fenced, h.lastSeen, h.unanswered = 0, true, now, 0
 	h.clockMs, h.clockAt = e.Look.ClockMs, now
 	delete(s.unheard, h.up.ID)
 	s.enroll(now, h)
@@ -263,7 +263,7 @@
 	s.journal.others = append(s.journal.others, record(HostKey(s.set.Pool, h.up.ID),
 		&work.Host{Id: h.up.ID, Address: h.up.Address}))
 	s.journal.enrolling = append(s.journal.enrolling, h)
-	s.journal.wake(now)
+	s.journal.wake(now.Add(_acceptDelay))
 }
 
 func (s *Scheduler) lookFailed(now time.Time, h *host, err error) {
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -87,6 +87,7 @@
 // started takes in the answer to a start.
 func (s *Scheduler) started(now time.Time, r *run, err error) {
 	if err == nil {
+		r.host.unanswered = 0
 		if r.state == runOrdered {
 			r.state, r.started, r.moved = runRunning, now, now
 		}
@@ -117,6 +118,22 @@
 			r.state = runUnsure
 		}
 		h.lookDue = now
+		s.unanswered(now, h)
+	}
+}
+
+// _unansweredStarts is how many starts in a row make an upstream suspect. Single
+// orders are lost, or carried out late, by sound ones.
+const _unansweredStarts = 3
+
+// unanswered counts a start without an answer. A suspect upstream gets nothing
+// until a look is answered, and the planner is asked whether it lives.
+func (s *Scheduler) unanswered(now time.Time, h *host) {
+	h.unanswered++
+	if h.unanswered >= _unansweredStarts && h.failed == 0 {
+		h.failed = 1
+		s.note("Upstream is suspect.", "", "upstream", h.up.ID, "runs", len(h.runs), "unanswered", h.unanswered,
+			"seenMsAgo", now.Sub(h.lastSeen).Milliseconds())
 	}
 }
 
