--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -248,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, l.Hold.Wait+_lookSlack)
 	defer cancel()
 	a, err := o.peers.Upstreams.Hold(ctx, l.Target, l.Hold)
-	o.Post(scheduler.Looked{Host: l.Host, Sent: sent, Look: a, Err: err})
+	o.Post(scheduler.Looked{Host: l.Host, Peek: l.Peek, Sent: sent, Look: a, Err: err})
 }
 
 func (o *Owner) start(s scheduler.Start) {
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -126,7 +126,7 @@
 func (s *Scheduler) backlog(now time.Time) backlog {
 	var b backlog
 	for _, h := range s.hosts.all() {
-		if h.usable(now) {
+		if h.promising(now) {
 			b.capacity += float64(h.up.Capacity.MilliCPU)
 		}
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -73,6 +73,8 @@
 // Looked is the answer to a Look.
 type Looked struct {
 	Host string
+	// Peek is that of the Look.
+	Peek bool
 	Sent time.Time
 	Look platform.Look
 	Err  error
@@ -152,7 +154,9 @@
 
 // Look extends leases and looks at an upstream.
 type Look struct {
-	Host   string
+	Host string
+	// Peek is set for a look beside one that still waits for an end.
+	Peek   bool
 	Target platform.Target
 	Hold   platform.Hold
 }
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -30,6 +30,7 @@
 	deadlineMs int64
 
 	looking  bool
+	peeking  bool
 	lookDue  time.Time
 	lookSent time.Time
 	lastSeen time.Time
@@ -132,6 +133,12 @@
 		!now.Before(h.health.ejectedUntil) && !now.Before(h.vacatedUntil)
 }
 
+// promising reports whether tasks may be placed on it now or very soon: a new
+// owner is about to hear the upstreams that are listed.
+func (h *host) promising(now time.Time) bool {
+	return h.usable(now) || h.listed && !h.gone && !h.up.Draining && h.failed == 0 && (!h.fenced || !h.enrolled)
+}
+
 func (h *host) free() platform.Capacity {
 	c := h.up.Capacity
 	return platform.Capacity{
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -13,6 +13,12 @@
 func (s *Scheduler) list(now time.Time, all []platform.Upstream) {
 	seen := make(map[string]bool, len(all))
 	s.forgetDead(all)
+	defer func() {
+		if !s.listed {
+			s.listed = true
+			s.answerWaiting(now)
+		}
+	}()
 	for _, u := range all {
 		if born, ok := s.dead[u.ID]; ok && u.Born <= born {
 			continue
@@ -177,7 +183,7 @@
 
 // look extends the leases of an upstream if that is due.
 func (s *Scheduler) look(now time.Time, h *host) {
-	if h.looking || !s.wantsLook(h) || now.Before(s.lookTime(h)) {
+	if h.peeking || h.looking && !h.undecided() || !s.wantsLook(h) || now.Before(s.lookTime(h)) {
 		return
 	}
 	hold := platform.Hold{Token: s.set.Token, Acked: h.durable, Wait: s.lookWait(h)}
@@ -186,8 +192,22 @@
 	if s.mayOrder(now) && !h.clockAt.IsZero() && len(h.runs) > 0 && h.failed == 0 {
 		hold.DeadlineMs = h.lease(now, s.leaseTime())
 	}
+	l := Look{Host: h.up.ID, Peek: h.looking, Target: h.target, Hold: hold}
+	if l.Peek {
+		h.peeking = true
+	}
 	h.looking, h.lookSent = true, now
-	s.emit(Look{Host: h.up.ID, Target: h.target, Hold: hold})
+	s.emit(l)
+}
+
+// undecided reports whether a look would tell if a run is there.
+func (h *host) undecided() bool {
+	for _, r := range h.runs {
+		if r.state == runUnsure || r.state == runStopping && !r.stopped.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *Scheduler) leaseTime() time.Duration {
@@ -202,10 +222,8 @@
 	if len(h.runs) == 0 || !h.fenced {
 		return 0
 	}
-	for _, r := range h.running() {
-		if r.state == runUnsure || r.state == runStopping && !r.stopped.IsZero() {
-			return 0
-		}
+	if h.undecided() {
+		return 0
 	}
 	return _lookWait
 }
@@ -216,7 +234,11 @@
 	if h == nil {
 		return
 	}
-	h.looking = false
+	if e.Peek {
+		h.peeking = false
+	} else {
+		h.looking = false
+	}
 	if e.Err != nil {
 		s.lookFailed(now, h, e.Err)
 		return
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -18,7 +18,9 @@
 	// past are ended jobs in the order in which they are forgotten.
 	past []*job
 
-	loaded   bool
+	loaded bool
+	// listed is set once the platform's list has been seen.
+	listed   bool
 	loadedAt time.Time
 	// dead are upstreams that were ordered away, with the start of the life that
 	// ended: the platform's list has them for a while.
@@ -103,9 +105,23 @@
 	}
 }
 
-// question answers a caller or the planner, once the journal is known.
+// answerWaiting answers the questions that came before the journal and the list
+// were known.
+func (s *Scheduler) answerWaiting(now time.Time) {
+	if !s.loaded || !s.listed {
+		return
+	}
+	q := s.questions
+	s.questions = nil
+	for _, x := range q {
+		s.question(now, x.event)
+	}
+}
+
+// question answers a caller or the planner, once the journal and the list are
+// known.
 func (s *Scheduler) question(now time.Time, e Event) {
-	if !s.loaded {
+	if !s.loaded || !s.listed {
 		s.questions = append(s.questions, question{e})
 		return
 	}
@@ -204,7 +220,7 @@
 
 // hostNext adds what is due about an upstream.
 func (s *Scheduler) hostNext(now time.Time, h *host, w *waker) {
-	if !h.looking && s.wantsLook(h) {
+	if !h.peeking && (!h.looking || h.undecided()) && s.wantsLook(h) {
 		w.at(s.lookTime(h))
 	}
 	if len(h.runs) > 0 && h.failed > 0 {
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -47,11 +47,7 @@
 		h.inRoster, h.enrolled = true, true
 	}
 	s.note("Journal loaded.", "", "jobs", len(e.Jobs), "open", len(s.active), "upstreams", len(e.Hosts))
-	q := s.questions
-	s.questions = nil
-	for _, x := range q {
-		s.question(now, x.event)
-	}
+	s.answerWaiting(now)
 	s.replan = true
 }
 
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,325 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+	"fescuelanding/platform/serve"
+	"fescuelanding/standin/internal/process"
+)
+
+const (
+	_heartbeat = 300 * time.Millisecond
+	// _move and _upkeep are how long a host is away.
+	_move   = 300 * time.Millisecond
+	_upkeep = 300 * time.Millisecond
+	// _startLimit is how long entries may take to be ready.
+	_startLimit = 10 * time.Second
+	_stopLimit  = 8 * time.Second
+	_fileMode   = 0o600
+)
+
+// submitted is a job that a caller handed in.
+type submitted struct {
+	*work.Job
+	behaviour Behaviour
+	policy    bool
+}
+
+// Site is a running stand-in of the platform with its entries.
+type Site struct {
+	// Entry is the path of the entry's program, Dir where files go.
+	entry, dir string
+	out        io.Writer
+
+	store     *Store
+	upstreams map[string]*Upstream
+	servers   []*http.Server
+	cloudAt   string
+	storeAt   string
+	adviceAt  string
+	entries   map[string]*process.Process
+	boots     map[string]platform.Boot
+	config    platform.Config
+
+	mu       sync.Mutex
+	jobs     map[string]*submitted
+	tasks    map[string]*taskLedger
+	wrong    []string
+	machines []platform.Machine
+	orders   map[string]platform.Holder
+	said     []string
+	stop     chan struct{}
+}
+
+// New returns a site that runs a built entry and writes files to a directory.
+// What the entries print goes to out.
+func New(entry, dir string, out io.Writer) *Site {
+	return &Site{
+		entry: entry, dir: dir, out: out, store: NewStore(), upstreams: make(map[string]*Upstream),
+		entries: make(map[string]*process.Process), boots: make(map[string]platform.Boot),
+		jobs: make(map[string]*submitted), tasks: make(map[string]*taskLedger),
+		orders: make(map[string]platform.Holder), stop: make(chan struct{}),
+	}
+}
+
+// say notes something for the transcript.
+func (s *Site) say(format string, a ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.said = append(s.said, fmt.Sprintf(format, a...))
+}
+
+// listen serves a handler on a free port of loopback.
+func (s *Site) listen(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	v := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, v)
+	go func() { _ = v.Serve(l) }() // It ends with Stop.
+	return l.Addr().String(), nil
+}
+
+// Start brings the platform up: two pools of hosts and a standby pool.
+func (s *Site) Start() error {
+	var err error
+	if s.storeAt, err = s.listen(s.store.Handler()); err != nil {
+		return err
+	}
+	if s.cloudAt, err = s.listen(&serve.Cloud{Machines: s.listMachines, Order: s.order}); err != nil {
+		return err
+	}
+	advice := &serve.Advice{ValidMs: 3000, Admit: func(step, u string) (string, bool) { return ticket(step, u), true }}
+	if s.adviceAt, err = s.listen(advice); err != nil {
+		return err
+	}
+	for i, pool := range []string{"fitting", "fitting", "fitting", "returns", "returns", "standby"} {
+		if err := s.addMachine(fmt.Sprintf("m%d", i+1), pool); err != nil {
+			return err
+		}
+	}
+	s.publish()
+	go s.beat()
+	return nil
+}
+
+// publish writes the configuration.
+func (s *Site) publish() {
+	q := func(name, prefix, pool string, p int) platform.Queue {
+		return platform.Queue{
+			Name: name, Host: "desk.example", Prefix: prefix, Pool: pool, Timeout: 3 * time.Second,
+			Target: 2 * time.Second, Stretch: 2, Priority: p, Attempts: 3,
+		}
+	}
+	policy := q("policed", "/policed/", "returns", 0)
+	policy.Advice = platform.Advice{Decide: 2 * time.Millisecond, Each: time.Millisecond, Valid: 3 * time.Second}
+	s.config = platform.Config{
+		Version: s.config.Version + 3,
+		Queues:  []platform.Queue{q("sizes", "/sizes/", "fitting", 0), q("deposits", "/deposits/", "returns", 1), policy},
+		Pools: []platform.Pool{
+			{Name: "fitting", Guarded: true}, {Name: "returns", Guarded: true}, {Name: "standby", Guarded: true, Standby: true},
+		},
+		Limits: platform.Limits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+	s.store.Put(platform.TopicOperator, serve.Config(s.config))
+}
+
+func (s *Site) addMachine(name, pool string) error {
+	u := newUpstream(s, name)
+	at, err := s.listen(u.Handler())
+	if err != nil {
+		return err
+	}
+	rack := "r1-" + name[1:]
+	u.report = platform.Upstream{
+		ID: "u-" + name, Pool: pool, Address: at, DataCentre: "muscat-a", Labels: []string{"a", rack},
+		Capacity: platform.Capacity{MilliCPU: 8000, MemoryMB: 16000}, Born: time.Now().UnixMilli(), Machine: name,
+	}
+	s.upstreams[name] = u
+	m := platform.Machine{
+		Name: name, Pool: pool, State: platform.MachineUp, DataCentre: "muscat-a", Labels: u.report.Labels,
+		Capacity: u.report.Capacity, Upstream: u.report.ID,
+	}
+	if pool == "standby" {
+		u.report.ID, m.Upstream = "", ""
+	}
+	s.machines = append(s.machines, m)
+	return nil
+}
+
+// beat has the upstreams report.
+func (s *Site) beat() {
+	t := time.NewTicker(_heartbeat)
+	defer t.Stop()
+	for {
+		for _, u := range s.upstreams {
+			u.beat()
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Site) listMachines() []platform.Machine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.machines)
+}
+
+// order carries out a move or an upkeep.
+func (s *Site) order(h platform.Holder, machine, pool string, wave int64) serve.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.machines, func(m platform.Machine) bool { return m.Name == machine })
+	if i < 0 {
+		return serve.Refusal{Status: http.StatusBadRequest}
+	}
+	if h.Token < s.orders[machine].Token {
+		return conflict(platform.ReasonFence)
+	}
+	s.orders[machine] = h
+	m := &s.machines[i]
+	if m.State != platform.MachineUp {
+		return conflict(platform.ReasonBusy)
+	}
+	m.State = platform.MachineMoving
+	to, away := pool, _move
+	if wave > 0 {
+		m.State, to, away = platform.MachineUpkeep, m.Pool, _upkeep
+		s.said = append(s.said, "upkeep of "+machine)
+	}
+	old := m.Upstream
+	m.Upstream = ""
+	go s.away(machine, old, to, away)
+	return serve.Refusal{}
+}
+
+// away takes a host down and brings it back in a pool.
+func (s *Site) away(machine, old, pool string, d time.Duration) {
+	u := s.upstreams[machine]
+	u.rebirth("", pool)
+	if old != "" {
+		s.store.Put(platform.TopicServers, platform.Record{Key: old})
+	}
+	time.Sleep(d)
+	id := ""
+	if pool != "standby" {
+		id = fmt.Sprintf("u-%s-%d", machine, time.Now().UnixMilli())
+	}
+	u.rebirth(id, pool)
+	u.beat()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.machines {
+		if m := &s.machines[i]; m.Name == machine {
+			m.Pool, m.State, m.Upstream = pool, platform.MachineUp, id
+		}
+	}
+}
+
+// StartEntry starts an entry, or starts it again.
+func (s *Site) StartEntry(name string) error {
+	b, ok := s.boots[name]
+	if !ok {
+		var err error
+		if b, err = s.boot(name); err != nil {
+			return err
+		}
+		s.boots[name] = b
+	}
+	file := filepath.Join(s.dir, name+".conf")
+	if err := os.WriteFile(file, []byte(serve.Boot(b)), _fileMode); err != nil {
+		return fmt.Errorf("write boot file: %w", err)
+	}
+	p, err := process.StartWith(name, s.entry, []string{"platform"}, []string{platform.BootVariable + "=" + file}, s.out)
+	if err != nil {
+		return fmt.Errorf("start entry: %w", err)
+	}
+	s.entries[name] = p
+	return s.await(name)
+}
+
+func (s *Site) boot(name string) (platform.Boot, error) {
+	l, err := process.FreeAddresses(3)
+	if err != nil {
+		return platform.Boot{}, fmt.Errorf("addresses: %w", err)
+	}
+	var at [3]netip.AddrPort
+	for i := range at {
+		if at[i], err = netip.ParseAddrPort(l[i]); err != nil {
+			return platform.Boot{}, fmt.Errorf("address: %w", err)
+		}
+	}
+	return platform.Boot{
+		Host: name, DataCentre: "muscat-a", Address: at[0].Addr(), Caller: at[0], Ready: at[1],
+		FirstPort: at[2].Port(), LastPort: at[2].Port(), Advice: s.adviceAt, Heartbeat: _heartbeat,
+		Store: platform.StoreSettings{
+			Address: s.storeAt, Partitions: _partitions, CallBytes: 2 << 20, RecordBytes: 256 << 10, MinTTL: time.Second,
+		},
+		Cloud: platform.CloudSettings{Address: s.cloudAt, CallsPerS: 64, OrdersPerS: 64},
+		Bounds: platform.Bounds{
+			HoldMax: 10 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
+			Grace: 6 * time.Second, Status: 2 * time.Minute, RemoteFactor: 2, Move: _move, Upkeep: _upkeep,
+			Lease: 500 * time.Millisecond,
+		},
+	}, nil
+}
+
+// await waits until an entry is ready.
+func (s *Site) await(name string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), _startLimit)
+	defer cancel()
+	if err := process.WaitOK(ctx, "http://"+s.boots[name].Ready.String()+"/api/ready"); err != nil {
+		return fmt.Errorf("entry %s isn't ready: %w", name, err)
+	}
+	return nil
+}
+
+// Kill ends an entry at once.
+func (s *Site) Kill(name string) { s.entries[name].Kill() }
+
+// Terminate has an entry stop by itself.
+func (s *Site) Terminate(name string) error { return s.entries[name].Stop(_stopLimit) }
+
+// Signal sends an entry a signal.
+func (s *Site) Signal(name string, v syscall.Signal) error { return s.entries[name].Signal(v) }
+
+// Owner returns the entry that holds the partition of a pool.
+func (s *Site) Owner(partition int) string {
+	at := s.store.owners("entries")[partition]
+	for name, b := range s.boots {
+		peer := netip.AddrPortFrom(b.Address, b.FirstPort).String()
+		if len(at) > len(peer) && at[:len(peer)] == peer {
+			return name
+		}
+	}
+	return ""
+}
+
+// Stop ends everything.
+func (s *Site) Stop() {
+	for _, p := range s.entries {
+		p.Kill()
+	}
+	close(s.stop)
+	for _, v := range s.servers {
+		v.Close()
+	}
+}
