--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -330,7 +330,7 @@
 		return
 	}
 	w := p.wave(t.wave)
-	if w == nil || t.retryAt.IsZero() && p.down(now, w) >= w.AtOnce {
+	if w == nil || t.retryAt.IsZero() && p.down(w) >= w.AtOnce {
 		p.vacate(now, t)
 		return
 	}
@@ -348,7 +348,7 @@
 }
 
 // down counts the hosts of a wave that are, or may be, down for it.
-func (p *Planner) down(now time.Time, w *wave) int {
+func (p *Planner) down(w *wave) int {
 	n := 0
 	for _, name := range w.Machines {
 		t := p.tasks[name]
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -160,11 +160,12 @@
 	return p.owners[pool]
 }
 
-// token returns the token of a partition that is held, and zero for others.
-func (p *pools) token(partition int) int64 {
+// waveToken returns the token for orders about hosts, and zero while another
+// entry gives them.
+func (p *pools) waveToken() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(0, p.since[partition])
+	return max(0, p.since[_wavePartition])
 }
 
 // any reports whether any partition is held.
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -76,7 +76,7 @@
 	}
 	w.cloud = platform.NewCloud(w.node.boot.Cloud.Address)
 	for ctx.Err() == nil {
-		token := w.node.pools.token(_wavePartition)
+		token := w.node.pools.waveToken()
 		if token > 0 && token != w.refused && w.node.config.Load() != nil {
 			w.hold(ctx, token)
 		}
@@ -114,12 +114,12 @@
 		plan:    hostplan.New(hostplan.Settings{Move: b.Move, Upkeep: b.Upkeep, Lease: b.Lease}),
 		results: make(chan func(time.Time), _results), known: make(map[int64]bool),
 	}
-	for ctx.Err() == nil && w.node.pools.token(_wavePartition) == token && !s.load(ctx) {
+	for ctx.Err() == nil && w.node.pools.waveToken() == token && !s.load(ctx) {
 		pause(ctx, _planInterval)
 	}
 	t := time.NewTicker(_planInterval)
 	defer t.Stop()
-	for w.node.pools.token(_wavePartition) == token && token != w.refused {
+	for w.node.pools.waveToken() == token && token != w.refused {
 		select {
 		case <-ctx.Done():
 			return
@@ -332,7 +332,7 @@
 
 // append adds a record until that is confirmed. A repeat does no harm.
 func (s *shift) append(ctx context.Context, topic string, r platform.Record) {
-	for ctx.Err() == nil && s.node.pools.token(_wavePartition) == s.token {
+	for ctx.Err() == nil && s.node.pools.waveToken() == s.token {
 		c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 		err := s.node.store.Append(c, topic, 0, platform.Producer{}, []platform.Record{r})
 		cancel()
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -10,9 +10,6 @@
 	// _minRetry and _maxRetry bound when a refused caller may come back.
 	_minRetry = time.Second
 	_maxRetry = 8 * time.Second
-	// _lastingShare is how much of a pool long-running tasks may take, so that
-	// the others keep running.
-	_lastingShare = 0.8
 )
 
 // verdict is a decision on a job that is handed in.
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -22,8 +22,7 @@
 // _learnedInterval is the least time between two records of what was learned.
 const _learnedInterval = 2 * time.Second
 
-// JobKey, ProgressKey and HostKey are the keys of a pool's records in the
-// journal.
+// JobKey is the key of a job.
 func JobKey(pool, id string) string { return pool + _jobKey + id }
 
 // ProgressKey is the key of the progress of a job.
--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -15,7 +15,6 @@
 	size      platform.Capacity
 	lasts     bool
 	policy    bool
-	failed    int
 	// open are runs that are running now.
 	open []string
 	// begun and done count the runs.
