--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -125,7 +125,7 @@
 			lastingHosts++
 		}
 	}
-	s.base = max(lastingHosts, _base)
+	s.base = max(lastingHosts, int(s.load.GetSpread()), _base)
 	s.need = max(s.need, s.base)
 	s.needs = append(s.needs, needAt{now, s.need})
 	for now.Sub(s.needs[0].at) > _parkAfter {
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -112,6 +112,9 @@
 			if d.GetLongRunning() && !d.GetFills() {
 				l.Lasting += int64(d.GetCount()) * d.GetMilliCpu()
 			}
+			if n := d.GetAntiAffinity(); n > 0 && d.GetLongRunning() {
+				l.Spread = max(l.Spread, (d.GetCount()+n-1)/n)
+			}
 		}
 	}
 	return l
