hostplan: one call tells an owner all that is planned

Cause: at 350 hosts the planner asked after each host by itself, 1500 calls a second; owners fell behind and a wave was half done. Orders were announced one by one and met the cloud's bound. Read from the code: a question that was overtaken, or one of a former planner, released a host that a later one had vacated. Change: Load carries arrivals, hosts to vacate and hosts that are gone, under the planner's token and a sequence; orders go together, within the cloud's bound.

--- a/entry/hostplan/doc.go
+++ b/entry/hostplan/doc.go
@@ -13,7 +13,7 @@
 //		// Carry it out; the result is a later event.
 //	}
 //
-// A host is first vacated: its pool's owner places nothing on it and takes its
-// long-running tasks elsewhere. Only then it is ordered away, as an order ends
+// A host is first vacated: by Wishes its pool's owner learns to place nothing on it
+// and to take its long-running tasks elsewhere, and its load says when that is so. Only then it is ordered away, as an order ends
 // all that runs on it.
 package hostplan
--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -29,7 +29,10 @@
 type poolState struct {
 	name    string
 	standby bool
+	// load is the owner's last answer; fresh is set while that is the answer to
+	// the last question.
 	load    *link.PoolLoad
+	fresh   bool
 	hostCPU float64
 	// hosts are up in the pool or on their way to it; away are those among them
 	// that are leaving or down.
@@ -70,6 +73,7 @@
 			p.pools[v.Name] = s
 		}
 		s.standby = v.Standby
+		s.fresh = v.Load != nil
 		if v.Load != nil {
 			s.load = v.Load
 			s.cycle.note(now, float64(v.Load.GetDemand()))
@@ -244,8 +248,8 @@
 	}
 }
 
-// Arrivals returns the room that will join a pool.
-func (p *Planner) Arrivals(now time.Time, pool string) []*link.Arrival {
+// arrivals returns the room that will join a pool.
+func (p *Planner) arrivals(now time.Time, pool string) []*link.Arrival {
 	var l []*link.Arrival
 	for _, name := range sorted(p.tasks) {
 		t := p.tasks[name]
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -14,6 +14,8 @@
 	// Move and Upkeep are how long a host is away for either.
 	Move   time.Duration
 	Upkeep time.Duration
+	// OrdersPerS is how many orders about hosts the cloud interface takes.
+	OrdersPerS float64
 	// Lease is the least time between orders of two holders for one host.
 	Lease time.Duration
 }
@@ -35,16 +37,6 @@
 // Op is something that the planner wants done.
 type Op interface{ op() }
 
-// Vacate asks the owner of a pool to leave an upstream free. It is repeated
-// while it stands; Vacated answers.
-type Vacate struct{ Machine, Pool, Upstream string }
-
-// Gone tells the owner of a pool that an upstream's host was ordered away.
-type Gone struct{ Machine, Pool, Upstream string }
-
-// Release has an upstream used again.
-type Release struct{ Machine, Pool, Upstream string }
-
 // Move sends a host to another pool; Ordered answers.
 type Move struct{ Machine, Pool string }
 
@@ -66,13 +58,10 @@
 	Pairs []any
 }
 
-func (Vacate) op()  {}
-func (Gone) op()    {}
-func (Release) op() {}
-func (Move) op()    {}
-func (Upkeep) op()  {}
-func (Report) op()  {}
-func (Note) op()    {}
+func (Move) op()   {}
+func (Upkeep) op() {}
+func (Report) op() {}
+func (Note) op()   {}
 
 // Planner decides for all hosts.
 type Planner struct {
@@ -87,8 +76,13 @@
 	named map[string]bool
 	// touched is when former holders ordered a host.
 	touched map[string]time.Time
-	// later are ops for the next step.
-	later []Op
+	// gone are the upstreams by pool whose lives are over.
+	gone map[string][]string
+	// begun is set when the last step began something with a host.
+	begun bool
+	// credit is how many orders may be given now, as of creditAt.
+	credit   float64
+	creditAt time.Time
 	// summarised is when the pools were last noted.
 	summarised time.Time
 }
@@ -103,13 +97,10 @@
 
 // errand is what is being done with a host.
 type errand struct {
-	machine platform.Machine
-	wave    int64
-	to      string
-	since   time.Time
-	// asked is when the pool's owner was asked last to vacate it.
-	asked    time.Time
-	vacant   bool
+	machine  platform.Machine
+	wave     int64
+	to       string
+	since    time.Time
 	ordering bool
 	// ordered is when the order was confirmed.
 	ordered time.Time
@@ -147,11 +138,16 @@
 // Idle reports whether nothing is asked of the planner but moves.
 func (p *Planner) Idle() bool { return len(p.waves) == 0 && len(p.tasks) == 0 }
 
-// Vacated takes in the answer to a Vacate.
-func (p *Planner) Vacated(machine string, vacant bool) {
-	if t := p.tasks[machine]; t != nil {
-		t.vacant = vacant
+// Wishes returns what the owner of a pool is told when it is asked for its load.
+func (p *Planner) Wishes(now time.Time, pool string) *link.Load {
+	l := &link.Load{Arrivals: p.arrivals(now, pool), Gone: p.gone[pool]}
+	for _, name := range sorted(p.tasks) {
+		t := p.tasks[name]
+		if t.machine.Pool == pool && t.machine.Upstream != "" && t.ordered.IsZero() {
+			l.Vacate = append(l.Vacate, t.machine.Upstream)
+		}
 	}
+	return l
 }
 
 // Result is the answer to an order.
@@ -184,14 +180,10 @@
 	switch r {
 	case Done:
 		t.ordered = now
-		if t.machine.Upstream != "" && !p.pools[t.machine.Pool].idle() {
-			p.later = append(p.later, Gone{machine, t.machine.Pool, t.machine.Upstream})
-		}
 		if t.wave != 0 {
 			p.began(t.wave, machine)
 		}
 	case Unsent:
-		t.vacant = false
 	case Unsure:
 		t.retryAt = now.Add(_retryOrder)
 	case Busy, Refused:
@@ -213,14 +205,15 @@
 
 // Step decides by what was observed.
 func (p *Planner) Step(now time.Time, v View) []Op {
-	p.ops, p.later = p.later, nil
+	p.ops, p.begun = nil, false
 	p.view = v
 	p.byName = make(map[string]platform.Machine, len(v.Machines))
 	for _, m := range v.Machines {
 		p.byName[m.Name] = m
 	}
+	p.refill(now)
 	p.observe(now)
-	p.clear()
+	p.bereave()
 	p.advance(now)
 	p.finishWaves(now)
 	p.upkeeps(now)
@@ -229,33 +222,72 @@
 	return p.ops
 }
 
-// clear tells owners which upstreams' lives are surely over: those that no host
-// that is up names, if their owner doubts them or a host named them before. One
-// that its owner knows and no host ever named is only younger than the list.
-func (p *Planner) clear() {
+// Begun reports whether the last step began something that the owners of the
+// pools have to be told.
+func (p *Planner) Begun() bool { return p.begun }
+
+// bereave works out which upstreams' lives are surely over: those of hosts that
+// were ordered away, and those that no host that is up names, if their owner
+// doubts them or a host named them before. One that its owner knows and no host
+// ever named is only younger than the list.
+func (p *Planner) bereave() {
 	alive := make(map[string]bool, len(p.view.Machines))
 	for _, m := range p.view.Machines {
 		if m.State == platform.MachineUp && m.Upstream != "" {
 			alive[m.Upstream] = true
 		}
 	}
+	p.gone = make(map[string][]string)
+	for _, name := range sorted(p.tasks) {
+		if t := p.tasks[name]; !t.ordered.IsZero() && (t.wave != 0 || t.to != "") && t.machine.Upstream != "" {
+			delete(alive, t.machine.Upstream)
+			p.gone[t.machine.Pool] = append(p.gone[t.machine.Pool], t.machine.Upstream)
+		}
+	}
 	for _, name := range sorted(p.pools) {
 		l := p.pools[name].load
-		gone := slices.Clone(l.GetDoubtful())
-		for _, h := range l.GetHosts() {
-			if u := h.GetUpstream(); p.named[u] && !slices.Contains(gone, u) {
-				gone = append(gone, u)
+		for _, u := range l.GetDoubtful() {
+			if !alive[u] {
+				p.gone[name] = append(p.gone[name], u)
 			}
 		}
-		for _, u := range gone {
-			if !alive[u] {
-				p.emit(Gone{"", name, u})
+		for _, h := range l.GetHosts() {
+			if u := h.GetUpstream(); p.named[u] && !alive[u] {
+				p.gone[name] = append(p.gone[name], u)
 			}
 		}
 	}
 	p.named = alive
 }
 
+// spend takes the right to one order; the cloud interface bounds them for all.
+func (p *Planner) spend() bool {
+	if p.credit < 1 {
+		return false
+	}
+	p.credit--
+	return true
+}
+
+// refill adds the orders that time has allowed.
+func (p *Planner) refill(now time.Time) {
+	r := p.set.OrdersPerS * _orderShare
+	if r <= 0 {
+		r = _defaultOrders
+	}
+	p.credit = min(p.credit+now.Sub(p.creditAt).Seconds()*r, max(1, r*_orderBurst))
+	p.creditAt = now
+}
+
+const (
+	// _orderShare of the orders that the cloud interface takes is used.
+	_orderShare = 0.85
+	// _defaultOrders stands in where no bound is set, by the second.
+	_defaultOrders = 20.0
+	// _orderBurst is for how many seconds orders may be saved up.
+	_orderBurst = 0.5
+)
+
 // _summaryInterval is between two lines about all pools.
 const _summaryInterval = time.Second
 
@@ -294,44 +326,36 @@
 				delete(p.tasks, name)
 			}
 		case t.ordering || now.Before(t.retryAt):
-		case !t.retryAt.IsZero() || t.vacant:
-			p.order(now, t)
+		case !t.retryAt.IsZero() || p.vacant(t):
+			p.order(t)
 		case m.State != platform.MachineUp || m.Upstream != t.machine.Upstream ||
 			t.to != "" && now.Sub(t.since) > _giveUp:
-			p.emit(Release{name, t.machine.Pool, t.machine.Upstream})
 			delete(p.tasks, name)
-		default:
-			p.vacate(now, t)
 		}
 	}
 }
 
-// _askInterval is between two questions whether a host is vacant.
-const _askInterval = 180 * time.Millisecond
-
-// vacate asks the owner of the pool, unless that was done just now.
-func (p *Planner) vacate(now time.Time, t *errand) {
-	if now.Sub(t.asked) < _askInterval {
-		return
-	}
-	t.asked = now
-	p.emit(Vacate{t.machine.Name, t.machine.Pool, t.machine.Upstream})
+// vacant reports whether nothing runs on the host any more.
+func (p *Planner) vacant(t *errand) bool {
+	s := p.pools[t.machine.Pool]
+	return t.machine.Upstream == "" || s.idle() || s.fresh && slices.Contains(s.load.GetVacant(), t.machine.Upstream)
 }
 
 // _listLag is how far the list of hosts may be behind an order.
 const _listLag = time.Second
 
 // order sends a vacant host away, unless too many of its wave are down.
-func (p *Planner) order(now time.Time, t *errand) {
+func (p *Planner) order(t *errand) {
 	name := t.machine.Name
 	if t.wave == 0 {
-		t.ordering = true
-		p.emit(Move{name, t.to})
+		if p.spend() {
+			t.ordering = true
+			p.emit(Move{name, t.to})
+		}
 		return
 	}
 	w := p.wave(t.wave)
-	if w == nil || t.retryAt.IsZero() && p.down(w) >= w.AtOnce {
-		p.vacate(now, t)
+	if w == nil || t.retryAt.IsZero() && p.down(w) >= w.AtOnce || !p.spend() {
 		return
 	}
 	t.ordering = true
@@ -427,16 +451,12 @@
 
 func (p *Planner) begin(now time.Time, m platform.Machine, wave int64, to string) {
 	t := &errand{machine: m, wave: wave, to: to, since: now}
-	// Nothing runs in a standby pool.
-	if ps := p.pools[m.Pool]; ps.standby || m.Upstream == "" {
-		t.vacant = true
-	}
 	p.tasks[m.Name] = t
-	if t.vacant {
-		p.order(now, t)
-		return
+	p.begun = true
+	// Nothing runs in a standby pool.
+	if p.pools[m.Pool].idle() || m.Upstream == "" {
+		p.order(t)
 	}
-	p.vacate(now, t)
 }
 
 func sorted[V any](m map[string]V) []string {
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -21,6 +21,9 @@
 	_planInterval = 200 * time.Millisecond
 	// _cloudTimeout is when an order about a host is taken to be unanswered.
 	_cloudTimeout = time.Second
+	// _listPerHost makes the list of hosts rarer the longer it is, so that its
+	// bytes don't fill the link of a small entry host.
+	_listPerHost = 2 * time.Millisecond
 	// _loadTimeout is when a pool is planned for without its owner's answer.
 	_loadTimeout = 300 * time.Millisecond
 	// _results bounds the answers that wait for the planner.
@@ -100,9 +103,13 @@
 	plan    *hostplan.Planner
 	results chan func(now time.Time)
 	view    hostplan.View
-	known   map[int64]bool
-	begun   map[int64][]string
-	ended   map[int64]bool
+	// asked counts the rounds of questions.
+	asked int64
+	// listAt is when the hosts are listed next.
+	listAt time.Time
+	known  map[int64]bool
+	begun  map[int64][]string
+	ended  map[int64]bool
 }
 
 // hold plans for as long as the duty is held.
@@ -111,7 +118,8 @@
 	b := w.node.bounds.Load()
 	s := &shift{
 		waves: w, token: token,
-		plan:    hostplan.New(hostplan.Settings{Move: b.Move, Upkeep: b.Upkeep, Lease: b.Lease}),
+		plan: hostplan.New(hostplan.Settings{Move: b.Move, Upkeep: b.Upkeep, Lease: b.Lease,
+			OrdersPerS: w.node.boot.Cloud.OrdersPerS}),
 		results: make(chan func(time.Time), _results), known: make(map[int64]bool),
 	}
 	for ctx.Err() == nil && w.node.pools.waveToken() == token && !s.load(ctx) {
@@ -125,10 +133,15 @@
 			return
 		case <-t.C:
 			s.look(ctx)
+			s.step(ctx)
+			if s.plan.Begun() {
+				// Hosts on which nothing runs can go at once.
+				s.loads(ctx)
+				s.step(ctx)
+			}
 		case f := <-s.results:
 			f(time.Now())
 		}
-		s.step(ctx)
 	}
 	w.node.log.Info("Hosts are planned for elsewhere.", "token", token)
 }
@@ -168,24 +181,36 @@
 
 // look observes hosts and pools.
 func (s *shift) look(ctx context.Context) {
-	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
-	m, err := s.cloud.Machines(c)
-	cancel()
-	if err != nil {
-		s.node.log.Info("Hosts can't be listed.", "err", err)
-		return
+	if now := time.Now(); !now.Before(s.listAt) {
+		c, cancel := context.WithTimeout(ctx, _cloudTimeout)
+		m, err := s.cloud.Machines(c)
+		cancel()
+		if err != nil {
+			s.node.log.Info("Hosts can't be listed.", "err", err)
+			return
+		}
+		s.view.Machines = m
+		s.listAt = now.Add(max(_planInterval/2, time.Duration(len(m))*_listPerHost))
 	}
-	s.view.Machines = m
+	s.loads(ctx)
+}
+
+// loads asks the owners of the pools for their loads and tells them what is
+// planned.
+func (s *shift) loads(ctx context.Context) {
 	var wg sync.WaitGroup
 	p := s.node.config.Load().Pools
 	s.view.Pools = make([]hostplan.Pool, len(p))
 	now := time.Now()
+	s.asked++
 	for i, x := range p {
 		s.view.Pools[i] = hostplan.Pool{Name: x.Name, Standby: x.Standby}
 		if x.Standby {
 			continue
 		}
-		q := &link.Call{Pool: x.Name, Body: &link.Call_Load{Load: &link.Load{Arrivals: s.plan.Arrivals(now, x.Name)}}}
+		w := s.plan.Wishes(now, x.Name)
+		w.Token, w.Sequence = s.token, s.asked
+		q := &link.Call{Pool: x.Name, Body: &link.Call_Load{Load: w}}
 		wg.Go(func() {
 			c, cancel := context.WithTimeout(ctx, _loadTimeout)
 			defer cancel()
@@ -209,24 +234,20 @@
 		}
 	}
 	s.mu.Unlock()
+	var orders []hostplan.Op
 	for _, op := range s.plan.Step(now, s.view) {
 		switch op := op.(type) {
-		case hostplan.Vacate:
-			go s.vacate(ctx, op)
-		case hostplan.Release:
-			go s.tell(ctx, op.Pool, &link.Vacate{Upstream: op.Upstream, Release: true})
-		case hostplan.Gone:
-			go s.tell(ctx, op.Pool, &link.Vacate{Upstream: op.Upstream, Gone: true})
-		case hostplan.Move:
-			go s.move(ctx, op)
-		case hostplan.Upkeep:
-			go s.upkeep(ctx, op)
+		case hostplan.Move, hostplan.Upkeep:
+			orders = append(orders, op)
 		case hostplan.Report:
 			go s.report(ctx, op)
 		case hostplan.Note:
 			s.node.log.Info(op.What, op.Pairs...)
 		}
 	}
+	if len(orders) > 0 {
+		go s.order(ctx, orders)
+	}
 }
 
 // post hands an answer to the planner.
@@ -239,60 +260,51 @@
 	}
 }
 
-func (s *shift) vacate(ctx context.Context, v hostplan.Vacate) {
-	c, cancel := context.WithTimeout(ctx, _loadTimeout)
-	defer cancel()
-	a := s.node.ask(c, &link.Call{Pool: v.Pool, Body: &link.Call_Vacate{Vacate: &link.Vacate{Upstream: v.Upstream}}})
-	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
-		s.post(ctx, func(time.Time) { s.plan.Vacated(v.Machine, a.GetVacant()) })
+// order gives orders about hosts, once it is durable that they are given: a later
+// holder leaves those hosts alone for a while.
+func (s *shift) order(ctx context.Context, ops []hostplan.Op) {
+	at := strconv.AppendInt(nil, time.Now().UnixMilli(), 10)
+	var records []platform.Record
+	for _, op := range ops {
+		records = append(records, platform.Record{Key: _orderKey + machineOf(op), Value: at})
 	}
-}
-
-// tell passes a word about an upstream on to the owner of its pool.
-func (s *shift) tell(ctx context.Context, pool string, v *link.Vacate) {
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
-	a := s.node.ask(c, &link.Call{Pool: pool, Body: &link.Call_Vacate{Vacate: v}})
-	if a.GetOutcome() != link.Outcome_OUTCOME_OK {
-		s.node.log.Info("Owner was not told.", "pool", pool, "upstream", v.GetUpstream(), "outcome", a.GetOutcome().String())
-	}
-}
-
-func (s *shift) move(ctx context.Context, m hostplan.Move) {
-	if !s.announce(ctx, m.Machine) {
-		return
+	err := s.node.store.Append(c, _begunTopic, 0, platform.Producer{}, records)
+	for _, op := range ops {
+		if err != nil {
+			s.node.log.Info("Host was not ordered.", "machine", machineOf(op), "err", err)
+			s.post(ctx, func(now time.Time) { s.plan.Ordered(now, machineOf(op), hostplan.Unsent) })
+			continue
+		}
+		go s.give(ctx, op)
 	}
-	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
-	defer cancel()
-	err := s.cloud.Move(c, s.holder(), m.Machine, m.Pool)
-	s.ordered(ctx, "move", m.Machine, err)
 }
 
-func (s *shift) upkeep(ctx context.Context, u hostplan.Upkeep) {
-	if !s.announce(ctx, u.Machine) {
-		return
-	}
-	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
-	defer cancel()
-	err := s.cloud.Upkeep(c, s.holder(), u.Machine, u.Wave)
-	s.ordered(ctx, "upkeep", u.Machine, err)
-	if err == nil {
-		s.append(ctx, _begunTopic, platform.Record{Key: fmt.Sprintf("%d/%s", u.Wave, u.Machine), Value: []byte{1}})
+func machineOf(op hostplan.Op) string {
+	switch op := op.(type) {
+	case hostplan.Move:
+		return op.Machine
+	case hostplan.Upkeep:
+		return op.Machine
 	}
+	return ""
 }
 
-// announce appends that a host is about to be ordered, so that a later holder
-// leaves it alone for a while.
-func (s *shift) announce(ctx context.Context, machine string) bool {
+// give gives one order.
+func (s *shift) give(ctx context.Context, op hostplan.Op) {
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
-	r := platform.Record{Key: _orderKey + machine, Value: strconv.AppendInt(nil, time.Now().UnixMilli(), 10)}
-	err := s.node.store.Append(c, _begunTopic, 0, platform.Producer{}, []platform.Record{r})
-	if err != nil {
-		s.node.log.Info("Host was not ordered.", "machine", machine, "err", err)
-		s.post(ctx, func(now time.Time) { s.plan.Ordered(now, machine, hostplan.Unsent) })
+	switch op := op.(type) {
+	case hostplan.Move:
+		s.ordered(ctx, "move", op.Machine, s.cloud.Move(c, s.holder(), op.Machine, op.Pool))
+	case hostplan.Upkeep:
+		err := s.cloud.Upkeep(c, s.holder(), op.Machine, op.Wave)
+		s.ordered(ctx, "upkeep", op.Machine, err)
+		if err == nil {
+			s.append(ctx, _begunTopic, platform.Record{Key: fmt.Sprintf("%d/%s", op.Wave, op.Machine), Value: []byte{1}})
+		}
 	}
-	return err == nil
 }
 
 func (s *shift) holder() platform.Holder {
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -155,11 +155,10 @@
 		return scheduler.Cancelled{Ref: r, ID: b.Cancel.GetId()}
 	case *link.Call_Pending:
 		return scheduler.Counted{Ref: r, Queue: b.Pending.GetQueue()}
-	case *link.Call_Vacate:
-		v := b.Vacate
-		return scheduler.Vacated{Ref: r, Host: v.GetUpstream(), Release: v.GetRelease(), Gone: v.GetGone()}
 	case *link.Call_Load:
-		return scheduler.Measured{Ref: r, Arrivals: b.Load.GetArrivals()}
+		return scheduler.Measured{
+			Ref: r, Token: b.Load.GetToken(), Sequence: b.Load.GetSequence(), Arrivals: b.Load.GetArrivals(), Vacate: b.Load.GetVacate(), Gone: b.Load.GetGone(),
+		}
 	}
 	return nil
 }
--- a/entry/link/server.go
+++ b/entry/link/server.go
@@ -103,7 +103,7 @@
 			a := s.Handle(ctx, &q)
 			m := &Answer{
 				Number: q.GetNumber(), Outcome: a.GetOutcome(), RetryAfterMs: a.GetRetryAfterMs(),
-				State: a.GetState(), Pending: a.GetPending(), Vacant: a.GetVacant(), Load: a.GetLoad(),
+				State: a.GetState(), Pending: a.GetPending(), Load: a.GetLoad(),
 			}
 			mu.Lock()
 			defer mu.Unlock()
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -75,6 +75,20 @@
 	cpu float64
 }
 
+// plan takes in what the planner tells and answers with the load.
+func (s *Scheduler) plan(now time.Time, e Measured) {
+	if e.Token < s.planner || e.Token == s.planner && e.Sequence <= s.planned {
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
+		return
+	}
+	s.planner, s.planned = e.Token, e.Sequence
+	s.announce(now, e.Arrivals)
+	s.bereave(now, e.Gone)
+	l := s.measure(now)
+	l.Vacant = s.vacate(now, e.Vacate)
+	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: l})
+}
+
 func (s *Scheduler) announce(now time.Time, l []*link.Arrival) {
 	s.arrivals = s.arrivals[:0]
 	for _, a := range l {
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -54,20 +54,21 @@
 	ID  string
 }
 
-// Vacated is the planner's wish that nothing runs on an upstream, or that it is
-// used again, or its word that the upstream's host was ordered away.
-type Vacated struct {
-	Ref     Ref
-	Host    string
-	Release bool
-	Gone    bool
-}
-
-// Measured is the planner's question after the load. It announces the room
-// that will join.
+// Measured is the planner's question after the load, with what it plans.
 type Measured struct {
-	Ref      Ref
+	Ref Ref
+	// Token of the planner; what an earlier one plans is void.
+	Token int64
+	// Sequence rises with each question of a planner; one that was overtaken is
+	// void.
+	Sequence int64
+	// Arrivals are room that will join.
 	Arrivals []*link.Arrival
+	// Vacate are upstreams on which nothing is to be left running; all others
+	// may be used.
+	Vacate []string
+	// Gone are upstreams whose hosts were ordered away.
+	Gone []string
 }
 
 // Looked is the answer to a Look.
@@ -114,7 +115,6 @@
 func (Asked) event()      {}
 func (Counted) event()    {}
 func (Cancelled) event()  {}
-func (Vacated) event()    {}
 func (Measured) event()   {}
 func (Looked) event()     {}
 func (Ordered) event()    {}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -31,6 +31,10 @@
 	storeSeen time.Time
 	lost      bool
 
+	// planner is the highest token of a planner that was heard, planned the
+	// sequence of its last question.
+	planner int64
+	planned int64
 	// arrivals are room that the planner has announced.
 	arrivals []arrival
 	demand   demand
@@ -134,11 +138,8 @@
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Pending: s.countPending(e.Queue)})
 	case Cancelled:
 		s.cancel(now, e)
-	case Vacated:
-		s.vacate(now, e)
 	case Measured:
-		s.announce(now, e.Arrivals)
-		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: s.measure(now)})
+		s.plan(now, e)
 	}
 }
 
@@ -154,8 +155,6 @@
 		s.reply(e.Ref, a)
 	case Cancelled:
 		s.reply(e.Ref, a)
-	case Vacated:
-		s.reply(e.Ref, a)
 	case Measured:
 		s.reply(e.Ref, a)
 	}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -34,7 +34,7 @@
 //	submit REF JOB queue=Q STEP ...
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,rack][,lasts][,miss=N][,apart=N]
 //	          [,needs=L][,near=R][,saves][,fills][,twice]
-//	ask REF JOB | count REF QUEUE | cancel REF JOB | vacate REF ID [release|gone] | load? REF
+//	ask REF JOB | count REF QUEUE | cancel REF JOB | measure REF [vacate=ID,...] [gone=ID,...] [token=N] [sequence=N]
 //	appended [STATUS]             the answer to the append under way
 //	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	unlooked ID [STATUS REASON]   a look that failed
@@ -82,6 +82,7 @@
 	starts map[string]Start
 	stops  map[string]Stop
 	batch  int64
+	asked  int64
 	quiet  bool
 }
 
@@ -166,11 +167,9 @@
 	if a.GetPending() > 0 {
 		o += fmt.Sprintf(" pending=%d", a.GetPending())
 	}
-	if a.GetVacant() {
-		o += " vacant"
-	}
 	if l := a.GetLoad(); l != nil {
-		o += fmt.Sprintf(" capacity=%d lasting=%d doubtful=%v", l.GetCapacity(), l.GetLasting(), l.GetDoubtful())
+		o += fmt.Sprintf(" capacity=%d lasting=%d doubtful=%v vacant=%v", l.GetCapacity(), l.GetLasting(),
+			l.GetDoubtful(), l.GetVacant())
 	}
 	return o
 }
@@ -234,11 +233,19 @@
 		p.step(Counted{Ref: ref(), Queue: f[2]})
 	case "cancel":
 		p.step(Cancelled{Ref: ref(), ID: f[2]})
-	case "vacate":
-		last := f[len(f)-1]
-		p.step(Vacated{Ref: ref(), Host: f[2], Release: last == "release", Gone: last == "gone"})
-	case "load?":
-		p.step(Measured{Ref: ref()})
+	case "measure":
+		e := Measured{Ref: ref(), Token: p.number(m["token"]), Sequence: p.number(m["sequence"])}
+		if m["sequence"] == "" {
+			p.asked++
+			e.Sequence = p.asked
+		}
+		if v := m["vacate"]; v != "" {
+			e.Vacate = strings.Split(v, ",")
+		}
+		if v := m["gone"]; v != "" {
+			e.Gone = strings.Split(v, ",")
+		}
+		p.step(e)
 	case "appended":
 		p.step(Appended{Batch: p.batch, Err: failure("append", f[1:])})
 	case "looked":
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/entry/link"
@@ -213,30 +214,45 @@
 	return n
 }
 
-// vacate keeps an upstream free, or uses it again. It is vacant only once this
-// owner has heard it, as a former one may have left tasks there.
-func (s *Scheduler) vacate(now time.Time, e Vacated) {
-	h := s.hosts.get(e.Host)
-	a := &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
-	switch {
-	case h == nil:
-		// The list has no such upstream, and nor had former owners.
-		a.Vacant = e.Gone || now.Sub(s.loadedAt) > _unlisted
-	case e.Gone:
-		s.over(now, h, "host was ordered away")
-		h.listed = false
-		s.dead[e.Host] = h.born
-		s.bury(h)
-		a.Vacant = true
-	case e.Release:
-		h.vacatedUntil = time.Time{}
-		s.replan = true
-	default:
+// vacate keeps some upstreams free and uses all others. It returns those that are
+// vacant: where nothing runs, as far as this owner has heard them, since a former
+// one may have left tasks there.
+func (s *Scheduler) vacate(now time.Time, ids []string) []string {
+	var vacant []string
+	for _, h := range s.hosts.all() {
+		if !slices.Contains(ids, h.up.ID) && now.Before(h.vacatedUntil) {
+			h.vacatedUntil = time.Time{}
+			s.replan = true
+		}
+	}
+	for _, id := range ids {
+		h := s.hosts.get(id)
+		if h == nil {
+			// The list has no such upstream, and nor had former owners.
+			if now.Sub(s.loadedAt) > _unlisted {
+				vacant = append(vacant, id)
+			}
+			continue
+		}
 		h.vacatedUntil = now.Add(_vacateLease)
 		s.evacuate(now, h)
-		a.Vacant = h.fenced && len(h.runs) == 0
+		if h.fenced && len(h.runs) == 0 {
+			vacant = append(vacant, id)
+		}
+	}
+	return vacant
+}
+
+// bereave ends the lives of upstreams whose hosts were ordered away.
+func (s *Scheduler) bereave(now time.Time, ids []string) {
+	for _, id := range ids {
+		if h := s.hosts.get(id); h != nil {
+			s.over(now, h, "host was ordered away")
+			h.listed = false
+			s.dead[id] = h.born
+			s.bury(h)
+		}
 	}
-	s.reply(e.Ref, a)
 }
 
 // evacuate stops long-running tasks that may be away, so that they start
