group: small entries stay out while larger ones are in

Cause: the group deals pools evenly, and a pool of 70 hosts whose turn is 1500 starts a second fell to an entry with 0.19 of a core and 10 Mbit/s. Change: a member's name carries its size; entries below 0.35 of a core join only while fewer than two larger members are in.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -37,10 +38,25 @@
 	Confirmed time.Time
 }
 
-// Group is this entry's membership.
+const (
+	// _large is the size, in thousandths of a core, from which an entry joins at
+	// once: it carries a pool's turn of some hundred starts a second.
+	_large = 350
+	// _patience is how long a smaller one waits for larger ones to join first.
+	_patience = 1500 * time.Millisecond
+	// _observe is how often an entry that stays out looks whether it is needed.
+	_observe = time.Second
+	// _enough larger members are enough for a smaller one to stay out.
+	_enough = 2
+)
+
+// Group is this entry's membership. Pools are dealt evenly to members, so that
+// entries that are small for an owner's work stay out while larger ones are in.
 type Group struct {
 	store  *platform.Store
 	member string
+	// size of the entry, in thousandths of a core.
+	size int
 	// OnChange is called after each answer, on the goroutine of Run.
 	OnChange func(Change)
 	// OnMoved is called when partitions were given up or the group has changed
@@ -60,15 +76,26 @@
 	nudge      chan struct{}
 }
 
-// New returns the membership of an entry that listens for others at an
-// address. Each incarnation is a member of its own, so that none is taken for
-// the one before.
-func New(s *platform.Store, address, incarnation string) *Group {
-	return &Group{store: s, member: address + "/" + incarnation, nudge: make(chan struct{}, 1)}
+// New returns the membership of an entry of some size, in thousandths of a core,
+// that listens for others at an address. Each incarnation is a member of its own,
+// so that none is taken for the one before.
+func New(s *platform.Store, address, incarnation string, size int) *Group {
+	return &Group{store: s, size: size, member: fmt.Sprintf("%s/%s/%d", address, incarnation, size), nudge: make(chan struct{}, 1)}
 }
 
-// Run joins again and again until ctx ends, and then leaves.
+// Run joins again and again until ctx ends. A small entry first stays out for as
+// long as there are larger ones.
 func (g *Group) Run(ctx context.Context) {
+	if g.size < _large {
+		sleep(ctx, _patience)
+		for ctx.Err() == nil {
+			g.Refresh(ctx)
+			if g.larger() < _enough {
+				break
+			}
+			sleep(ctx, _observe)
+		}
+	}
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -175,6 +202,18 @@
 	return maps.Clone(g.owners)
 }
 
+// larger counts the members that are larger than this entry.
+func (g *Group) larger() int {
+	seen := make(map[string]bool)
+	for _, m := range g.Owners() {
+		f := strings.Split(m, "/")
+		if n, err := strconv.Atoi(f[len(f)-1]); err == nil && n > g.size {
+			seen[m] = true
+		}
+	}
+	return len(seen)
+}
+
 // Refresh asks the store for the owners, unless that was done just now. Those
 // who ask at the same time share one question.
 func (g *Group) Refresh(ctx context.Context) {
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -81,7 +81,7 @@
 		n.peers.Adviser = platform.NewAdviser(b.Advice)
 	}
 	n.pools.node, n.list.node, n.waves.node = n, n, n
-	n.group = group.New(s, n.self, strconv.FormatInt(time.Now().UnixNano(), 36))
+	n.group = group.New(s, n.self, strconv.FormatInt(time.Now().UnixNano(), 36), b.MilliCPU)
 	n.group.OnChange = n.pools.change
 	n.group.OnMoved = n.nudge
 	n.group.OnTrouble = func(err error) { n.trouble("group", err) }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -269,7 +269,7 @@
 	}
 	return platform.Boot{
 		Host: name, DataCentre: "muscat-a", Address: at[0].Addr(), Caller: at[0], Ready: at[1],
-		FirstPort: at[2].Port(), LastPort: at[2].Port(), Advice: s.adviceAt, Heartbeat: _heartbeat,
+		FirstPort: at[2].Port(), LastPort: at[2].Port(), MilliCPU: 400, Advice: s.adviceAt, Heartbeat: _heartbeat,
 		Store: platform.StoreSettings{
 			Address: s.storeAt, Partitions: _partitions, CallBytes: 2 << 20, RecordBytes: 256 << 10, MinTTL: time.Second,
 		},
