hostplan: the end of a life is told with its time

Ruled out: a start that was refused but carried out (429 and 503 are true), a lease reckoned too short (0.2 s had passed). Change: Gone carries when the life was over; a life that began later, or within 2.5 s before, is another. Log lines are written in pieces of 3 KB, as the reader cut longer writes, and starts of a step are one line.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -31,6 +31,8 @@
 // View is what the caller observed.
 type View struct {
 	Machines []platform.Machine
+	// ListedAt is when the hosts were listed.
+	ListedAt time.Time
 	Pools    []Pool
 }
 
@@ -77,7 +79,7 @@
 	// touched is when former holders ordered a host.
 	touched map[string]time.Time
 	// gone are the upstreams by pool whose lives are over.
-	gone map[string][]string
+	gone map[string][]*link.Gone
 	// begun is set when the last step began something with a host.
 	begun bool
 	// credit is how many orders may be given now, as of creditAt.
@@ -237,23 +239,25 @@
 			alive[m.Upstream] = true
 		}
 	}
-	p.gone = make(map[string][]string)
+	p.gone = make(map[string][]*link.Gone)
+	end := func(pool, u string, at time.Time) {
+		p.gone[pool] = append(p.gone[pool], &link.Gone{Upstream: u, AtUnixMs: at.UnixMilli()})
+	}
 	for _, name := range sorted(p.tasks) {
 		if t := p.tasks[name]; !t.ordered.IsZero() && (t.wave != 0 || t.to != "") && t.machine.Upstream != "" {
-			delete(alive, t.machine.Upstream)
-			p.gone[t.machine.Pool] = append(p.gone[t.machine.Pool], t.machine.Upstream)
+			end(t.machine.Pool, t.machine.Upstream, t.ordered)
 		}
 	}
 	for _, name := range sorted(p.pools) {
 		l := p.pools[name].load
 		for _, u := range l.GetDoubtful() {
 			if !alive[u] {
-				p.gone[name] = append(p.gone[name], u)
+				end(name, u, p.view.ListedAt)
 			}
 		}
 		for _, h := range l.GetHosts() {
 			if u := h.GetUpstream(); p.named[u] && !alive[u] {
-				p.gone[name] = append(p.gone[name], u)
+				end(name, u, p.view.ListedAt)
 			}
 		}
 	}
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -189,7 +189,7 @@
 			s.node.log.Info("Hosts can't be listed.", "err", err)
 			return
 		}
-		s.view.Machines = m
+		s.view.Machines, s.view.ListedAt = m, now
 		s.listAt = now.Add(max(_planInterval/2, time.Duration(len(m))*_listPerHost))
 	}
 	s.loads(ctx)
--- a/entry/internal/notes/notes.go
+++ b/entry/internal/notes/notes.go
@@ -21,6 +21,9 @@
 const (
 	// _ring is how many lines may wait.
 	_ring = 4096
+	// _write is from how many bytes on whole lines are written: readers of pipes
+	// take some kilobytes at once.
+	_write = 3 << 10
 	// _flush is how long lines gather, so that they are written together.
 	_flush = 250 * time.Millisecond
 )
@@ -92,34 +95,43 @@
 		select {
 		case n := <-g.lines:
 			g.one(l, n)
-			g.rest(l)
-			g.pause(l)
-			_, _ = b.WriteTo(w) // Nobody can be told that the log can't be written.
+			g.flush(b, w, false)
+			g.rest(l, b, w)
+			g.pause()
+			g.rest(l, b, w)
+			g.flush(b, w, true)
 		case <-g.done:
-			g.rest(l)
-			_, _ = b.WriteTo(w) // As above.
+			g.rest(l, b, w)
+			g.flush(b, w, true)
 			return
 		}
 	}
 }
 
+// flush writes the buffer once it is full, or at once.
+func (g *Log) flush(b *bytes.Buffer, w io.Writer, now bool) {
+	if b.Len() >= _write || now {
+		_, _ = b.WriteTo(w) // Nobody can be told that the log can't be written.
+	}
+}
+
 // pause lets lines gather, so that they are written together.
-func (g *Log) pause(l *log.Logger) {
+func (g *Log) pause() {
 	t := time.NewTimer(_flush)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-g.done:
 	}
-	g.rest(l)
 }
 
 // rest writes what waits now.
-func (g *Log) rest(l *log.Logger) {
+func (g *Log) rest(l *log.Logger, b *bytes.Buffer, w io.Writer) {
 	for {
 		select {
 		case n := <-g.lines:
 			g.one(l, n)
+			g.flush(b, w, false)
 		default:
 			return
 		}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -67,8 +67,8 @@
 	// Vacate are upstreams on which nothing is to be left running; all others
 	// may be used.
 	Vacate []string
-	// Gone are upstreams whose hosts were ordered away.
-	Gone []string
+	// Gone are upstreams whose lives have ended.
+	Gone []*link.Gone
 }
 
 // Looked is the answer to a Look.
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"fescuelanding/platform"
@@ -29,11 +31,35 @@
 	if st.tickets.byHost != nil {
 		o.Ticket = st.tickets.byHost[h.up.ID]
 	}
-	s.note("Task placed.", j.def.GetId(), "task", t.name, "run", n, "upstream", h.up.ID,
-		"waitedMs", now.Sub(t.waitingSince).Milliseconds())
+	s.placed = append(s.placed, placed{t.index, n, h.up.ID})
 	s.emit(Start{Host: h.up.ID, Target: h.target, Order: o})
 }
 
+// placed is a start that is yet to be noted.
+type placed struct {
+	task     int
+	run      int64
+	upstream string
+}
+
+// notePlaced notes the starts of a step in one line: index, run and upstream of
+// each.
+func (s *Scheduler) notePlaced(now time.Time, st *step) {
+	if len(s.placed) == 0 {
+		return
+	}
+	var b strings.Builder
+	for i, p := range s.placed {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%d/%d@%s", p.task, p.run, p.upstream)
+	}
+	s.note("Tasks placed.", st.occurrence.job.def.GetId(), "step", st.name, "tasks", b.String(),
+		"waitedMs", now.Sub(st.readyAt).Milliseconds(), "left", st.left)
+	s.placed = s.placed[:0]
+}
+
 // stop ends a run. Until that is confirmed its task isn't placed again.
 func (s *Scheduler) stop(now time.Time, r *run) {
 	if r.state == runStopping {
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -88,6 +88,7 @@
 		for _, st := range r.occ.steps {
 			if st.left > st.running && st.ready() {
 				p.step(st)
+				s.notePlaced(now, st)
 			}
 		}
 	}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -39,7 +39,9 @@
 	arrivals []arrival
 	demand   demand
 	// first is when a caller handed a job in that was refused.
-	first     firstSeen
+	first firstSeen
+	// placed are starts that are yet to be noted.
+	placed    []placed
 	journal   journal
 	learned   learned
 	questions []question
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -243,7 +243,9 @@
 			e.Vacate = strings.Split(v, ",")
 		}
 		if v := m["gone"]; v != "" {
-			e.Gone = strings.Split(v, ",")
+			for _, id := range strings.Split(v, ",") {
+				e.Gone = append(e.Gone, &link.Gone{Upstream: id, AtUnixMs: p.now.UnixMilli()})
+			}
 		}
 		p.step(e)
 	case "appended":
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -243,15 +243,22 @@
 	return vacant
 }
 
-// bereave ends the lives of upstreams whose hosts were ordered away.
-func (s *Scheduler) bereave(now time.Time, ids []string) {
-	for _, id := range ids {
-		if h := s.hosts.get(id); h != nil {
-			s.over(now, h, "host was ordered away")
-			h.listed = false
-			s.dead[id] = h.born
-			s.bury(h)
+// _youngLife is how long before the planner saw that an upstream's life was over
+// that life must have begun: clocks differ, and a host may come back under the ID
+// that it had.
+const _youngLife = 2500 * time.Millisecond
+
+// bereave ends the lives of upstreams that the planner says are over.
+func (s *Scheduler) bereave(now time.Time, gone []*link.Gone) {
+	for _, g := range gone {
+		h := s.hosts.get(g.GetUpstream())
+		if h == nil || h.gone || h.born > g.GetAtUnixMs()-_youngLife.Milliseconds() {
+			continue
 		}
+		s.over(now, h, "no host names it")
+		h.listed = false
+		s.dead[h.up.ID] = h.born
+		s.bury(h)
 	}
 }
 
