hostplan: a host that isn't listed tells nothing of its upstream

Change: upstreams are told over only by the host that they name, if it is listed and isn't up or names another. Hosts that were ordered stay vacated.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -74,8 +74,6 @@
 	byName map[string]platform.Machine
 	pools  map[string]*poolState
 	ops    []Op
-	// named are the upstreams that hosts named in the last view.
-	named map[string]bool
 	// touched is when former holders ordered a host.
 	touched map[string]time.Time
 	// gone are the upstreams by pool whose lives are over.
@@ -145,7 +143,8 @@
 	l := &link.Load{Arrivals: p.arrivals(now, pool), Gone: p.gone[pool]}
 	for _, name := range sorted(p.tasks) {
 		t := p.tasks[name]
-		if t.machine.Pool == pool && t.machine.Upstream != "" && t.ordered.IsZero() {
+		// A host that was ordered away stays in the list for a while.
+		if t.machine.Pool == pool && t.machine.Upstream != "" && (t.wave != 0 || t.to != "") {
 			l.Vacate = append(l.Vacate, t.machine.Upstream)
 		}
 	}
@@ -229,16 +228,9 @@
 func (p *Planner) Begun() bool { return p.begun }
 
 // bereave works out which upstreams' lives are surely over: those of hosts that
-// were ordered away, and those that no host that is up names, if their owner
-// doubts them or a host named them before. One that its owner knows and no host
-// ever named is only younger than the list.
+// were ordered away, and those whose host isn't up or names another. A host that
+// isn't in the list tells nothing, as its pages aren't taken at one moment.
 func (p *Planner) bereave() {
-	alive := make(map[string]bool, len(p.view.Machines))
-	for _, m := range p.view.Machines {
-		if m.State == platform.MachineUp && m.Upstream != "" {
-			alive[m.Upstream] = true
-		}
-	}
 	p.gone = make(map[string][]*link.Gone)
 	end := func(pool, u string, at time.Time) {
 		p.gone[pool] = append(p.gone[pool], &link.Gone{Upstream: u, AtUnixMs: at.UnixMilli()})
@@ -250,18 +242,13 @@
 	}
 	for _, name := range sorted(p.pools) {
 		l := p.pools[name].load
-		for _, u := range l.GetDoubtful() {
-			if !alive[u] {
-				end(name, u, p.view.ListedAt)
-			}
-		}
-		for _, h := range l.GetHosts() {
-			if u := h.GetUpstream(); p.named[u] && !alive[u] {
-				end(name, u, p.view.ListedAt)
+		for _, h := range slices.Concat(l.GetDoubtful(), l.GetHosts()) {
+			m, there := p.byName[h.GetMachine()]
+			if there && (m.State != platform.MachineUp || m.Upstream != "" && m.Upstream != h.GetUpstream()) {
+				end(name, h.GetUpstream(), p.view.ListedAt)
 			}
 		}
 	}
-	p.named = alive
 }
 
 // spend takes the right to one order; the cloud interface bounds them for all.
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -130,7 +130,9 @@
 		if err := proto.Unmarshal(r.Value, m); err != nil {
 			return fmt.Errorf("host %s: %w", id, err)
 		}
-		l.Hosts = append(l.Hosts, platform.Upstream{ID: m.GetId(), Address: m.GetAddress(), Pool: j.pool})
+		l.Hosts = append(l.Hosts, platform.Upstream{
+			ID: m.GetId(), Address: m.GetAddress(), Machine: m.GetMachine(), Pool: j.pool,
+		})
 	}
 	return nil
 }
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -107,13 +107,13 @@
 		id := h.up.ID
 		_, unheard := s.unheard[id]
 		if !h.gone && (unheard || h.failed > 0 && (!h.listed || len(h.runs) > 0)) {
-			l.Doubtful = append(l.Doubtful, id)
+			l.Doubtful = append(l.Doubtful, &link.HostLoad{Upstream: id, Machine: h.up.Machine})
 		}
 		if h.gone || !h.listed || h.up.Draining {
 			continue
 		}
 		l.Capacity += h.up.Capacity.MilliCPU
-		n := &link.HostLoad{Upstream: id, Runs: int32(len(h.runs))}
+		n := &link.HostLoad{Upstream: id, Machine: h.up.Machine, Runs: int32(len(h.runs))}
 		for _, r := range h.running() {
 			if r.task.step.def.GetLongRunning() {
 				n.Lasting++
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -92,6 +92,9 @@
 	if h.born == 0 {
 		h.born = u.Born
 	}
+	if u.Born > h.born {
+		return // Its clock is that of a life that wasn't heard yet.
+	}
 	if u.ClockMs > h.clockNow(now) {
 		h.clockMs, h.clockAt = u.ClockMs, now
 	}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -28,11 +28,12 @@
 		switch {
 		case h == nil:
 			s.hosts.add(newHost(u, now))
-			s.note("Upstream listed.", "", "upstream", u.ID, "born", u.Born, "draining", u.Draining)
+			s.note("Upstream listed.", "", "upstream", u.ID, "machine", u.Machine, "born", u.Born, "draining", u.Draining)
 			s.replan = true
 		case u.Born > h.born && h.born != 0:
-			s.reborn(now, h, u.Born)
+			// What of this owner's is in the new life, a look will tell.
 			h.list(u, now)
+			h.lookDue, h.failed = now, max(h.failed, 1)
 		default:
 			s.relist(now, h, u)
 		}
@@ -70,12 +71,25 @@
 	}
 }
 
-// reborn ends the life of an upstream that started anew under its ID.
-func (s *Scheduler) reborn(now time.Time, h *host, born int64) {
-	s.note("Upstream was reborn.", "", "upstream", h.up.ID, "runs", len(h.runs), "born", born)
-	s.loseRuns(now, h, "reborn")
-	h.born, h.fenced, h.gone = born, false, false
+// reborn ends the life of an upstream that started anew under its ID. Orders for
+// the former life may have reached the new one: what that lists goes on, and what
+// is still unanswered stays so.
+func (s *Scheduler) reborn(now time.Time, h *host, l platform.Look) {
+	s.note("Upstream was reborn.", "", "upstream", h.up.ID, "runs", len(h.runs), "was", h.born, "born", l.Born)
+	for _, r := range h.running() {
+		if r.state == runOrdered || listed(l, r) {
+			continue
+		}
+		s.note("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
+			"run", r.number, "upstream", h.up.ID, "why", "reborn")
+		s.release(now, r)
+	}
+	h.born, h.fenced, h.gone = l.Born, false, false
 	h.clockMs, h.clockAt, h.deadlineMs = 0, time.Time{}, 0
+	if len(h.runs) > 0 {
+		// Its lease was named on the former life's clock; the longest is granted.
+		h.deadlineMs = l.ClockMs + max(s.set.HoldMax, _lease).Milliseconds()
+	}
 	h.seen, h.durable, h.acked, h.failed = 0, 0, 0, 0
 	h.health = health{}
 	h.lookDue = now
@@ -87,6 +101,15 @@
 	s.replan = true
 }
 
+// listed reports whether a look lists a run as running or ended.
+func listed(l platform.Look, r *run) bool {
+	return slices.ContainsFunc(l.Running, func(n platform.Running) bool {
+		return n.Run == r.number && n.Task == r.task.name
+	}) || slices.ContainsFunc(l.Ended, func(n platform.Ended) bool {
+		return n.Run == r.number && n.Task == r.task.name
+	})
+}
+
 // over ends the life of an upstream for good.
 func (s *Scheduler) over(now time.Time, h *host, why string) {
 	if h.gone {
@@ -247,7 +270,7 @@
 		if e.Look.Born < h.born {
 			return
 		}
-		s.reborn(now, h, e.Look.Born)
+		s.reborn(now, h, e.Look)
 	}
 	if h.born == 0 {
 		h.born = e.Look.Born
@@ -283,7 +306,7 @@
 	}
 	h.inRoster = true
 	s.journal.others = append(s.journal.others, record(HostKey(s.set.Pool, h.up.ID),
-		&work.Host{Id: h.up.ID, Address: h.up.Address}))
+		&work.Host{Id: h.up.ID, Address: h.up.Address, Machine: h.up.Machine}))
 	s.journal.enrolling = append(s.journal.enrolling, h)
 	s.journal.wake(now.Add(_acceptDelay))
 }
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -169,11 +169,19 @@
 	}
 	if l := a.GetLoad(); l != nil {
 		o += fmt.Sprintf(" capacity=%d lasting=%d doubtful=%v vacant=%v", l.GetCapacity(), l.GetLasting(),
-			l.GetDoubtful(), l.GetVacant())
+			names(l.GetDoubtful()), l.GetVacant())
 	}
 	return o
 }
 
+func names(l []*link.HostLoad) []string {
+	var out []string
+	for _, h := range l {
+		out = append(out, h.GetUpstream())
+	}
+	return out
+}
+
 // pairs splits words of the form key=value; words without one are keys.
 func pairs(words []string) (map[string]string, []string) {
 	m := make(map[string]string)
