scheduler: a look that was overtaken tells only of ends

Ruled out: the planner's order (the stop was the owner's), a wrong count. Change: answers whose clock is older than the newest look's are read for ends only. Besides: pace of fillers beside tasks with a target; jobs that will be late even if they run at once come last.

--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -41,6 +41,8 @@
 	// need is how many hosts the pool should have, of which the first are base.
 	need int
 	base int
+	// since is when it was first observed.
+	since time.Time
 	// needs are those of the last while.
 	needs []needAt
 	cycle cycle
@@ -69,7 +71,7 @@
 		seen[v.Name] = true
 		s := p.pools[v.Name]
 		if s == nil {
-			s = &poolState{name: v.Name}
+			s = &poolState{name: v.Name, since: now}
 			p.pools[v.Name] = s
 		}
 		s.standby = v.Standby
@@ -143,8 +145,12 @@
 	hosts int
 }
 
-// needed returns the most hosts that the pool needed within a while.
+// needed returns the most hosts that the pool needed within a while: all that it
+// has, if it hasn't been watched for as long.
 func (s *poolState) needed(now time.Time, within time.Duration) int {
+	if now.Sub(s.since) < within {
+		return max(s.need, s.hosts)
+	}
 	n := s.need
 	for _, x := range s.needs {
 		if now.Sub(x.at) <= within {
--- /dev/null
+++ b/entry/hostplan/script_test.go
@@ -0,0 +1,210 @@
+package hostplan
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/platform"
+)
+
+// TestScripts plays the sessions of testdata: what is observed, by steps, and
+// what the planner wants done.
+//
+//	host NAME POOL [STATE] [upstream=U]   a host as it is listed from now on
+//	unlist NAME
+//	pool NAME [standby] [demand=N] [backlog=N] [lasting=N] [spread=N]
+//	    [runs=U:N:LASTING,...] [doubtful=U:MACHINE,...] [vacant=U,...]   its owner's answer
+//	silent NAME                           its owner doesn't answer
+//	wave N MS ATONCE HOST,...             a wave that is due in MS
+//	begun N HOST,...
+//	touched HOST MS
+//	done|busy|unsure|refused HOST         the answer to an order
+//	at MS                                 go on to a time
+//	step                                  plan, and print
+//	wishes POOL                           what its owner is told
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".txt")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(f)
+			assert.NilError(t, err)
+			golden.Assert(t, play(t, string(text)), name+".golden")
+		})
+	}
+}
+
+var _begin = time.Unix(1_000_000, 0)
+
+// player drives a planner by a script.
+type player struct {
+	t     *testing.T
+	p     *Planner
+	now   time.Time
+	view  View
+	begun map[int64][]string
+	out   strings.Builder
+}
+
+func play(t *testing.T, script string) string {
+	p := &player{t: t, now: _begin, begun: make(map[int64][]string)}
+	p.p = New(Settings{
+		Move: 1500 * time.Millisecond, Upkeep: 2 * time.Second, OrdersPerS: 64, Lease: 3 * time.Second,
+	})
+	sc := bufio.NewScanner(strings.NewReader(script))
+	for sc.Scan() {
+		line, _, _ := strings.Cut(sc.Text(), "#")
+		if f := strings.Fields(line); len(f) > 0 {
+			fmt.Fprintf(&p.out, "> %s\n", strings.TrimSpace(line))
+			p.do(f)
+		}
+	}
+	return p.out.String()
+}
+
+func (p *player) number(s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	assert.NilError(p.t, err, s)
+	return n
+}
+
+func (p *player) do(f []string) {
+	switch f[0] {
+	case "host":
+		p.host(f)
+	case "unlist":
+		p.unlist(f[1])
+	case "pool":
+		p.pool(f)
+	case "silent":
+		for i := range p.view.Pools {
+			if p.view.Pools[i].Name == f[1] {
+				p.view.Pools[i].Load = nil
+			}
+		}
+	case "wave":
+		w := platform.Wave{
+			Number: p.number(f[1]), Within: time.Duration(p.number(f[2])) * time.Millisecond,
+			AtOnce: int(p.number(f[3])), Machines: strings.Split(f[4], ","),
+		}
+		p.p.Declare(p.now, w, p.begun[w.Number])
+	case "begun":
+		p.begun[p.number(f[1])] = strings.Split(f[2], ",")
+	case "touched":
+		p.p.Touched(f[1], _begin.Add(time.Duration(p.number(f[2]))*time.Millisecond))
+	case "done", "busy", "unsure", "refused":
+		r := map[string]Result{"done": Done, "busy": Busy, "unsure": Unsure, "refused": Refused}[f[0]]
+		for _, h := range strings.Split(f[1], ",") {
+			p.p.Ordered(p.now, h, r)
+		}
+	case "at":
+		p.now = _begin.Add(time.Duration(p.number(f[1])) * time.Millisecond)
+	case "step":
+		p.step()
+	case "wishes":
+		w := p.p.Wishes(p.now, f[1])
+		var gone []string
+		for _, g := range w.GetGone() {
+			gone = append(gone, fmt.Sprintf("%s@%d", g.GetUpstream(), g.GetAtUnixMs()-_begin.UnixMilli()))
+		}
+		fmt.Fprintf(&p.out, "  vacate %v gone %v arrivals %d\n", w.GetVacate(), gone, len(w.GetArrivals()))
+	default:
+		p.t.Fatalf("unknown line: %v", f)
+	}
+}
+
+func (p *player) unlist(name string) {
+	var l []platform.Machine
+	for _, m := range p.view.Machines {
+		if m.Name != name {
+			l = append(l, m)
+		}
+	}
+	p.view.Machines = l
+}
+
+func (p *player) host(f []string) {
+	m := platform.Machine{
+		Name: f[1], Pool: f[2], State: platform.MachineUp, Upstream: "u" + f[1],
+		Capacity: platform.Capacity{MilliCPU: 16000, MemoryMB: 32000},
+	}
+	for _, w := range f[3:] {
+		if u, ok := strings.CutPrefix(w, "upstream="); ok {
+			m.Upstream = u
+		} else {
+			m.State = platform.MachineState(w)
+		}
+	}
+	p.unlist(m.Name)
+	p.view.Machines = append(p.view.Machines, m)
+}
+
+func (p *player) pool(f []string) {
+	v := Pool{Name: f[1], Load: &link.PoolLoad{}}
+	for _, w := range f[2:] {
+		k, s, _ := strings.Cut(w, "=")
+		switch k {
+		case "standby":
+			v.Standby, v.Load = true, nil
+		case "demand":
+			v.Load.Demand = p.number(s)
+		case "backlog":
+			v.Load.Backlog = p.number(s)
+		case "lasting":
+			v.Load.Lasting = p.number(s)
+		case "spread":
+			v.Load.Spread = int32(p.number(s))
+		case "vacant":
+			v.Load.Vacant = strings.Split(s, ",")
+		case "runs":
+			for _, x := range strings.Split(s, ",") {
+				g := strings.Split(x, ":")
+				v.Load.Hosts = append(v.Load.Hosts, &link.HostLoad{
+					Upstream: g[0], Machine: g[0][1:], Runs: int32(p.number(g[1])), Lasting: int32(p.number(g[2])),
+				})
+			}
+		case "doubtful":
+			for _, x := range strings.Split(s, ",") {
+				u, m, _ := strings.Cut(x, ":")
+				v.Load.Doubtful = append(v.Load.Doubtful, &link.HostLoad{Upstream: u, Machine: m})
+			}
+		}
+	}
+	for i := range p.view.Pools {
+		if p.view.Pools[i].Name == v.Name {
+			p.view.Pools[i] = v
+			return
+		}
+	}
+	p.view.Pools = append(p.view.Pools, v)
+}
+
+func (p *player) step() {
+	p.view.ListedAt = p.now
+	for _, op := range p.p.Step(p.now, p.view) {
+		switch op := op.(type) {
+		case Move:
+			fmt.Fprintf(&p.out, "  move %s to %s\n", op.Machine, op.Pool)
+		case Upkeep:
+			fmt.Fprintf(&p.out, "  upkeep %s of wave %d\n", op.Machine, op.Wave)
+		case Report:
+			fmt.Fprintf(&p.out, "  report %d completed %v\n", op.Wave, op.Completed)
+		case Note:
+			if op.What != "Pool planned." {
+				fmt.Fprintf(&p.out, "  note %s %v\n", op.What, op.Pairs[:4])
+			}
+		}
+	}
+}
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -26,6 +26,8 @@
 	// The upstream's clock was at least clockMs at clockAt.
 	clockMs int64
 	clockAt time.Time
+	// lookClockMs is the upstream's clock as of the newest look.
+	lookClockMs int64
 	// deadlineMs is the latest lease that may have reached it.
 	deadlineMs int64
 
@@ -46,7 +48,10 @@
 	runs []*run
 
 	vacatedUntil time.Time
-	health       health
+	// slowed is by how many percent fillers are slowed, since pacedAt.
+	slowed  int
+	pacedAt time.Time
+	health  health
 	// inRoster is set when it is being appended to the upstreams in use, and
 	// enrolled once it has been: a later owner then waits to hear it.
 	inRoster bool
@@ -202,6 +207,9 @@
 	return n
 }
 
+// pace returns the percentage at which fillers may work.
+func (h *host) pace() int { return 100 - h.slowed }
+
 // ofStep counts the runs of a step here.
 func (h *host) ofStep(s *step) int {
 	n := 0
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -85,7 +85,7 @@
 		s.release(now, r)
 	}
 	h.born, h.fenced, h.gone = l.Born, false, false
-	h.clockMs, h.clockAt, h.deadlineMs = 0, time.Time{}, 0
+	h.clockMs, h.clockAt, h.deadlineMs, h.lookClockMs = 0, time.Time{}, 0, 0
 	if len(h.runs) > 0 {
 		// Its lease was named on the former life's clock; the longest is granted.
 		h.deadlineMs = l.ClockMs + max(s.set.HoldMax, _lease).Milliseconds()
@@ -248,6 +248,9 @@
 	if h.undecided() {
 		return 0
 	}
+	if h.shared() {
+		return _paceLook
+	}
 	return _lookWait
 }
 
@@ -275,6 +278,12 @@
 	if h.born == 0 {
 		h.born = e.Look.Born
 	}
+	if e.Look.ClockMs < h.lookClockMs {
+		// A later look was answered before: only ends are news that stay true.
+		s.takeEnds(now, h, e.Look.Ended)
+		return
+	}
+	h.lookClockMs = e.Look.ClockMs
 	if h.failed > 0 {
 		s.note("Upstream answers again.", "", "upstream", h.up.ID, "failed", h.failed)
 	}
@@ -287,6 +296,7 @@
 	s.enroll(now, h)
 	s.takeEnds(now, h, e.Look.Ended)
 	s.takeRunning(now, h, e)
+	s.pace(now, h)
 	h.lookDue = now
 	if s.lookWait(h) == 0 {
 		h.lookDue = now.Add(_pollStopping)
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -101,6 +101,8 @@
 				s.stopped(now, r, e.Err)
 			}
 		}
+	case Pace:
+		s.paced(o, e.Err)
 	}
 }
 
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -22,8 +22,9 @@
 }
 
 // rank orders jobs: long-running ones first, as they must be at work however
-// full the pool is, then by priority, then by when they should be done. What is
-// late already comes last.
+// full the pool is, then by priority, then by when they should be done. What will
+// be late even if it runs at once comes last, so that it doesn't make others late
+// as well.
 type rank struct {
 	lasting  bool
 	late     bool
@@ -34,9 +35,28 @@
 func (s *Scheduler) rank(now time.Time, o *occurrence) rank {
 	j := o.job
 	due := o.due.Add(j.objective)
-	return rank{j.lasting(), now.After(due), j.queue.Priority, due}
+	return rank{j.lasting(), now.Add(s.remaining(o)).After(due), j.queue.Priority, due}
 }
 
+// remaining predicts how long an occurrence takes if all its tasks run at once.
+func (s *Scheduler) remaining(o *occurrence) time.Duration {
+	var end [_maxChain]time.Duration
+	longest := time.Duration(0)
+	for i, st := range o.steps[:min(len(o.steps), _maxChain)] {
+		for _, a := range st.def.GetAfter() {
+			end[i] = max(end[i], end[a])
+		}
+		if st.left > 0 && !st.def.GetLongRunning() {
+			end[i] += s.expect(st)
+		}
+		longest = max(longest, end[i])
+	}
+	return longest
+}
+
+// _maxChain is how many steps of a job are looked at to order it.
+const _maxChain = 16
+
 func (a rank) compare(b rank) int {
 	if a.lasting != b.lasting {
 		return boolOrder(b.lasting)
@@ -190,6 +210,8 @@
 	_costSibling = 1.5
 	_costFresh   = 0.8
 	_costRack    = 0.3
+	// _costStrained keeps fillers off hosts whose tasks are near their targets.
+	_costStrained = 2.0
 	// _failingFor is how long a failure speaks against an upstream.
 	_failingFor = 2 * time.Second
 )
@@ -207,6 +229,9 @@
 		}
 		c += _costSibling*float64(h.ofStep(st)) + _costRack*float64(p.onRack(st, h.rack))
 	}
+	if st.def.GetFills() && h.strain() >= _paceUp {
+		c += _costStrained
+	}
 	if st.def.GetAffinity() != "" && h.rack != st.def.GetAffinity() {
 		c += _costRemote
 	}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -36,10 +36,11 @@
 //	          [,needs=L][,near=R][,saves][,fills][,twice]
 //	ask REF JOB | count REF QUEUE | cancel REF JOB | measure REF [vacate=ID,...] [gone=ID,...] [token=N] [sequence=N]
 //	appended [STATUS]             the answer to the append under way
-//	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
+//	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	unlooked ID [STATUS REASON]   a look that failed
 //	started TASK/RUN [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
 //	advised STEP ID=TICKET ...
+//	unpaced STATUS                the last change of pace failed
 //	silent                        the store no longer confirms the pool
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -83,6 +84,7 @@
 	stops  map[string]Stop
 	batch  int64
 	asked  int64
+	pace   Pace
 	quiet  bool
 }
 
@@ -146,6 +148,7 @@
 	case Reply:
 		w("reply %d %s", op.Ref, answerText(op.Answer))
 	case Pace:
+		p.pace = op
 		w("pace %s on %s %d", runName(op.Task, op.Run), op.Host, op.Percent)
 	case Note:
 		if *_verbose {
@@ -272,6 +275,8 @@
 		p.step(Ordered{Op: p.stops[f[1]], Err: failure("stop", f[2:])})
 	case "advised":
 		p.step(Advised{Step: f[1], Tickets: platform.Tickets{ByUpstream: m, Valid: 3 * time.Second}})
+	case "unpaced":
+		p.step(Ordered{Op: p.pace, Err: failure("pace", f[1:])})
 	case "silent":
 		p.quiet = true
 	default:
@@ -445,6 +450,8 @@
 			s.Affinity = v
 		case "saves":
 			s.Checkpointing = true
+		case "target":
+			s.TargetMs = p.number(v)
 		case "fills":
 			s.Fills = true
 		case "twice":
@@ -469,6 +476,8 @@
 			l.ClockMs = p.number(v)
 		case "sent":
 			sent = _begin.Add(time.Duration(p.number(v)) * time.Millisecond)
+		case "gauge":
+			l.Running[len(l.Running)-1].Gauge = p.number(v)
 		case "run":
 			r := platform.Running{Task: f[0], Run: p.number(f[1]), Percent: int(p.number(f[2]))}
 			if len(f) > 3 {
