hostplan: a planner that took over gives hosts at once

Change: a history is asked for before hosts are parked only; owners are asked once in a round, with a time-out of 0.15 s.

--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -145,12 +145,9 @@
 	hosts int
 }
 
-// needed returns the most hosts that the pool needed within a while: all that it
-// has, if it hasn't been watched for as long.
+// needed returns the most hosts that the pool is known to have needed within a
+// while.
 func (s *poolState) needed(now time.Time, within time.Duration) int {
-	if now.Sub(s.since) < within {
-		return max(s.need, s.hosts)
-	}
 	n := s.need
 	for _, x := range s.needs {
 		if now.Sub(x.at) <= within {
@@ -243,7 +240,7 @@
 	for _, c := range all {
 		s := c.pool
 		if s.standby || c.runs > 0 || c.lasting > 0 || s.load == nil ||
-			s.hosts-s.away <= s.needed(now, _parkAfter) {
+			s.hosts-s.away <= s.needed(now, _parkAfter) || now.Sub(s.since) < _parkAfter {
 			continue
 		}
 		s.hosts--
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -25,7 +25,7 @@
 	// bytes don't fill the link of a small entry host.
 	_listPerHost = 2 * time.Millisecond
 	// _loadTimeout is when a pool is planned for without its owner's answer.
-	_loadTimeout = 300 * time.Millisecond
+	_loadTimeout = 150 * time.Millisecond
 	// _results bounds the answers that wait for the planner.
 	_results = 256
 	// _begunTopic holds the hosts of each wave whose upkeep has begun.
@@ -214,7 +214,8 @@
 		wg.Go(func() {
 			c, cancel := context.WithTimeout(ctx, _loadTimeout)
 			defer cancel()
-			s.view.Pools[i].Load = s.node.ask(c, q).GetLoad()
+			// Who doesn't answer at once is asked again in the next round.
+			s.view.Pools[i].Load = s.node.askOnce(c, q).GetLoad()
 		})
 	}
 	wg.Wait()
