scheduler: what an adopted run may hold as a lease is waited for

A new owner that hears an upstream and can't extend its leases yet may have been preceded by one that just did. Read from the code, not seen.

--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -118,8 +118,10 @@
 	b := w.node.bounds.Load()
 	s := &shift{
 		waves: w, token: token,
-		plan: hostplan.New(hostplan.Settings{Move: b.Move, Upkeep: b.Upkeep, Lease: b.Lease,
-			OrdersPerS: w.node.boot.Cloud.OrdersPerS}),
+		plan: hostplan.New(hostplan.Settings{
+			Move: b.Move, Upkeep: b.Upkeep, Lease: b.Lease,
+			OrdersPerS: w.node.boot.Cloud.OrdersPerS,
+		}),
 		results: make(chan func(time.Time), _results), known: make(map[int64]bool),
 	}
 	for ctx.Err() == nil && w.node.pools.waveToken() == token && !s.load(ctx) {
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -290,6 +290,10 @@
 	if !h.fenced || h.failed > 0 {
 		s.replan = true
 	}
+	if !h.fenced && len(e.Look.Running) > 0 {
+		// What runs may hold a lease that a former owner has just given.
+		h.deadlineMs = max(h.deadlineMs, e.Look.ClockMs+_lease.Milliseconds())
+	}
 	h.failed, h.fenced, h.lastSeen, h.unanswered = 0, true, now, 0
 	h.clockMs, h.clockAt = e.Look.ClockMs, now
 	delete(s.unheard, h.up.ID)
