scheduler: an upstream on probation gets tasks while others last there

A pool at rest keeps just the hosts on which tasks last, so nothing was placed any more. Change: long-running tasks don't count. Besides: partitions that are dealt here after a later owner was heard of are gained anew in the next generation (shares); read from the code.

--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -39,32 +39,15 @@
 
 	mu     sync.Mutex
 	owners map[string]*owner.Owner
-	held   group.Change
-	// since is the generation in which a partition was gained: its owner's
-	// token, as no two entries gain it in one generation.
-	since map[int]int64
+	shares shares
 }
 
 // change takes in what the group deals to this entry.
 func (p *pools) change(c group.Change) {
 	p.mu.Lock()
-	if p.since == nil {
-		p.since = make(map[int]int64)
-	}
-	for k := range p.since {
-		if !slices.Contains(c.Partitions, k) {
-			delete(p.since, k)
-		}
-	}
-	for _, k := range c.Partitions {
-		if _, ok := p.since[k]; !ok {
-			p.since[k] = c.Generation
-		}
-	}
-	if !slices.Equal(c.Partitions, p.held.Partitions) {
+	if p.shares.deal(c) {
 		p.node.log.Info("Partitions changed.", "generation", c.Generation, "partitions", c.Partitions)
 	}
-	p.held = c
 	p.mu.Unlock()
 	p.settle()
 	for _, o := range p.all() {
@@ -103,20 +86,18 @@
 		p.owners = make(map[string]*owner.Owner)
 	}
 	for name, o := range p.owners {
-		if _, held := p.since[c.partition[name]]; !held || o.Lost() {
+		k := c.partition[name]
+		if o.Lost() {
+			p.shares.lose(k)
+		}
+		if p.shares.token(k) == 0 || p.shares.token(k) != o.Token() {
 			p.node.log.Info("Pool given up.", "pool", name, "lost", o.Lost())
 			o.Stop()
 			delete(p.owners, name)
-			if held {
-				// The group still deals it here, but a later owner wrote: the
-				// next generation decides.
-				p.since[c.partition[name]] = -1
-			}
 		}
 	}
 	for name, k := range c.partition {
-		token, held := p.since[k]
-		if p.owners[name] == nil && held && token > 0 {
+		if token := p.shares.token(k); p.owners[name] == nil && token > 0 {
 			p.gain(c, name, token)
 		}
 	}
@@ -135,7 +116,7 @@
 		return
 	}
 	p.node.log.Info("Pool gained.", "pool", name, "token", token)
-	o.Post(scheduler.StoreSeen{At: p.held.Confirmed})
+	o.Post(scheduler.StoreSeen{At: p.shares.held.Confirmed})
 	o.Post(scheduler.Configured{Queues: queues(c, name)})
 	if l := p.node.list.of(name); l != nil {
 		o.Post(scheduler.Listed{Upstreams: l})
@@ -165,14 +146,14 @@
 func (p *pools) waveToken() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(0, p.since[_wavePartition])
+	return p.shares.token(_wavePartition)
 }
 
 // any reports whether any partition is held.
 func (p *pools) any() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.owners) > 0 || p.since[_wavePartition] > 0
+	return len(p.owners) > 0 || p.shares.any()
 }
 
 // handOver gives up all pools.
@@ -183,7 +164,7 @@
 		o.Stop()
 		delete(p.owners, name)
 	}
-	clear(p.since)
+	p.shares.drop()
 }
 
 // handle answers another entry's call.
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -43,6 +43,7 @@
 // Owner runs one pool.
 type Owner struct {
 	pool   string
+	token  int64
 	peers  Peers
 	log    *notes.Log
 	ctx    context.Context
@@ -64,7 +65,7 @@
 func Start(sys *actor.ActorSystem, set scheduler.Settings, parts int, p Peers, g *notes.Log) (*Owner, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
-		pool: set.Pool, peers: p, log: g, ctx: ctx, cancel: cancel,
+		pool: set.Pool, token: set.Token, peers: p, log: g, ctx: ctx, cancel: cancel,
 		sched: scheduler.New(set), appends: make(chan scheduler.Append, 1),
 		waiting: make(map[scheduler.Ref]chan *link.Answer),
 	}
@@ -180,6 +181,9 @@
 	o.timer.Reset(max(next.Sub(now), time.Millisecond))
 }
 
+// Token returns the token under which the pool is owned.
+func (o *Owner) Token() int64 { return o.token }
+
 // Lost reports whether a later owner shut this one out.
 func (o *Owner) Lost() bool { return o.ctx.Err() != nil }
 
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -192,8 +192,9 @@
 	if st.tickets.byHost != nil && st.tickets.byHost[h.up.ID] == "" {
 		return false
 	}
-	// On probation an upstream gets one task at a time.
-	return h.health.ejections == 0 || h.health.streak == 0 || len(h.runs) == 0
+	// On probation an upstream gets one task at a time, besides those that last
+	// and so never show whether it is well.
+	return h.health.ejections == 0 || h.health.streak == 0 || len(h.runs) == h.lasting()
 }
 
 func room(st *step, f platform.Capacity) bool {
