scheduler: an upstream that failed a look is looked at until it answers

Cause: an upstream with nothing running, whose look or starts had failed, was never looked at again and so never used again while it was listed; one that came back under its ID after it was told to be over stayed out as well. Change: failed upstreams are looked at with a growing pause; a new life in the list is a new life. The scripts idleFailed and rebornAfterGone failed before.

--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -33,6 +33,7 @@
 		case u.Born > h.born && h.born != 0:
 			// What of this owner's is in the new life, a look will tell.
 			h.list(u, now)
+			h.gone = false
 			h.lookDue, h.failed = now, max(h.failed, 1)
 		default:
 			s.relist(now, h, u)
@@ -179,7 +180,7 @@
 	if h.gone {
 		return false
 	}
-	if !h.fenced || len(h.runs) > 0 {
+	if !h.fenced || len(h.runs) > 0 || h.failed > 0 {
 		return h.listed || len(h.runs) > 0 || h.inRoster
 	}
 	if !h.listed {
@@ -335,7 +336,7 @@
 		return
 	}
 	h.failed++
-	h.lookDue = now.Add(_retryLook)
+	h.lookDue = now.Add(min(time.Duration(h.failed)*_retryLook, _maxRetryLook))
 	if h.failed == 1 {
 		s.note("Upstream doesn't answer.", "", "upstream", h.up.ID, "runs", len(h.runs), "err", err)
 	}
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -35,8 +35,10 @@
 	// _unheard is when an upstream that a former owner used, and nobody can
 	// reach, surely runs nothing any more.
 	_unheard = _storeSilence + _lease + _lease/20 + _lapseMargin
-	// _retryLook is the pause after a look that failed.
-	_retryLook = 150 * time.Millisecond
+	// _retryLook is the pause after a look that failed, longer with each, up to
+	// _maxRetryLook.
+	_retryLook    = 150 * time.Millisecond
+	_maxRetryLook = time.Second
 	// _retryStop is the pause after a stop that failed.
 	_retryStop = 200 * time.Millisecond
 	// _ackLater is how long ends that nothing waits for stay unacknowledged.
