scheduler: the last upstream that is waited for sets placement going

When the planner told that the last of them was over, nothing ran there, and nothing had the tasks placed; the pool was calm, so nothing else did for 28 s. Change: a life that is over always has tasks placed again.

--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -120,6 +120,7 @@
 	h.gone = true
 	s.loseRuns(now, h, why)
 	delete(s.unheard, h.up.ID)
+	s.replan = true
 }
 
 // bury forgets an upstream that isn't listed and runs nothing.
--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"fescuelanding/platform"
 )
@@ -14,13 +16,44 @@
 	behaviour Behaviour
 	size      platform.Capacity
 	lasts     bool
-	policy    bool
+	// gang is how many tasks the gang has; zero for none.
+	gang   int
+	policy bool
 	// open are runs that are running now.
 	open []string
 	// begun and done count the runs.
 	begun, done int
 }
 
+// gang is one run of a gang.
+type gang struct {
+	members int
+	// began is when the last member came.
+	began atomic.Pointer[time.Time]
+}
+
+// join counts a member of a gang; the last has all work, and end, together.
+func (s *Site) join(d *taskLedger, run int64, r *running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := fmt.Sprintf("%s.%d.%d/%d", d.name.Job, d.name.Occurrence, d.name.Step, run)
+	g := s.gangs[k]
+	if g == nil {
+		g = &gang{}
+		s.gangs[k] = g
+	}
+	r.gang = g
+	g.members++
+	if g.members < d.gang {
+		return
+	}
+	now := time.Now()
+	g.began.Store(&now)
+	for _, u := range s.upstreams {
+		time.AfterFunc(r.lasts, u.stir)
+	}
+}
+
 // begin notes a run and reports whether it is to fail.
 func (d *taskLedger) begin(u *Upstream, run int64) bool {
 	u.site.mu.Lock()
@@ -57,6 +90,9 @@
 		name: n, behaviour: j.behaviour, lasts: p.GetLongRunning(), policy: j.policy,
 		size: platform.Capacity{MilliCPU: p.GetMilliCpu(), MemoryMB: p.GetMemoryMb()},
 	}
+	if p.GetGang() {
+		d.gang = int(p.GetCount())
+	}
 	s.tasks[name] = d
 	return d
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -57,6 +57,7 @@
 	mu       sync.Mutex
 	jobs     map[string]*submitted
 	tasks    map[string]*taskLedger
+	gangs    map[string]*gang
 	wrong    []string
 	machines []platform.Machine
 	orders   map[string]platform.Holder
@@ -71,6 +72,7 @@
 		entry: entry, dir: dir, out: out, store: NewStore(), upstreams: make(map[string]*Upstream),
 		entries: make(map[string]*process.Process), boots: make(map[string]platform.Boot),
 		jobs: make(map[string]*submitted), tasks: make(map[string]*taskLedger),
+		gangs:  make(map[string]*gang),
 		orders: make(map[string]platform.Holder), stop: make(chan struct{}),
 	}
 }
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,6 +15,26 @@
 	"fescuelanding/standin/site"
 )
 
+// output is what several entries print.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(b)
+}
+
+// String returns all that was printed.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
 // TestSessions plays the sessions of testdata with entries as processes, each
 // against a platform of its own.
 func TestSessions(t *testing.T) {
@@ -29,7 +50,8 @@
 			t.Parallel()
 			text, err := os.ReadFile(f)
 			assert.NilError(t, err)
-			var log, got bytes.Buffer
+			var log output
+			var got bytes.Buffer
 			s := site.New(entry, t.TempDir(), &log)
 			assert.NilError(t, s.Start())
 			err = s.Play(string(text), &got)
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -50,6 +50,22 @@
 	forever    bool
 	checkpoint string
 	size       platform.Capacity
+	// gang is set for a member of one: it works from the time that all are
+	// there.
+	gang *gang
+}
+
+// joined reports whether the run works: a member of a gang does once all are
+// there.
+func (r *running) joined() bool {
+	if r.gang == nil {
+		return true
+	}
+	t := r.gang.began.Load()
+	if t != nil {
+		r.began = *t
+	}
+	return t != nil
 }
 
 func newUpstream(s *Site, machine string) *Upstream {
@@ -171,6 +187,10 @@
 	}
 	u.deadline = max(u.deadline, s.DeadlineMs)
 	u.runs[s.Task] = r
+	if d.gang > 0 {
+		u.site.join(d, s.Run, r)
+		return serve.Refusal{}
+	}
 	time.AfterFunc(r.lasts, u.stir)
 	return serve.Refusal{}
 }
@@ -188,7 +208,7 @@
 		switch {
 		case u.now() >= u.deadline:
 			u.end(r, platform.EndLapsed)
-		case r.forever || time.Since(r.began) < r.lasts:
+		case r.forever || !r.joined() || time.Since(r.began) < r.lasts:
 		case r.fails:
 			u.end(r, platform.EndFailed)
 		default:
@@ -221,6 +241,7 @@
 	if u.fenced(token) {
 		return conflict(platform.ReasonFence)
 	}
+	u.settle()
 	u.over[task] = max(u.over[task], run)
 	if r := u.runs[task]; r != nil && r.run <= run {
 		u.end(r, platform.EndStopped)
