--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -40,7 +40,7 @@
 //	judge JOB                how often its tasks were done, and what was wrong
 //	lose N, hold, release    appends to the journal whose answers are lost, or that wait
 //	late MACHINE MS          the next start there has no answer and is carried out late
-//	heard N                  wait until that many things were said, and print them
+//	heard N                  wait until that many things were said, and print each once
 //	rebirth MACHINE          it starts anew under its ID
 //	dark MACHINE, light MACHINE
 //	owner POOL               kill the entry that owns a pool
@@ -211,7 +211,7 @@
 	if len(s.said) < n {
 		return nil
 	}
-	l := slices.Sorted(slices.Values(s.said))
+	l := slices.Compact(slices.Sorted(slices.Values(s.said)))
 	s.said = nil
 	return l
 }
