scheduler, hostplan: large files are parted by topic

look.go keeps the looks; lives, ends and runs of upstreams stand by themselves, as do credit, lives and waves of the planner. The lines are the same.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -60,10 +60,13 @@
 	Pairs []any
 }
 
-func (Move) op()   {}
+func (Move) op() {}
+
 func (Upkeep) op() {}
+
 func (Report) op() {}
-func (Note) op()   {}
+
+func (Note) op() {}
 
 // Planner decides for all hosts.
 type Planner struct {
@@ -87,14 +90,6 @@
 	summarised time.Time
 }
 
-// wave is a wave that isn't completed.
-type wave struct {
-	platform.Wave
-	due      time.Time
-	begun    map[string]bool
-	reported bool
-}
-
 // errand is what is being done with a host.
 type errand struct {
 	machine  platform.Machine
@@ -196,14 +191,6 @@
 	}
 }
 
-func (p *Planner) began(number int64, machine string) {
-	for _, w := range p.waves {
-		if w.Number == number {
-			w.begun[machine] = true
-		}
-	}
-}
-
 // Step decides by what was observed.
 func (p *Planner) Step(now time.Time, v View) []Op {
 	p.ops, p.begun = nil, false
@@ -223,62 +210,6 @@
 	return p.ops
 }
 
-// Begun reports whether the last step began something that the owners of the
-// pools have to be told.
-func (p *Planner) Begun() bool { return p.begun }
-
-// bereave works out which upstreams' lives are surely over: those of hosts that
-// were ordered away, and those whose host isn't up or names another. A host that
-// isn't in the list tells nothing, as its pages aren't taken at one moment.
-func (p *Planner) bereave() {
-	p.gone = make(map[string][]*link.Gone)
-	end := func(pool, u string, at time.Time) {
-		p.gone[pool] = append(p.gone[pool], &link.Gone{Upstream: u, AtUnixMs: at.UnixMilli()})
-	}
-	for _, name := range sorted(p.tasks) {
-		if t := p.tasks[name]; !t.ordered.IsZero() && (t.wave != 0 || t.to != "") && t.machine.Upstream != "" {
-			end(t.machine.Pool, t.machine.Upstream, t.ordered)
-		}
-	}
-	for _, name := range sorted(p.pools) {
-		l := p.pools[name].load
-		for _, h := range slices.Concat(l.GetDoubtful(), l.GetHosts()) {
-			m, there := p.byName[h.GetMachine()]
-			if there && (m.State != platform.MachineUp || m.Upstream != "" && m.Upstream != h.GetUpstream()) {
-				end(name, h.GetUpstream(), p.view.ListedAt)
-			}
-		}
-	}
-}
-
-// spend takes the right to one order; the cloud interface bounds them for all.
-func (p *Planner) spend() bool {
-	if p.credit < 1 {
-		return false
-	}
-	p.credit--
-	return true
-}
-
-// refill adds the orders that time has allowed.
-func (p *Planner) refill(now time.Time) {
-	r := p.set.OrdersPerS * _orderShare
-	if r <= 0 {
-		r = _defaultOrders
-	}
-	p.credit = min(p.credit+now.Sub(p.creditAt).Seconds()*r, max(1, r*_orderBurst))
-	p.creditAt = now
-}
-
-const (
-	// _orderShare of the orders that the cloud interface takes is used.
-	_orderShare = 0.85
-	// _defaultOrders stands in where no bound is set, by the second.
-	_defaultOrders = 20.0
-	// _orderBurst is for how many seconds orders may be saved up.
-	_orderBurst = 0.5
-)
-
 // _summaryInterval is between two lines about all pools.
 const _summaryInterval = time.Second
 
@@ -353,52 +284,6 @@
 	p.emit(Upkeep{name, t.wave})
 }
 
-func (p *Planner) wave(number int64) *wave {
-	for _, w := range p.waves {
-		if w.Number == number {
-			return w
-		}
-	}
-	return nil
-}
-
-// down counts the hosts of a wave that are, or may be, down for it.
-func (p *Planner) down(w *wave) int {
-	n := 0
-	for _, name := range w.Machines {
-		t := p.tasks[name]
-		ordered := t != nil && t.wave == w.Number && (t.ordering || !t.retryAt.IsZero() || !t.ordered.IsZero())
-		if ordered || p.byName[name].State == platform.MachineUpkeep {
-			n++
-		}
-	}
-	return n
-}
-
-// finishWaves reports waves of which every host that stays has begun.
-func (p *Planner) finishWaves(now time.Time) {
-	var open []*wave
-	for _, w := range p.waves {
-		if !w.reported {
-			w.reported = true
-			p.emit(Report{w.Number, false})
-		}
-		left := 0
-		for _, m := range w.Machines {
-			if _, there := p.byName[m]; there && !w.begun[m] {
-				left++
-			}
-		}
-		if left > 0 || len(p.byName) == 0 {
-			open = append(open, w)
-			continue
-		}
-		p.emit(Report{w.Number, true})
-		p.emit(Note{"Wave completed.", []any{"wave", w.Number, "leftMs", w.due.Sub(now).Milliseconds()}})
-	}
-	p.waves = open
-}
-
 // candidate is a host that may go.
 type candidate struct {
 	machine platform.Machine
--- /dev/null
+++ b/entry/scheduler/ends.go
@@ -0,0 +1,160 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"fescuelanding/platform"
+)
+
+// takeEnds takes in ends that weren't seen before.
+func (s *Scheduler) takeEnds(now time.Time, h *host, ends []platform.Ended) {
+	before := h.seen
+	for _, e := range ends {
+		if e.Number <= before {
+			continue
+		}
+		h.seen = max(h.seen, e.Number)
+		s.takeEnd(now, h, e)
+	}
+	if h.seen > before {
+		s.cover(now, h)
+	}
+}
+
+// find returns the task of a name.
+func (s *Scheduler) find(name string) *task {
+	n, ok := platform.ParseTaskName(name)
+	if !ok {
+		return nil
+	}
+	j := s.jobs[n.Job]
+	if j == nil {
+		return nil
+	}
+	if n.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[n.Occurrence]
+	if n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
+		return nil
+	}
+	return &o.steps[n.Step].tasks[n.Index]
+}
+
+// takeEnd takes in the end of a run, whoever started it.
+func (s *Scheduler) takeEnd(now time.Time, h *host, e platform.Ended) {
+	t := s.find(e.Task)
+	if t == nil {
+		return
+	}
+	r := h.find(e.Task, e.Run)
+	t.last = max(t.last, e.Run)
+	if e.Checkpoint != "" {
+		s.keep(t, e.Checkpoint)
+	}
+	var took time.Duration
+	if r != nil {
+		if !r.started.IsZero() {
+			took = now.Sub(r.started)
+		}
+		s.release(now, r)
+	}
+	switch e.End {
+	case platform.EndDone:
+		h.health.succeed()
+		s.finish(now, t, h, took)
+	case platform.EndFailed:
+		s.failure(now, t, h, e)
+	default:
+		if !t.step.occurrence.job.over() {
+			s.note("Run ended early.", t.step.occurrence.job.def.GetId(), "task", e.Task, "run", e.Run,
+				"end", string(e.End), "upstream", h.up.ID)
+		}
+	}
+}
+
+// keep notes the point from which a task resumes. Members of a gang resume
+// from the same.
+func (s *Scheduler) keep(t *task, checkpoint string) {
+	if !t.step.def.GetCheckpointing() {
+		return
+	}
+	t.checkpoint = checkpoint
+	if t.step.def.GetGang() {
+		for i := range t.step.tasks {
+			t.step.tasks[i].checkpoint = checkpoint
+		}
+	}
+}
+
+// finish notes that a task has ended done.
+func (s *Scheduler) finish(now time.Time, t *task, h *host, took time.Duration) {
+	st := t.step
+	j := st.occurrence.job
+	if t.done || j.over() {
+		return
+	}
+	if took > 0 && t.checkpoint == "" {
+		st.took.note(float64(took) / s.remote(st, h))
+		if st.took.n == 1 {
+			s.learned.note(j.def.GetQueue(), st.def, took, s.remote(st, h))
+		}
+	}
+	if st.def.GetGang() {
+		for i := range st.tasks {
+			st.tasks[i].done = true
+		}
+		st.left = 0
+	} else {
+		t.done = true
+		st.left--
+	}
+	s.stopAll(now, t)
+	s.soil(now, j, _endDelay)
+	s.replan = true
+	if j.allDone() {
+		j.completed = true
+		s.end(now, j)
+	}
+}
+
+// failure notes that a task has failed, and ends its job if that was once too
+// often.
+func (s *Scheduler) failure(now time.Time, t *task, h *host, e platform.Ended) {
+	j := t.step.occurrence.job
+	if j.over() || t.done {
+		return
+	}
+	t.avoid = h.up.ID
+	s.note("Run failed.", j.def.GetId(), "task", e.Task, "run", e.Run, "upstream", h.up.ID,
+		"failures", len(t.failed)+1, "allowed", j.queue.Attempts)
+	if t.step.def.GetLongRunning() {
+		return
+	}
+	if slices.Contains(t.failed, e.Run) {
+		return // A former owner counted it.
+	}
+	t.failed = append(t.failed, e.Run)
+	s.soil(now, j, _endDelay)
+	if h.health.fail(now, j.def.GetId()) {
+		s.note("Upstream ejected.", "", "upstream", h.up.ID, "until", h.health.ejectedUntil)
+	}
+	if n := t.step.failures(t); j.queue.Attempts > 0 && n >= j.queue.Attempts {
+		j.failed = true
+		s.end(now, j)
+	}
+}
+
+// failures counts the failed runs that a limit applies to: those of the task,
+// or of all members of a gang.
+func (st *step) failures(t *task) int {
+	if !st.def.GetGang() {
+		return len(t.failed)
+	}
+	n := 0
+	for i := range st.tasks {
+		n += len(st.tasks[i].failed)
+	}
+	return n
+}
