--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -77,6 +77,8 @@
 	byName map[string]platform.Machine
 	pools  map[string]*poolState
 	ops    []Op
+	// absent are hosts that owners know and the list doesn't have.
+	absent map[string]absence
 	// touched is when former holders ordered a host.
 	touched map[string]time.Time
 	// gone are the upstreams by pool whose lives are over.
