--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -44,6 +44,13 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begun, c := time.Now(), &recorder{ResponseWriter: w, status: http.StatusOK}
+	q := f.serve(c, r)
+	count(q.Name, r.Method, c.status, time.Since(begun))
+}
+
+// serve answers a request and returns its queue.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request) platform.Queue {
 	if f.Closing() {
 		w.Header().Set("Connection", "close")
 	}
@@ -55,10 +62,10 @@
 	switch {
 	case !known:
 		f.refuse(w, r, http.StatusServiceUnavailable, time.Second, "no configuration yet")
-		return
+		return q
 	case !found:
 		f.refuse(w, r, http.StatusNotFound, 0, "no such queue")
-		return
+		return platform.Queue{}
 	}
 	b := budget(r, q)
 	ctx, cancel := context.WithTimeout(r.Context(), b)
@@ -66,12 +73,12 @@
 	rest := r.URL.Path[len(q.Prefix):]
 	if rest == "" && r.Method == http.MethodGet {
 		f.pending(ctx, w, r, q)
-		return
+		return q
 	}
 	id, ok := platform.JobID(rest)
 	if !ok {
 		f.refuse(w, r, http.StatusNotFound, 0, "not the ID of a job")
-		return
+		return q
 	}
 	switch r.Method {
 	case http.MethodPost:
@@ -84,6 +91,7 @@
 		w.Header().Set("Allow", "GET, POST, DELETE")
 		f.refuse(w, r, http.StatusMethodNotAllowed, 0, "method isn't spoken")
 	}
+	return q
 }
 
 // budget returns how long the answer may take.
