scheduler, hostplan: dead state and repeated checks removed

Behaviour stays as it is.

- fits repeated room's comparison, and measure repeated host.lasting; each now calls the one that stood already.
- Read-only passes over the upstreams in fits, backlog, measure and Next no longer copy the list first.
- Gone, as nothing read them: run.adopted, host.lookSent, Planner.Idle, and the scheduler's settings StopTimeout and Restore.
The script test no longer sets StopTimeout; its scripts and golden files are unchanged.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -132,9 +132,6 @@
 	p.touched[machine] = at
 }
 
-// Idle reports whether nothing is asked of the planner but moves.
-func (p *Planner) Idle() bool { return len(p.waves) == 0 && len(p.tasks) == 0 }
-
 // Wishes returns what the owner of a pool is told when it is asked for its load.
 func (p *Planner) Wishes(now time.Time, pool string) *link.Load {
 	l := &link.Load{Arrivals: p.arrivals(now, pool), Gone: p.gone[pool]}
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -107,8 +107,8 @@
 func (p *pools) gain(c *configured, name string, token int64) {
 	b := p.node.bounds.Load()
 	set := scheduler.Settings{
-		Pool: name, Token: token, StopTimeout: b.StopTimeout, HoldMax: b.HoldMax, Status: b.Status,
-		RemoteFactor: b.RemoteFactor, Restore: b.Restore,
+		Pool: name, Token: token, HoldMax: b.HoldMax, Status: b.Status,
+		RemoteFactor: b.RemoteFactor,
 	}
 	o, err := owner.Start(p.node.system, set, p.node.boot.Store.Partitions, p.node.peers, p.node.log)
 	if err != nil {
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -62,12 +62,11 @@
 	}
 	for _, d := range j.def.GetSteps() {
 		ok := false
-		for _, h := range s.hosts.all() {
-			c := h.up.Capacity
+		for _, h := range s.hosts.order {
 			if h.gone || !h.listed && !h.inRoster {
 				continue
 			}
-			if (d.GetFills() || c.MilliCPU >= d.GetMilliCpu()) && c.MemoryMB >= d.GetMemoryMb() && c.GPUs >= d.GetGpus() {
+			if room(d, h.up.Capacity) {
 				ok = true
 				break
 			}
@@ -122,7 +121,7 @@
 // backlog sums up the work of all accepted jobs.
 func (s *Scheduler) backlog(now time.Time) backlog {
 	var b backlog
-	for _, h := range s.hosts.all() {
+	for _, h := range s.hosts.order {
 		if h.promising(now) {
 			b.capacity += float64(h.up.Capacity.MilliCPU)
 		}
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -103,7 +103,7 @@
 	l := &link.PoolLoad{Demand: int64(s.demand.rate(now))}
 	b := s.backlog(now)
 	l.Backlog = int64(b.waiting + b.running)
-	for _, h := range s.hosts.all() {
+	for _, h := range s.hosts.order {
 		id := h.up.ID
 		_, unheard := s.unheard[id]
 		if !h.gone && (unheard || h.failed > 0 && (!h.listed || len(h.runs) > 0)) {
@@ -113,13 +113,9 @@
 			continue
 		}
 		l.Capacity += h.up.Capacity.MilliCPU
-		n := &link.HostLoad{Upstream: id, Machine: h.up.Machine, Runs: int32(len(h.runs))}
-		for _, r := range h.running() {
-			if r.task.step.def.GetLongRunning() {
-				n.Lasting++
-			}
-		}
-		l.Hosts = append(l.Hosts, n)
+		l.Hosts = append(l.Hosts, &link.HostLoad{
+			Upstream: id, Machine: h.up.Machine, Runs: int32(len(h.runs)), Lasting: int32(h.lasting()),
+		})
 	}
 	for _, j := range s.active {
 		for _, d := range j.def.GetSteps() {
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -34,7 +34,6 @@
 	looking  bool
 	peeking  bool
 	lookDue  time.Time
-	lookSent time.Time
 	lastSeen time.Time
 	failed   int
 	// unanswered counts the starts in a row that had no answer.
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -246,6 +246,4 @@
 	moved    time.Time
 	gauge    int64
 	pace     int
-	// adopted runs were started by a former owner or late.
-	adopted bool
 }
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -52,7 +52,7 @@
 	if l.Peek {
 		h.peeking = true
 	}
-	h.looking, h.lookSent = true, now
+	h.looking = true
 	s.emit(l)
 }
 
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
 
@@ -170,7 +171,7 @@
 	var best *host
 	var low float64
 	for _, h := range p.hosts {
-		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !room(t.step, h.free()) {
+		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !room(t.step.def, h.free()) {
 			continue
 		}
 		if c := p.cost(t, h); best == nil || c < low {
@@ -197,9 +198,10 @@
 	return h.health.ejections == 0 || h.health.streak == 0 || len(h.runs) == h.lasting()
 }
 
-func room(st *step, f platform.Capacity) bool {
-	return (st.def.GetFills() || f.MilliCPU >= st.def.GetMilliCpu()) &&
-		f.MemoryMB >= st.def.GetMemoryMb() && f.GPUs >= st.def.GetGpus()
+// room reports whether a task of a step fits into some capacity.
+func room(d *work.Step, c platform.Capacity) bool {
+	return (d.GetFills() || c.MilliCPU >= d.GetMilliCpu()) &&
+		c.MemoryMB >= d.GetMemoryMb() && c.GPUs >= d.GetGpus()
 }
 
 // Costs of an upstream for a task, against room left over on a scale from zero
@@ -260,7 +262,7 @@
 func (p *pass) reserve(t *task) bool {
 	var best *host
 	for _, h := range p.hosts {
-		if p.reserved[h] || !p.allowed(t, h) || !room(t.step, h.up.Capacity) {
+		if p.reserved[h] || !p.allowed(t, h) || !room(t.step.def, h.up.Capacity) {
 			continue
 		}
 		if best == nil || h.free().MilliCPU > best.free().MilliCPU {
@@ -322,7 +324,7 @@
 			if _, ok := free[h]; !ok {
 				free[h] = h.free()
 			}
-			if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(&st.tasks[i], h) || !room(st, free[h]) {
+			if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(&st.tasks[i], h) || !room(st.def, free[h]) {
 				continue
 			}
 			if n := int(st.def.GetAntiAffinity()); n > 0 && count[h] >= n {
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -40,7 +40,7 @@
 		s.emit(Stop{Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token})
 		return nil
 	}
-	r := &run{task: t, number: n.Run, state: runRunning, started: now, percent: -1, pace: 100, adopted: true}
+	r := &run{task: t, number: n.Run, state: runRunning, started: now, percent: -1, pace: 100}
 	t.last = max(t.last, n.Run)
 	t.step.occurrence.job.begun = true
 	former := len(t.runs) > 0
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -204,7 +204,7 @@
 	for _, t := range s.unheard {
 		w.at(t)
 	}
-	for _, h := range s.hosts.all() {
+	for _, h := range s.hosts.order {
 		s.hostNext(now, h, &w)
 	}
 	for _, j := range s.active {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -94,7 +94,7 @@
 func newPlayer(t *testing.T) *player {
 	p := &player{t: t, now: _begin, starts: map[string]Start{}, stops: map[string]Stop{}}
 	p.s = New(Settings{
-		Pool: "pool", Token: 7, StopTimeout: 400 * time.Millisecond, HoldMax: 10 * time.Second,
+		Pool: "pool", Token: 7, HoldMax: 10 * time.Second,
 		Status: 2 * time.Minute, RemoteFactor: 2,
 	})
 	p.s.Step(p.now, StoreSeen{At: p.now})
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -7,16 +7,12 @@
 	Pool string
 	// Token is higher than that of any earlier owner of the pool.
 	Token int64
-	// StopTimeout is how long an upstream takes to stop a task.
-	StopTimeout time.Duration
 	// HoldMax is the longest lease that upstreams grant; zero for no limit.
 	HoldMax time.Duration
 	// Status is how long the state of an ended job is known.
 	Status time.Duration
 	// RemoteFactor is how many times longer a task takes off its rack.
 	RemoteFactor float64
-	// Restore is what resuming from a checkpoint costs.
-	Restore time.Duration
 }
 
 const (
