scheduler: an upstream isn't vacant before its ends have been appended

The upstream ran nothing, so it was called vacant; the planner moved its host to standby, the ends were lost with its life, and the successor ran the tasks again. Ruled out: two owners under one token (the log shows one owner at a time), run numbers (the second run was 17, as it should be), the stand-in's group. Change: an upstream is vacant once its ends that say how far a job is are durable.

--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -60,6 +60,9 @@
 		}
 		s.release(now, r)
 	}
+	if e.End == platform.EndDone || e.End == platform.EndFailed {
+		h.telling = max(h.telling, e.Number)
+	}
 	switch e.End {
 	case platform.EndDone:
 		h.health.succeed()
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -42,6 +42,8 @@
 	// seen is the highest end that was taken in, durable the highest that was
 	// appended, acked the highest that the upstream may have forgotten.
 	seen, durable, acked int64
+	// telling is the highest end that says how far a job is: done or failed.
+	telling int64
 
 	used platform.Capacity
 	runs []*run
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -220,7 +220,8 @@
 
 // vacate keeps some upstreams free and uses all others. It returns those that are
 // vacant: where nothing runs, as far as this owner has heard them, since a former
-// one may have left tasks there.
+// one may have left tasks there, and whose ends have been appended, as they are
+// lost with the upstream's life.
 func (s *Scheduler) vacate(now time.Time, ids []string) []string {
 	var vacant []string
 	for _, h := range s.hosts.all() {
@@ -240,7 +241,7 @@
 		}
 		h.vacatedUntil = now.Add(_vacateLease)
 		s.evacuate(now, h)
-		if h.fenced && len(h.runs) == 0 {
+		if h.fenced && len(h.runs) == 0 && h.telling <= h.durable {
 			vacant = append(vacant, id)
 		}
 	}
