scheduler: entries of an upstream's former life say nothing of its clock

Its clock is higher, so that it was taken for the new life's; a lease given then seemed to lapse after 2.5 s, and the tasks were placed beside their runs (TWICE). Ruled out: the lease named on the former clock (deadlineMs is set anew by a rebirth). Change: an entry of an earlier life only says that the upstream is listed. Test: staleEntry fails before (a start until 55509 on a clock of 110).

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -92,7 +92,11 @@
 
 // list takes in an entry of the platform's list.
 func (h *host) list(u platform.Upstream, now time.Time) {
-	h.up, h.listed = u, true
+	h.listed = true
+	if u.Born < h.born {
+		return // The list still has the former life, whose clock was another.
+	}
+	h.up = u
 	h.target = platform.Target{Address: u.Address, ID: u.ID}
 	h.rack = u.Rack()
 	if h.born == 0 {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -345,6 +345,9 @@
 	if v := m["born"]; v != "" {
 		u.Born = p.number(v)
 	}
+	if v := m["clock"]; v != "" {
+		u.ClockMs = p.number(v)
+	}
 	if v := m["rack"]; v != "" {
 		u.Labels[1] = v
 	}
