scheduler: no ends are acknowledged to a life that may be new

Ruled out: Expect-Instance (the ID is the same), the rebirth that a look tells (too late: the look itself acknowledges). Change: no end is acknowledged while a look has failed, a start is unanswered for over 50 ms, or the answer to a start showed a clock below that of the known life. testdata/idleFailed: the look after a failed one acknowledges nothing, for that reason. Test: unseenRebirth fails before.

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -38,6 +38,9 @@
 	failed   int
 	// unanswered counts the starts in a row that had no answer.
 	unanswered int
+	// anew is set when an answer shows that the life known here is over, until the
+	// new one has been heard.
+	anew bool
 
 	// seen is the highest end that was taken in, durable the highest that was
 	// appended, acked the highest that the upstream may have forgotten.
@@ -118,6 +121,34 @@
 	return h.clockMs + int64(float64(now.Sub(h.clockAt).Milliseconds())*_slowClock)
 }
 
+// clockAtLeast returns a time that the upstream's clock had surely reached at some
+// time, which may be before it was heard last.
+func (h *host) clockAtLeast(t time.Time) int64 {
+	if h.clockAt.IsZero() || !t.Before(h.clockAt) {
+		return h.clockNow(t)
+	}
+	return h.clockMs - h.clockAt.Sub(t).Milliseconds()
+}
+
+// forgettable returns the highest end that the upstream may forget. While it may
+// have started anew under its ID, that is none: the new life counts its ends from
+// one, and nobody has seen them.
+func (h *host) forgettable(now time.Time) int64 {
+	if h.anew || h.failed > 0 || h.unanswered > 0 {
+		return 0
+	}
+	for _, r := range h.runs {
+		if r.state == runUnsure || r.state == runOrdered && now.Sub(r.ordered) > _youngOrder {
+			return 0
+		}
+	}
+	return h.durable
+}
+
+// _youngOrder is the age up to which a start that has no answer can't have led to
+// a run that has ended.
+const _youngOrder = 50 * time.Millisecond
+
 // lapsed reports whether every lease that this owner gave is over.
 func (h *host) lapsed(now time.Time) bool {
 	return h.clockNow(now) >= h.deadlineMs+_lapseMargin.Milliseconds()
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -42,7 +42,7 @@
 	if h.peeking || h.looking && !h.undecided() || !s.wantsLook(h) || now.Before(s.lookTime(h)) {
 		return
 	}
-	hold := platform.Hold{Token: s.set.Token, Acked: h.durable, Wait: s.lookWait(h)}
+	hold := platform.Hold{Token: s.set.Token, Acked: h.forgettable(now), Wait: s.lookWait(h)}
 	// What doesn't answer gets no longer lease, so that its tasks can be placed
 	// elsewhere once the one it has is over.
 	if s.mayOrder(now) && !h.clockAt.IsZero() && len(h.runs) > 0 && h.failed == 0 {
@@ -127,7 +127,7 @@
 		// What runs may hold a lease that a former owner has just given.
 		h.deadlineMs = max(h.deadlineMs, e.Look.ClockMs+_lease.Milliseconds())
 	}
-	h.failed, h.fenced, h.lastSeen, h.unanswered = 0, true, now, 0
+	h.failed, h.fenced, h.lastSeen, h.unanswered, h.anew = 0, true, now, 0, false
 	h.clockMs, h.clockAt = e.Look.ClockMs, now
 	delete(s.unheard, h.up.ID)
 	s.enroll(now, h)
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -90,8 +90,12 @@
 	switch o := e.Op.(type) {
 	case Start:
 		if h := s.hosts.get(o.Host); h != nil {
+			r := h.find(o.Order.Task, o.Order.Run)
+			if r != nil && e.ClockMs > 0 && e.ClockMs < h.clockAtLeast(r.ordered) {
+				h.anew = true
+			}
 			s.clock(now, h, e.ClockMs)
-			if r := h.find(o.Order.Task, o.Order.Run); r != nil {
+			if r != nil {
 				s.started(now, r, e.Err)
 			}
 		}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -38,7 +38,7 @@
 //	appended [STATUS]             the answer to the append under way
 //	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	unlooked ID [STATUS REASON]   a look that failed
-//	started TASK/RUN [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
+//	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
 //	advised STEP ID=TICKET ...
 //	unpaced STATUS                the last change of pace failed
 //	silent                        the store no longer confirms the pool
@@ -270,7 +270,7 @@
 		}
 		p.step(Looked{Host: f[1], Sent: p.now, Err: e})
 	case "started":
-		p.step(Ordered{Op: p.starts[f[1]], Err: failure("start", f[2:])})
+		p.step(Ordered{Op: p.starts[f[1]], ClockMs: p.number(m["clock"]), Err: failure("start", rest[1:])})
 	case "stopped":
 		p.step(Ordered{Op: p.stops[f[1]], Err: failure("stop", f[2:])})
 	case "advised":
