scheduler: a successor knows occurrences that its own clock doesn't name yet

Change: an occurrence is made when an upstream names it, and so are those of a job that is over. Test: takeoverTimed fails before (a run numbered 2, where the former owner can have given it).

--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -22,7 +22,8 @@
 	}
 }
 
-// find returns the task of a name.
+// find returns the task of a name. An upstream may know of an occurrence that isn't
+// due here yet, as clocks differ, and of runs of a job that is over.
 func (s *Scheduler) find(name string) *task {
 	n, ok := platform.ParseTaskName(name)
 	if !ok {
@@ -32,11 +33,8 @@
 	if j == nil {
 		return nil
 	}
-	if n.Occurrence >= len(j.occurrences) {
-		return nil
-	}
-	o := j.occurrences[n.Occurrence]
-	if n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
+	o := j.occurrence(n.Occurrence)
+	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
 		return nil
 	}
 	return &o.steps[n.Step].tasks[n.Index]
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -110,6 +110,36 @@
 	return o
 }
 
+// occurrence returns an occurrence by its number, and nil if the job has none of
+// that number. Where a former owner may have begun it, runs continue above any number
+// that it can have used without appending it.
+func (j *job) occurrence(k int) *occurrence {
+	if k >= j.times() {
+		return nil
+	}
+	for i := len(j.occurrences); i <= k; i++ {
+		o := newOccurrence(j, i)
+		if j.inherited {
+			o.skipRuns()
+		}
+		j.occurrences = append(j.occurrences, o)
+	}
+	return j.occurrences[k]
+}
+
+// skipRuns leaves out run numbers that a former owner may have used.
+func (o *occurrence) skipRuns() {
+	for _, st := range o.steps {
+		for i := range st.tasks {
+			st.tasks[i].last += _runGap
+		}
+	}
+}
+
+// _runGap is above the number of runs that one owner gives a task before it
+// appends something about the job.
+const _runGap = 16
+
 func (o *occurrence) done() bool {
 	for _, s := range o.steps {
 		if s.left > 0 {
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		for k := len(j.occurrences); k < j.times() && !now.Before(j.due(k)); k++ {
-			j.occurrences = append(j.occurrences, newOccurrence(j, k))
+			j.occurrence(k)
 			s.replan = true
 		}
 	}
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -64,34 +64,20 @@
 	j.shown = endState(j)
 	j.endedAt = time.UnixMilli(p.GetEndedUnixMs())
 	for _, o := range p.GetOccurrences() {
-		for k := len(j.occurrences); k <= int(o.GetNumber()); k++ {
-			j.occurrences = append(j.occurrences, newOccurrence(j, k))
-		}
-		c := j.occurrences[o.GetNumber()]
+		c := j.occurrence(int(o.GetNumber()))
 		for i, sp := range o.GetSteps() {
-			if i < len(c.steps) {
+			if c != nil && i < len(c.steps) {
 				restore(c.steps[i], sp)
 			}
 		}
 	}
-	if len(j.occurrences) == 0 && !j.over() && !j.timed() {
+	if !j.over() && !j.timed() {
 		// Its tasks may have run, though nothing about them was appended.
-		j.occurrences = append(j.occurrences, newOccurrence(j, 0))
-	}
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for i := range st.tasks {
-				st.tasks[i].last += _runGap
-			}
-		}
+		j.occurrence(0)
 	}
 	return j
 }
 
-// _runGap is above the number of runs that one owner gives a task before it
-// appends something about the job.
-const _runGap = 16
-
 // restore sets a step to what was appended about it.
 func restore(st *step, p *work.StepProgress) {
 	for i := range st.tasks {
@@ -101,7 +87,7 @@
 			st.left--
 			st.occurrence.job.begun = true
 		}
-		t.last = int64(p.GetLastRun())
+		t.last += int64(p.GetLastRun())
 	}
 	for _, f := range p.GetFailures() {
 		if i := int(f.GetTask()); i < len(st.tasks) {
