scheduler: what runs of a job that is over takes its room until it is gone

The job had no occurrences there, so that the run was stopped but not counted, and what it still took was given to others: on upstreams that don't guard their capacity that is LIMIT. Ruled out: the former owner's late start (it came before the successor's token). Where nobody knows the job, so that its size can't be told, the upstream gets nothing until it lists the run no more. Test: takeoverCancelled fails before.

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -50,6 +50,9 @@
 
 	used platform.Capacity
 	runs []*run
+	// strangers are runs of jobs that nobody knows: what they take can't be told,
+	// until they have been stopped.
+	strangers int
 
 	vacatedUntil time.Time
 	// slowed is by how many percent fillers are slowed, since pacedAt.
@@ -173,7 +176,7 @@
 // usable reports whether tasks may be placed on it.
 func (h *host) usable(now time.Time) bool {
 	known := h.listed || now.Sub(h.unlistedAt) < _unlisted && now.Sub(h.lastSeen) < _unlisted
-	return known && !h.gone && h.fenced && h.enrolled && !h.up.Draining && h.failed == 0 &&
+	return known && !h.gone && h.fenced && h.enrolled && h.strangers == 0 && !h.up.Draining && h.failed == 0 &&
 		!now.Before(h.health.ejectedUntil) && !now.Before(h.vacatedUntil)
 }
 
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -12,7 +12,7 @@
 	if h.gone {
 		return false
 	}
-	if !h.fenced || len(h.runs) > 0 || h.failed > 0 {
+	if !h.fenced || len(h.runs) > 0 || h.failed > 0 || h.strangers > 0 {
 		return h.listed || len(h.runs) > 0 || h.inRoster
 	}
 	if !h.listed {
@@ -120,7 +120,7 @@
 	if h.failed > 0 {
 		s.note("Upstream answers again.", "", "upstream", h.up.ID, "failed", h.failed)
 	}
-	if !h.fenced || h.failed > 0 {
+	if !h.fenced || h.failed > 0 || h.strangers > 0 {
 		s.replan = true
 	}
 	if !h.fenced && len(e.Look.Running) > 0 {
@@ -138,7 +138,7 @@
 	if s.lookWait(h) == 0 {
 		h.lookDue = now.Add(_pollStopping)
 	}
-	if len(h.runs) == 0 {
+	if len(h.runs) == 0 && h.strangers == 0 {
 		h.lookDue = now.Add(_lookWait)
 	}
 }
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -9,6 +9,7 @@
 // takeRunning compares what runs on an upstream with what should.
 func (s *Scheduler) takeRunning(now time.Time, h *host, e Looked) {
 	listed := make(map[*run]bool, len(e.Look.Running))
+	h.strangers = 0
 	for _, n := range e.Look.Running {
 		r := h.find(n.Task, n.Run)
 		if r == nil {
@@ -17,6 +18,8 @@
 		if r != nil {
 			listed[r] = true
 			s.watch(now, r, n)
+		} else {
+			h.strangers++
 		}
 	}
 	if len(e.Look.Ended) >= _endsPage {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -28,7 +28,7 @@
 //	queue NAME attempts=N stretch=F target=MS priority=N advice=MS
 //	host ID cpu=N mem=N rack=R born=N clock=MS draining    an entry of the list
 //	list                          hand the list over
-//	load JOB [STEP ...] [done=STEP.INDEX,...]    a job of a former owner
+//	load JOB [STEP ...] [done=STEP.INDEX,...] [cancelled]    a job of a former owner
 //	roster ID ...                 upstreams of a former owner
 //	loaded                        hand the journal over
 //	submit REF JOB queue=Q STEP ...
@@ -378,6 +378,10 @@
 			p.done(g, v)
 			continue
 		}
+		if w == "cancelled" {
+			g.Cancelled, g.EndedUnixMs = true, p.now.UnixMilli()
+			continue
+		}
 		words = append(words, w)
 	}
 	j := p.job(f[0], words)
