scheduler: nothing wakes it at a time that is past

Cause: emulator, where one history took 0.1 s: while an append was unanswered, Next named the time at which the next batch would have been due, already past, so that the owner woke, and planned, a thousand times a second for as long as the store was silent. The same held for good after advice had failed once, and for a job with times that was due before it was accepted. Ruled out: the heap and the network of the emulator (profile: 60% in wakes). Change: a batch that is under way hides the next; the time of a repeated question is dropped once it has passed; jobs that aren't accepted wake nobody.

--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -172,6 +172,9 @@
 		s.expire(now, h)
 	}
 	s.occur(now)
+	if t := s.learned.retry; !t.IsZero() && !now.Before(t) {
+		s.learned.retry, s.replan = time.Time{}, true
+	}
 	if s.replan && s.mayOrder(now) {
 		s.replan = false
 		s.place(now)
@@ -197,9 +200,11 @@
 	if s.lost || !s.loaded {
 		return time.Time{}
 	}
-	w.at(s.journal.due)
-	if s.journal.inFlight != nil && len(s.journal.accepts) > 0 {
-		w.at(s.journal.inFlight.sent.Add(_journalSilence))
+	switch b := s.journal.inFlight; {
+	case b == nil:
+		w.at(s.journal.due)
+	case len(s.journal.accepts) > 0:
+		w.at(b.sent.Add(_journalSilence))
 	}
 	for _, t := range s.unheard {
 		w.at(t)
@@ -208,7 +213,7 @@
 		s.hostNext(now, h, &w)
 	}
 	for _, j := range s.active {
-		if k := len(j.occurrences); j.timed() && k < j.times() {
+		if k := len(j.occurrences); j.timed() && j.durable && k < j.times() {
 			w.at(j.due(k))
 		}
 	}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -39,7 +39,7 @@
 //	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	unlooked ID [STATUS REASON]   a look that failed
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
-//	advised STEP ID=TICKET ...
+//	advised STEP ID=TICKET ... | unadvised STEP
 //	unpaced STATUS                the last change of pace failed
 //	silent                        the store no longer confirms the pool
 func TestScripts(t *testing.T) {
@@ -106,6 +106,9 @@
 	for _, op := range p.s.Step(p.now, e) {
 		p.print(op)
 	}
+	if n := p.s.Next(p.now); !n.IsZero() && n.Before(p.now) {
+		fmt.Fprintf(&p.out, "  %6d  asked to be woken at %d\n", p.now.Sub(_begin).Milliseconds(), n.Sub(_begin).Milliseconds())
+	}
 	if !p.quiet {
 		p.s.storeSeen = p.now
 	}
@@ -275,6 +278,8 @@
 		p.step(Ordered{Op: p.stops[f[1]], Err: failure("stop", f[2:])})
 	case "advised":
 		p.step(Advised{Step: f[1], Tickets: platform.Tickets{ByUpstream: m, Valid: 3 * time.Second}})
+	case "unadvised":
+		p.step(Advised{Step: f[1], Err: &platform.Error{Call: "advise"}})
 	case "unpaced":
 		p.step(Ordered{Op: p.pace, Err: failure("pace", f[1:])})
 	case "silent":
