--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"fescuelanding/entry/member"
 	"fescuelanding/platform"
 )
 
@@ -29,15 +30,6 @@
 	_refresh = 120 * time.Millisecond
 )
 
-// Change tells what an entry holds now.
-type Change struct {
-	// Generation rises with each change of the group.
-	Generation int64
-	Partitions []int
-	// Confirmed is when the call was sent that confirmed it.
-	Confirmed time.Time
-}
-
 const (
 	// _large is the size, in thousandths of a core, from which an entry joins at
 	// once: it carries a pool's turn of some hundred starts a second.
@@ -58,7 +50,7 @@
 	// size of the entry, in thousandths of a core.
 	size int
 	// OnChange is called after each answer, on the goroutine of Run.
-	OnChange func(Change)
+	OnChange func(member.Change)
 	// OnMoved is called when partitions were given up or the group has changed
 	// by this entry's joining: others have to join to learn of it.
 	OnMoved func()
@@ -166,7 +158,7 @@
 		g.Refresh(ctx)
 	}
 	slices.Sort(m.Partitions)
-	g.OnChange(Change{Generation: m.Generation, Partitions: m.Partitions, Confirmed: sent})
+	g.OnChange(member.Change{Generation: m.Generation, Partitions: m.Partitions, Confirmed: sent})
 	released := slices.ContainsFunc(g.held, func(k int) bool { return !slices.Contains(m.Partitions, k) })
 	g.held = m.Partitions
 	if released || n == 0 {
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -12,13 +12,9 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
-	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"fescuelanding/entry/scheduler"
-	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
 
@@ -80,7 +76,11 @@
 		b, err := j.store.Newest(c, _topic, j.part)
 		cancel()
 		if err == nil {
-			return j.decode(b.Records)
+			l, err := scheduler.Decode(j.pool, b.Records)
+			if err != nil {
+				return l, fmt.Errorf("load: %w", err)
+			}
+			return l, nil
 		}
 		if platform.Status(err) == http.StatusNotFound {
 			return scheduler.Loaded{}, nil
@@ -91,52 +91,6 @@
 	}
 }
 
-func (j *Journal) decode(records []platform.Record) (scheduler.Loaded, error) {
-	l := scheduler.Loaded{Progress: make(map[string]*work.Progress)}
-	for _, r := range records {
-		if len(r.Value) == 0 {
-			continue
-		}
-		if err := j.decodeOne(r, &l); err != nil {
-			return l, fmt.Errorf("decode %q: %w", r.Key, err)
-		}
-	}
-	return l, nil
-}
-
-func (j *Journal) decodeOne(r platform.Record, l *scheduler.Loaded) error {
-	if r.Key == scheduler.LearnedKey(j.pool) {
-		l.Learned = &work.Learned{}
-		if err := proto.Unmarshal(r.Value, l.Learned); err != nil {
-			return fmt.Errorf("learned: %w", err)
-		}
-	}
-	if id, ok := strings.CutPrefix(r.Key, scheduler.JobKey(j.pool, "")); ok {
-		m := &work.Job{}
-		if err := proto.Unmarshal(r.Value, m); err != nil {
-			return fmt.Errorf("job %s: %w", id, err)
-		}
-		l.Jobs = append(l.Jobs, m)
-	}
-	if id, ok := strings.CutPrefix(r.Key, scheduler.ProgressKey(j.pool, "")); ok {
-		m := &work.Progress{}
-		if err := proto.Unmarshal(r.Value, m); err != nil {
-			return fmt.Errorf("progress %s: %w", id, err)
-		}
-		l.Progress[id] = m
-	}
-	if id, ok := strings.CutPrefix(r.Key, scheduler.HostKey(j.pool, "")); ok {
-		m := &work.Host{}
-		if err := proto.Unmarshal(r.Value, m); err != nil {
-			return fmt.Errorf("host %s: %w", id, err)
-		}
-		l.Hosts = append(l.Hosts, platform.Upstream{
-			ID: m.GetId(), Address: m.GetAddress(), Machine: m.GetMachine(), Pool: j.pool,
-		})
-	}
-	return nil
-}
-
 // Append adds records. It fails with a status if nothing was appended, with
 // 409 where a later owner writes, and else returns only once they are in the
 // store or ctx has ended.
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"fescuelanding/entry/internal/group"
 	"fescuelanding/entry/internal/owner"
 	"fescuelanding/entry/link"
+	"fescuelanding/entry/member"
 	"fescuelanding/entry/scheduler"
 	"fescuelanding/platform"
 )
@@ -39,13 +39,13 @@
 
 	mu     sync.Mutex
 	owners map[string]*owner.Owner
-	shares shares
+	shares member.Shares
 }
 
 // change takes in what the group deals to this entry.
-func (p *pools) change(c group.Change) {
+func (p *pools) change(c member.Change) {
 	p.mu.Lock()
-	if p.shares.deal(c) {
+	if p.shares.Deal(c) {
 		p.node.log.Info("Partitions changed.", "generation", c.Generation, "partitions", c.Partitions)
 	}
 	p.mu.Unlock()
@@ -88,16 +88,16 @@
 	for name, o := range p.owners {
 		k := c.partition[name]
 		if o.Lost() {
-			p.shares.lose(k)
+			p.shares.Lose(k)
 		}
-		if p.shares.token(k) == 0 || p.shares.token(k) != o.Token() {
+		if p.shares.Token(k) == 0 || p.shares.Token(k) != o.Token() {
 			p.node.log.Info("Pool given up.", "pool", name, "lost", o.Lost())
 			o.Stop()
 			delete(p.owners, name)
 		}
 	}
 	for name, k := range c.partition {
-		if token := p.shares.token(k); p.owners[name] == nil && token > 0 {
+		if token := p.shares.Token(k); p.owners[name] == nil && token > 0 {
 			p.gain(c, name, token)
 		}
 	}
@@ -116,7 +116,7 @@
 		return
 	}
 	p.node.log.Info("Pool gained.", "pool", name, "token", token)
-	o.Post(scheduler.StoreSeen{At: p.shares.held.Confirmed})
+	o.Post(scheduler.StoreSeen{At: p.shares.Confirmed()})
 	o.Post(scheduler.Configured{Queues: queues(c, name)})
 	if l := p.node.list.of(name); l != nil {
 		o.Post(scheduler.Listed{Upstreams: l})
@@ -146,14 +146,14 @@
 func (p *pools) waveToken() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.shares.token(_wavePartition)
+	return p.shares.Token(_wavePartition)
 }
 
 // any reports whether any partition is held.
 func (p *pools) any() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.owners) > 0 || p.shares.any()
+	return len(p.owners) > 0 || p.shares.Any()
 }
 
 // handOver gives up all pools.
@@ -164,7 +164,7 @@
 		o.Stop()
 		delete(p.owners, name)
 	}
-	p.shares.drop()
+	p.shares.Drop()
 }
 
 // handle answers another entry's call.
--- /dev/null
+++ b/entry/member/shares.go
@@ -0,0 +1,76 @@
+// Package member keeps what the store's group deals to an entry, and the token under
+// which it holds each part of it. It has no clock and no network.
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// Change tells what an entry holds now.
+type Change struct {
+	// Generation rises with each change of the group.
+	Generation int64
+	Partitions []int
+	// Confirmed is when the call was sent that confirmed it.
+	Confirmed time.Time
+}
+
+// Shares are the partitions that the group deals to this entry, each with its
+// token: the generation in which it was gained, as no two entries gain a partition
+// in one generation. The zero value holds none.
+type Shares struct {
+	tokens map[int]int64
+	// lost are partitions that the group deals here, though a later owner was
+	// heard of, with the generation known then. In a later one they are gained
+	// anew.
+	lost map[int]int64
+	held Change
+}
+
+// Deal takes in what the group deals, and reports whether that has changed.
+func (s *Shares) Deal(c Change) bool {
+	if s.tokens == nil {
+		s.tokens, s.lost = make(map[int]int64), make(map[int]int64)
+	}
+	for k := range s.tokens {
+		if !slices.Contains(c.Partitions, k) {
+			delete(s.tokens, k)
+			delete(s.lost, k)
+		}
+	}
+	for _, k := range c.Partitions {
+		at, lost := s.lost[k]
+		if _, held := s.tokens[k]; !held || lost && c.Generation > at {
+			s.tokens[k] = c.Generation
+			delete(s.lost, k)
+		}
+	}
+	changed := !slices.Equal(c.Partitions, s.held.Partitions)
+	s.held = c
+	return changed
+}
+
+// Lose notes that a later owner of a partition was heard of.
+func (s *Shares) Lose(k int) {
+	if _, held := s.tokens[k]; held {
+		s.lost[k] = s.held.Generation
+	}
+}
+
+// Token returns the token of a partition, and zero for one that isn't held.
+func (s *Shares) Token(k int) int64 {
+	if _, lost := s.lost[k]; lost {
+		return 0
+	}
+	return s.tokens[k]
+}
+
+// Any reports whether any partition is held.
+func (s *Shares) Any() bool { return len(s.tokens) > len(s.lost) }
+
+// Drop gives all partitions up.
+func (s *Shares) Drop() { s.tokens, s.lost = nil, nil }
+
+// Confirmed returns when the call was sent that confirmed the partitions last.
+func (s *Shares) Confirmed() time.Time { return s.held.Confirmed }
--- a/entry/internal/node/shares_test.go
+++ b/entry/member/shares_test.go
@@ -1,4 +1,4 @@
-package node
+package member_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"fescuelanding/entry/internal/group"
+	"fescuelanding/entry/member"
 )
 
 // TestShares plays testdata/shares.txt: "deal GENERATION PARTITION,..." and "lose
@@ -18,7 +18,7 @@
 func TestShares(t *testing.T) {
 	text, err := os.ReadFile("testdata/shares.txt")
 	assert.NilError(t, err)
-	var s shares
+	var s member.Shares
 	var out strings.Builder
 	for line := range strings.Lines(string(text)) {
 		f := strings.Fields(line)
@@ -28,19 +28,19 @@
 		n, err := strconv.Atoi(f[1])
 		assert.NilError(t, err)
 		if f[0] == "lose" {
-			s.lose(n)
+			s.Lose(n)
 		} else {
-			c := group.Change{Generation: int64(n)}
+			c := member.Change{Generation: int64(n)}
 			for _, w := range f[2:] {
 				k, err := strconv.Atoi(w)
 				assert.NilError(t, err)
 				c.Partitions = append(c.Partitions, k)
 			}
-			s.deal(c)
+			s.Deal(c)
 		}
 		fmt.Fprintf(&out, "%-14s", strings.Join(f, " "))
 		for k := range 4 {
-			fmt.Fprintf(&out, " %d", s.token(k))
+			fmt.Fprintf(&out, " %d", s.Token(k))
 		}
 		fmt.Fprintln(&out)
 	}
--- /dev/null
+++ b/entry/scheduler/decode.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// Decode reads what former owners appended for a pool.
+func Decode(pool string, records []platform.Record) (Loaded, error) {
+	l := Loaded{Progress: make(map[string]*work.Progress)}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		if err := decodeOne(pool, r, &l); err != nil {
+			return l, fmt.Errorf("decode %q: %w", r.Key, err)
+		}
+	}
+	return l, nil
+}
+
+func decodeOne(pool string, r platform.Record, l *Loaded) error {
+	if r.Key == LearnedKey(pool) {
+		l.Learned = &work.Learned{}
+		if err := proto.Unmarshal(r.Value, l.Learned); err != nil {
+			return fmt.Errorf("learned: %w", err)
+		}
+	}
+	if id, ok := strings.CutPrefix(r.Key, JobKey(pool, "")); ok {
+		m := &work.Job{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return fmt.Errorf("job %s: %w", id, err)
+		}
+		l.Jobs = append(l.Jobs, m)
+	}
+	if id, ok := strings.CutPrefix(r.Key, ProgressKey(pool, "")); ok {
+		m := &work.Progress{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return fmt.Errorf("progress %s: %w", id, err)
+		}
+		l.Progress[id] = m
+	}
+	if id, ok := strings.CutPrefix(r.Key, HostKey(pool, "")); ok {
+		m := &work.Host{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			return fmt.Errorf("host %s: %w", id, err)
+		}
+		l.Hosts = append(l.Hosts, platform.Upstream{
+			ID: m.GetId(), Address: m.GetAddress(), Machine: m.GetMachine(), Pool: pool,
+		})
+	}
+	return nil
+}
