member: a pool that a later owner had for a moment is gained anew

Then it waited for a later generation, which never came: nobody owned the pool for the rest of the history (LOST). Change: where the token is older than the generation known now, the pool is gained anew at once in that generation.

--- a/entry/member/shares.go
+++ b/entry/member/shares.go
@@ -51,9 +51,16 @@
 	return changed
 }
 
-// Lose notes that a later owner of a partition was heard of.
+// Lose notes that a later owner of a partition was heard of. Where the partition was
+// gained in an earlier generation than the one known now, that owner may have come and
+// gone between, in answers that were lost: it is gained anew at once. Else what was
+// missed shows in a later generation.
 func (s *Shares) Lose(k int) {
-	if _, held := s.tokens[k]; held {
+	switch t, held := s.tokens[k]; {
+	case !held:
+	case t < s.held.Generation:
+		s.tokens[k] = s.held.Generation
+	default:
 		s.lost[k] = s.held.Generation
 	}
 }
