standin: an emulator of the platform in virtual time

Checkers judge TWICE, ORDER, LIMIT, BUDGET, UNASKED, REFUSED, LOST and MIXED by what upstreams ran and callers were told; testdata/ledger.txt plants a fault for each. WAKE finds an owner that wakes itself without end. The stand-in's store takes the time as an argument where the emulator needs it; what nobody read of a group is gone. Not yet: GANG, AVAIL, DRAIN, CONFIG and RECOVER, hosts that follow demand, shrinking.

--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -275,9 +275,11 @@
 	runRunning
 	// runStopping: a stop has been ordered.
 	runStopping
-	_runStates
 )
 
+// _runStates is how many there are.
+const _runStates = int(runStopping) + 1
+
 // set changes how far a run is.
 func (r *run) set(v runState) {
 	r.host.states[r.state]--
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -24,7 +24,7 @@
 	c := &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins of what surrounds the entries",
-		Commands: []*cli.Command{platformCommand(), upstreamCommand(), relayCommand(), callCommand(), demoCommand(), siteCommand()},
+		Commands: []*cli.Command{platformCommand(), upstreamCommand(), relayCommand(), callCommand(), demoCommand(), siteCommand(), playCommand()},
 	}
 	return c.Run(ctx, args)
 }
--- /dev/null
+++ b/standin/emulator/emulator_test.go
@@ -0,0 +1,53 @@
+package emulator_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuelanding/standin/emulator"
+)
+
+var (
+	_seeds = flag.Uint64("seeds", 150, "how many histories to play")
+	_from  = flag.Uint64("from", 1, "the first seed")
+	_trace = flag.Bool("trace", false, "print the history of the first seed")
+)
+
+// TestSeeds plays histories; none breaks a promise.
+func TestSeeds(t *testing.T) {
+	if *_trace {
+		emulator.New(emulator.Settings{Seed: *_from, Trace: os.Stdout}).Run()
+		return
+	}
+	for seed := *_from; seed < *_from+*_seeds; seed++ {
+		for _, v := range emulator.New(emulator.Settings{Seed: seed}).Run() {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
+// TestOneHistory plays a seed twice: the histories are the same.
+func TestOneHistory(t *testing.T) {
+	var a, b strings.Builder
+	emulator.New(emulator.Settings{Seed: 5, Trace: &a}).Run()
+	emulator.New(emulator.Settings{Seed: 5, Trace: &b}).Run()
+	assert.Equal(t, a.String(), b.String())
+	assert.Assert(t, strings.Contains(a.String(), "done"), fmt.Sprintf("%d bytes", a.Len()))
+}
+
+// BenchmarkTurn plays a queue's turn on a large pool: 150 jobs a second, with room for
+// two thirds of them.
+func BenchmarkTurn(b *testing.B) {
+	for range b.N {
+		w := emulator.New(emulator.Settings{Seed: 1, Upstreams: 200, Jobs: 900, Load: 6 * time.Second, Calm: true})
+		for _, v := range w.Run() {
+			b.Error(v)
+		}
+	}
+}
--- /dev/null
+++ b/standin/emulator/ledger_test.go
@@ -0,0 +1,118 @@
+package emulator
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"fescuelanding/entry/link"
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// TestLedger plays testdata/ledger.txt, in which each promise is broken once and
+// kept once. Lines are:
+//
+//	case NAME             a new ledger, with job J of two steps of one task
+//	at MS
+//	start TASK RUN HOST | end TASK RUN HOW | ack TASK RUN | crash HOST | lapse HOST
+//	accepted | refused | asked | cancelled | failing PERCENT | shown STATE
+//	judge
+func TestLedger(t *testing.T) {
+	text, err := os.ReadFile("testdata/ledger.txt")
+	assert.NilError(t, err)
+	var out strings.Builder
+	p := &ledgerPlayer{t: t}
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		if f[0] == "case" {
+			p.begin()
+		}
+		p.do(f)
+		fmt.Fprintln(&out, strings.TrimSpace(line))
+		for _, v := range p.w.ledger.wrong[p.told:] {
+			fmt.Fprintf(&out, "  %v\n", v)
+		}
+		p.told = len(p.w.ledger.wrong)
+	}
+	golden.Assert(t, out.String(), "ledger.golden")
+}
+
+type ledgerPlayer struct {
+	t    *testing.T
+	w    *World
+	job  *jobRecord
+	runs map[string]*started
+	told int
+}
+
+func (p *ledgerPlayer) begin() {
+	p.w = New(Settings{Seed: 1})
+	p.w.now = time.Second
+	p.job = &jobRecord{def: &work.Job{Id: "00000000000000aa", Spec: "s", Steps: []*work.Step{
+		{Count: 1, MilliCpu: 500}, {Count: 1, MilliCpu: 500, After: []int32{0}},
+	}}}
+	p.w.ledger.jobs[p.job.def.GetId()] = p.job
+	p.runs = make(map[string]*started)
+	p.told = 0
+	for _, u := range p.w.upstreams {
+		u.runs = make(map[string]*run)
+		u.report.ID = u.machine
+	}
+}
+
+func (p *ledgerPlayer) do(f []string) {
+	l := &p.w.ledger
+	switch f[0] {
+	case "at":
+		p.w.now = time.Duration(p.number(f[1])) * time.Millisecond
+	case "start":
+		name := "00000000000000aa.0." + f[1]
+		p.runs[f[1]+"/"+f[2]] = l.start(l.task(name, "s"), p.w.at(f[3]), p.number(f[2]), "e0")
+	case "end":
+		l.end(p.runs[f[1]+"/"+f[2]], nil, platform.Ended{End: platform.End(f[3])})
+	case "ack", "forget":
+		s := p.runs[f[1]+"/"+f[2]]
+		for _, u := range p.w.upstreams {
+			if u.name() == s.on {
+				e := platform.Ended{Task: s.task.name.String(), Run: s.number}
+				if f[0] == "ack" {
+					l.ack(u, e)
+				} else {
+					l.forget(u, e)
+				}
+			}
+		}
+	case "lapse":
+		p.w.at(f[1]).lapsed = p.w.now
+	case "accepted":
+		p.job.accepted, p.job.asked = p.w.now, true
+	case "refused":
+		p.job.refused = true
+	case "cancelled":
+		p.job.cancelled, p.job.wantsCancel = p.w.now, true
+	case "failing":
+		p.job.failing = int(p.number(f[1]))
+	case "shown":
+		p.w.shown(p.job, link.JobState(link.JobState_value["JOB_STATE_"+strings.ToUpper(f[1])]))
+	case "stray":
+		l.start(l.task(f[1], "s"), p.w.at("m0"), 1, "e0")
+	case "judge":
+		l.judge()
+	}
+}
+
+func (p *ledgerPlayer) number(s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	assert.NilError(p.t, err)
+	return n
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -305,7 +305,7 @@
 
 // Owner returns the entry that holds the partition of a pool.
 func (s *Site) Owner(partition int) string {
-	at := s.store.owners("entries")[partition]
+	at := s.store.Owners(time.Now(), "entries")[partition]
 	for name, b := range s.boots {
 		peer := netip.AddrPortFrom(b.Address, b.FirstPort).String()
 		if len(at) > len(peer) && at[:len(peer)] == peer {
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -45,8 +46,6 @@
 	members    []string
 	seen       map[string]time.Time
 	ttl        map[string]time.Duration
-	// knows is the last generation that a member was told.
-	knows map[string]int64
 	// holds is who holds each partition; it changes hands once the former
 	// holder has heard of it.
 	holds map[int]string
@@ -63,7 +62,9 @@
 // Handler returns the store's interface.
 func (s *Store) Handler() http.Handler {
 	return &serve.Store{
-		Append: s.append, Read: s.read, Newest: s.newest, Join: s.join, Leave: s.leave, Owners: s.owners,
+		Append: s.Append, Read: s.read, Newest: s.Newest, Leave: s.Leave,
+		Join:   func(m serve.Member) platform.Membership { return s.Join(time.Now(), m) },
+		Owners: func(g string) map[int]string { return s.Owners(time.Now(), g) },
 		Before: s.before,
 	}
 }
@@ -86,7 +87,7 @@
 		<-hold
 	}
 	if lose {
-		h := &serve.Store{Append: s.append}
+		h := &serve.Store{Append: s.Append}
 		h.ServeHTTP(discard{}, r)
 		panic(http.ErrAbortHandler)
 	}
@@ -102,7 +103,7 @@
 
 // Put writes a record, as the operator and upstreams do.
 func (s *Store) Put(topic string, r platform.Record) {
-	s.append(serve.Append{Topic: topic, Records: []platform.Record{r}})
+	s.Append(serve.Append{Topic: topic, Records: []platform.Record{r}})
 }
 
 // Get returns the newest value of a key.
@@ -146,7 +147,9 @@
 	return p
 }
 
-func (s *Store) append(a serve.Append) (first, end int64, f serve.Refusal) {
+// Append adds records to a partition, and returns the offset of the first and the
+// end after them.
+func (s *Store) Append(a serve.Append) (first, end int64, f serve.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.part(a.Topic, a.Part)
@@ -221,34 +224,36 @@
 	}
 }
 
-func (s *Store) newest(topic string, n int) ([]platform.Record, int64) {
+// Newest returns the newest record of each key, and the end.
+func (s *Store) Newest(topic string, n int) ([]platform.Record, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.part(topic, n)
 	var l []platform.Record
-	for _, r := range p.newest {
-		l = append(l, r)
+	for _, k := range slices.Sorted(maps.Keys(p.newest)) {
+		l = append(l, p.newest[k])
 	}
 	return l, p.end()
 }
 
-func (s *Store) join(m serve.Member) platform.Membership {
+// Join enters a group, or stays in it.
+func (s *Store) Join(now time.Time, m serve.Member) platform.Membership {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.groups[m.Group]
 	if g == nil {
 		g = &group{
 			seen: make(map[string]time.Time), ttl: make(map[string]time.Duration),
-			knows: make(map[string]int64), holds: make(map[int]string),
+			holds: make(map[int]string),
 		}
 		s.groups[m.Group] = g
 	}
-	g.expire(time.Now())
+	g.expire(now)
 	if !slices.Contains(g.members, m.Name) {
 		g.members = append(g.members, m.Name)
 		g.generation++
 	}
-	g.seen[m.Name], g.ttl[m.Name], g.knows[m.Name] = time.Now(), m.TTL, g.generation
+	g.seen[m.Name], g.ttl[m.Name] = now, m.TTL
 	out := platform.Membership{Generation: g.generation}
 	for p := range _partitions {
 		to := g.members[p%len(g.members)]
@@ -287,7 +292,8 @@
 	}
 }
 
-func (s *Store) leave(m serve.Member) {
+// Leave ends a membership.
+func (s *Store) Leave(m serve.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if g := s.groups[m.Group]; g != nil {
@@ -295,12 +301,13 @@
 	}
 }
 
-func (s *Store) owners(name string) map[int]string {
+// Owners returns the member that holds each partition.
+func (s *Store) Owners(now time.Time, name string) map[int]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make(map[int]string)
 	if g := s.groups[name]; g != nil {
-		g.expire(time.Now())
+		g.expire(now)
 		for p, m := range g.holds {
 			out[p] = m
 		}
