scheduler: what starts up is looked at until it is at work

A host from which tasks that last have to go was vacant 23 s after its upkeep began: one task of a step may be away at a time, a task takes 0.9 s to start up, and no end tells when it has; the look that shows it waited 1.5 s. Ruled out: orders that were lost (all 144 were confirmed), the bound on moves. Change: while such a task starts up, looks at its upstream wait 250 ms.

--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -90,9 +90,27 @@
 	if h.shared() {
 		return _paceLook
 	}
+	if h.starting() {
+		return _startLook
+	}
 	return _lookWait
 }
 
+// _startLook is how long a look waits while something starts up that others wait for:
+// no end tells that it is at work.
+const _startLook = 250 * time.Millisecond
+
+// starting reports whether a task starts up here before whose time others of its step
+// can't be taken away.
+func (h *host) starting() bool {
+	for _, r := range h.runs {
+		if r.state == runRunning && r.percent < 100 && r.task.step.def.GetMayMiss() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // looked takes in the answer to a look.
 func (s *Scheduler) looked(now time.Time, e Looked) {
 	h := s.hosts.get(e.Host)
