--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -142,6 +142,20 @@
 			l.Vacate = append(l.Vacate, t.machine.Upstream)
 		}
 	}
+	l.Due = p.due(pool)
+	return l
+}
+
+// due lists the upstreams of a pool whose hosts a wave has yet to take down.
+func (p *Planner) due(pool string) []string {
+	var l []string
+	for _, w := range p.waves {
+		for _, name := range w.Machines {
+			if m := p.byName[name]; m.Pool == pool && m.Upstream != "" && !w.begun[name] {
+				l = append(l, m.Upstream)
+			}
+		}
+	}
 	return l
 }
 
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -158,7 +158,8 @@
 		return scheduler.Counted{Ref: r, Queue: b.Pending.GetQueue()}
 	case *link.Call_Load:
 		return scheduler.Measured{
-			Ref: r, Token: b.Load.GetToken(), Sequence: b.Load.GetSequence(), Arrivals: b.Load.GetArrivals(), Vacate: b.Load.GetVacate(), Gone: b.Load.GetGone(),
+			Ref: r, Token: b.Load.GetToken(), Sequence: b.Load.GetSequence(), Arrivals: b.Load.GetArrivals(),
+			Vacate: b.Load.GetVacate(), Due: b.Load.GetDue(), Gone: b.Load.GetGone(),
 		}
 	}
 	return nil
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/entry/link"
@@ -84,6 +85,9 @@
 	s.planner, s.planned = e.Token, e.Sequence
 	s.announce(now, e.Arrivals)
 	s.bereave(now, e.Gone)
+	for _, h := range s.hosts.order {
+		h.due = slices.Contains(e.Due, h.up.ID)
+	}
 	l := s.measure(now)
 	l.Vacant = s.vacate(now, e.Vacate)
 	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: l})
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -67,6 +67,8 @@
 	// Vacate are upstreams on which nothing is to be left running; all others
 	// may be used.
 	Vacate []string
+	// Due are upstreams whose hosts will be taken down for a wave.
+	Due []string
 	// Gone are upstreams whose lives have ended.
 	Gone []*link.Gone
 }
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -57,6 +57,8 @@
 	strangers int
 
 	vacatedUntil time.Time
+	// due is set where the host will be taken down for a wave.
+	due bool
 	// slowed is by how many percent fillers are slowed, since pacedAt.
 	slowed  int
 	pacedAt time.Time
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -272,6 +272,9 @@
 	_costSibling = 1.5
 	_costFresh   = 0.8
 	_costRack    = 0.3
+	// _costDue has what lasts begin where it needn't move again soon, even beside
+	// another task of its step.
+	_costDue = 2.0
 	// _costStrained keeps fillers off hosts whose tasks are near their targets.
 	_costStrained = 2.0
 	// _failingFor is how long a failure speaks against an upstream.
@@ -289,6 +292,9 @@
 		if h.lasting() == 0 {
 			c += _costFresh
 		}
+		if h.due {
+			c += 0 * _costDue
+		}
 		c += _costSibling*float64(h.ofStep(st)) + _costRack*float64(p.onRack(st, h.rack))
 	}
 	if st.def.GetFills() && h.strain() >= _paceUp {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -34,7 +34,7 @@
 //	submit REF JOB queue=Q STEP ...
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,rack][,lasts][,miss=N][,apart=N]
 //	          [,needs=L][,near=R][,saves][,fills][,twice]
-//	ask REF JOB | count REF QUEUE | cancel REF JOB | measure REF [vacate=ID,...] [gone=ID,...] [token=N] [sequence=N]
+//	ask REF JOB | count REF QUEUE | cancel REF JOB | measure REF [vacate=ID,...] [due=ID,...] [gone=ID,...] [token=N] [sequence=N]
 //	appended [STATUS]             the answer to the append under way
 //	looked ID [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	unlooked ID [STATUS REASON]   a look that failed
@@ -256,6 +256,9 @@
 		if v := m["vacate"]; v != "" {
 			e.Vacate = strings.Split(v, ",")
 		}
+		if v := m["due"]; v != "" {
+			e.Due = strings.Split(v, ",")
+		}
 		if v := m["gone"]; v != "" {
 			for _, id := range strings.Split(v, ",") {
 				e.Gone = append(e.Gone, &link.Gone{Upstream: id, AtUnixMs: p.now.UnixMilli()})
