--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -30,8 +30,10 @@
 	_results = 256
 	// _begunTopic holds the hosts of each wave whose upkeep has begun.
 	_begunTopic = "keyed.upkeep"
-	// _orderKey begins the keys of the last order for each host there.
+	// _orderKey begins the keys of the last order for each host there, _heardKey
+	// those of the time at which each wave was first heard of.
 	_orderKey = "order/"
+	_heardKey = "heard/"
 )
 
 // waves plans for all hosts while this entry is dealt that duty.
@@ -110,6 +112,8 @@
 	known  map[int64]bool
 	begun  map[int64][]string
 	ended  map[int64]bool
+	// heard is when a former holder first heard of a wave: its time runs from then.
+	heard map[int64]time.Time
 }
 
 // hold plans for as long as the duty is held.
@@ -156,8 +160,12 @@
 	if err != nil && platform.Status(err) != http.StatusNotFound {
 		return false
 	}
-	s.begun = make(map[int64][]string)
+	s.begun, s.heard = make(map[int64][]string), make(map[int64]time.Time)
 	for _, r := range b.Records {
+		if m, ok := strings.CutPrefix(r.Key, _heardKey); ok {
+			s.loadHeard(m, r.Value)
+			continue
+		}
 		if m, ok := strings.CutPrefix(r.Key, _orderKey); ok {
 			if ms, err := strconv.ParseInt(string(r.Value), 10, 64); err == nil {
 				s.plan.Touched(m, time.UnixMilli(ms))
@@ -181,6 +189,28 @@
 	return true
 }
 
+// loadHeard takes in when a wave was first heard of.
+func (s *shift) loadHeard(wave string, at []byte) {
+	n, err := strconv.ParseInt(wave, 10, 64)
+	ms, err2 := strconv.ParseInt(string(at), 10, 64)
+	if err := errors.Join(err, err2); err != nil {
+		s.node.log.Warn("Start of a wave can't be read.", "wave", wave, "err", err)
+		return
+	}
+	s.heard[n] = time.UnixMilli(ms)
+}
+
+// declare has the planner know of a wave.
+func (s *shift) declare(ctx context.Context, d declared) {
+	at, known := s.heard[d.Number]
+	if !known {
+		at = d.at
+		v := strconv.AppendInt(nil, at.UnixMilli(), 10)
+		go s.append(ctx, _begunTopic, platform.Record{Key: _heardKey + strconv.FormatInt(d.Number, 10), Value: v})
+	}
+	s.plan.Declare(at, d.Wave, s.begun[d.Number])
+}
+
 // look observes hosts and pools.
 func (s *shift) look(ctx context.Context) {
 	if now := time.Now(); !now.Before(s.listAt) {
@@ -233,7 +263,7 @@
 	for n, d := range s.declared {
 		if !s.known[n] && !s.ended[n] {
 			s.known[n] = true
-			s.plan.Declare(d.at, d.Wave, s.begun[n])
+			s.declare(ctx, d)
 		}
 	}
 	s.mu.Unlock()
