hostplan: a late wave leaves a pool the hosts that what lasts there needs

Change: pools with hosts of a wave get up to a sixth of their base on top to stand in; in a hurry too the pool keeps its base.

--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -41,6 +41,8 @@
 	// need is how many hosts the pool should have, of which the first are base.
 	need int
 	base int
+	// extra are hosts beside these that stand in for those which a wave takes down.
+	extra int
 	// since is when it was first observed.
 	since time.Time
 	// needs are those of the last while.
@@ -139,6 +141,9 @@
 	}
 }
 
+// wanted returns how many hosts the pool should have that aren't away.
+func (s *poolState) wanted() int { return s.need + s.extra }
+
 // needAt is how many hosts a pool needed at a time.
 type needAt struct {
 	at    time.Time
@@ -186,12 +191,12 @@
 	var short []*poolState
 	for _, name := range sorted(p.pools) {
 		s := p.pools[name]
-		if !s.standby && s.load != nil && s.hosts-s.away < s.need {
+		if !s.standby && s.load != nil && s.hosts-s.away < s.wanted() {
 			short = append(short, s)
 		}
 	}
 	all := p.candidates(now, func(platform.Machine) bool { return true })
-	slices.SortStableFunc(short, func(a, b *poolState) int { return (b.need - b.hosts) - (a.need - a.hosts) })
+	slices.SortStableFunc(short, func(a, b *poolState) int { return (b.wanted() - b.hosts) - (a.wanted() - a.hosts) })
 	for _, s := range short {
 		all = p.fill(now, s, all)
 	}
@@ -202,7 +207,7 @@
 func (p *Planner) fill(now time.Time, s *poolState, all []candidate) []candidate {
 	var rest []candidate
 	for _, c := range all {
-		if s.hosts-s.away >= s.need || c.pool == s || !p.spare(now, c) {
+		if s.hosts-s.away >= s.wanted() || c.pool == s || !p.spare(now, c) {
 			rest = append(rest, c)
 			continue
 		}
@@ -222,7 +227,7 @@
 	if c.pool.standby {
 		return true
 	}
-	return c.lasting == 0 && c.pool.load != nil && c.pool.hosts-c.pool.away > c.pool.needed(now, _giveAfter)
+	return c.lasting == 0 && c.pool.load != nil && c.pool.hosts-c.pool.away > c.pool.needed(now, _giveAfter)+c.pool.extra
 }
 
 // park sends hosts that nothing asks for to a standby pool.
@@ -240,7 +245,7 @@
 	for _, c := range all {
 		s := c.pool
 		if s.standby || c.runs > 0 || c.lasting > 0 || s.load == nil ||
-			s.hosts-s.away <= s.needed(now, _parkAfter) || now.Sub(s.since) < _parkAfter {
+			s.hosts-s.away <= s.needed(now, _parkAfter)+s.extra || now.Sub(s.since) < _parkAfter {
 			continue
 		}
 		s.hosts--
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -214,6 +214,7 @@
 	}
 	p.refill(now)
 	p.observe(now)
+	p.standIns()
 	p.bereave()
 	p.advance(now)
 	p.finishWaves(now)
--- a/entry/hostplan/upkeep.go
+++ b/entry/hostplan/upkeep.go
@@ -28,7 +28,7 @@
 			if room <= 0 {
 				break
 			}
-			if !hurry && !p.sparable(c) {
+			if !p.sparable(c, hurry) {
 				continue
 			}
 			room--
@@ -65,17 +65,38 @@
 // _hurryMargin covers orders that are lost or late.
 const _hurryMargin = 5 * time.Second
 
-// sparable reports whether a pool can do without one more host for a while.
-func (p *Planner) sparable(c candidate) bool {
+// sparable reports whether a pool can do without one more host for a while. However
+// late a wave is, the pool keeps the hosts that what lasts there needs.
+func (p *Planner) sparable(c candidate, hurry bool) bool {
 	ps := c.pool
-	if ps.standby {
+	switch {
+	case ps.standby:
 		return true
-	}
-	if ps.load == nil {
-		return false
-	}
-	if ps.away >= max(1, ps.hosts/_poolShare) {
+	case ps.load == nil:
+		return hurry
+	case hurry:
+		return ps.hosts-ps.away-1 >= ps.base
+	case ps.away >= max(1, ps.hosts/_poolShare):
 		return false
 	}
 	return ps.hosts-ps.away-1 >= ps.need
 }
+
+// standIns has pools with hosts of a wave get others beside those that they need, so
+// that some can be away.
+func (p *Planner) standIns() {
+	for _, s := range p.pools {
+		s.extra = 0
+	}
+	for _, w := range p.waves {
+		for _, name := range w.Machines {
+			s := p.pools[p.byName[name].Pool]
+			if s != nil && !s.standby && !w.begun[name] && s.extra < max(1, s.base/_rotation) {
+				s.extra++
+			}
+		}
+	}
+}
+
+// _rotation is the part of the hosts for what lasts that a pool gets to stand in.
+const _rotation = 6
