hostplan: hosts follow the slope of the demand

Ruled out: the bound on moves (80 moves in a second of 215), the planner's round. Change: what is to be expected is the demand and its rise of the last 0.7 s, carried on until a host that moves now serves; at most three times the demand, and only where the demand is well above the usual.

--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -51,6 +51,8 @@
 	// usual is the demand of the last seconds, as of usualAt.
 	usual   float64
 	usualAt time.Time
+	// demands are those of the last while.
+	demands []demandAt
 }
 
 // runs returns the runs of an upstream, and the long-running among them.
@@ -123,7 +125,7 @@
 		s.need = 0
 		return
 	}
-	rate := max(s.rise(now, float64(s.load.GetDemand())), s.cycle.forecast(now, move+_lead))
+	rate := max(s.rise(now, float64(s.load.GetDemand()), move), s.cycle.forecast(now, move+_lead))
 	backlog := float64(s.load.GetBacklog()) / _backlogSpan
 	lasting := float64(s.load.GetLasting())
 	s.need = int(math.Ceil((lasting + max(rate, backlog)*_headroom) / s.hostCPU))
@@ -166,21 +168,43 @@
 	// _usualSpan is over how long the usual demand is averaged: a turn rises
 	// faster.
 	_usualSpan = 2 * time.Second
-	// _maxRise is how much of the demand is added while it rises steeply: by the
-	// time that a host has moved, a turn has grown by as much again.
-	_maxRise = 0.8
+	// _slopeSpan is over how long the rise of the demand is taken.
+	_slopeSpan = 700 * time.Millisecond
+	// _reach is how long after a host was ordered it serves, beside its move: the
+	// planner's round, the list of upstreams, and half of the span over which demand
+	// is measured.
+	_reach = 900 * time.Millisecond
+	// _maxRise is how much of the demand is added at most while it rises.
+	_maxRise = 2.0
 )
 
 // rise returns the demand that is to be expected when a host that moves now has
-// arrived.
-func (s *poolState) rise(now time.Time, demand float64) float64 {
+// arrived: in a turn it goes on rising as it has lately.
+func (s *poolState) rise(now time.Time, demand float64, move time.Duration) float64 {
 	d := now.Sub(s.usualAt)
 	s.usualAt = now
 	s.usual += (demand - s.usual) * min(1, max(0, d.Seconds()/_usualSpan.Seconds()))
+	s.demands = append(s.demands, demandAt{now, demand})
+	for now.Sub(s.demands[0].at) > _slopeSpan {
+		s.demands = s.demands[1:]
+	}
 	if s.usual <= 0 {
 		return demand
 	}
-	return demand * (1 + _maxRise*min(1, max(0, (demand/s.usual-1)/2)))
+	first := s.demands[0]
+	span := now.Sub(first.at).Seconds()
+	if span <= 0 {
+		return demand
+	}
+	more := (demand - first.demand) / span * (move + _reach).Seconds()
+	steep := min(1, max(0, (demand/s.usual-1)/2))
+	return demand + steep*min(max(0, more), _maxRise*demand)
+}
+
+// demandAt is the demand at a time.
+type demandAt struct {
+	at     time.Time
+	demand float64
 }
 
 // _lead is how much earlier than its turn a pool should have its hosts.
