group: small entries stay out until larger ones have been lacking twice

Change: an entry that stays out joins only when two answers of the store in a row, a second apart, show too few larger members. Refresh tells whether the store answered.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -40,6 +40,9 @@
 	_observe = time.Second
 	// _enough larger members are enough for a smaller one to stay out.
 	_enough = 2
+	// _lacking looks in a row must find fewer: after an outage of the store all
+	// members join anew, the larger ones within a second.
+	_lacking = 2
 )
 
 // Group is this entry's membership. Pools are dealt evenly to members, so that
@@ -63,9 +66,11 @@
 	generation int64
 	asked      time.Time
 	asking     chan struct{}
-	failing    bool
-	held       []int
-	nudge      chan struct{}
+	// heard is set where the store answered the last question after the owners.
+	heard   bool
+	failing bool
+	held    []int
+	nudge   chan struct{}
 }
 
 // New returns the membership of an entry of some size, in thousandths of a core,
@@ -80,9 +85,11 @@
 func (g *Group) Run(ctx context.Context) {
 	if g.size < _large {
 		sleep(ctx, _patience)
-		for ctx.Err() == nil {
-			g.Refresh(ctx)
-			if g.larger() < _enough {
+		for lacking := 0; ctx.Err() == nil; {
+			if lacking++; !g.Refresh(ctx) || g.larger() >= _enough {
+				lacking = 0
+			}
+			if lacking == _lacking {
 				break
 			}
 			sleep(ctx, _observe)
@@ -206,9 +213,10 @@
 	return len(seen)
 }
 
-// Refresh asks the store for the owners, unless that was done just now. Those
-// who ask at the same time share one question.
-func (g *Group) Refresh(ctx context.Context) {
+// Refresh asks the store for the owners, unless that was done just now, and reports
+// whether it answered when it was asked last. Those who ask at the same time share one
+// question.
+func (g *Group) Refresh(ctx context.Context) bool {
 	g.mu.Lock()
 	if w := g.asking; w != nil {
 		g.mu.Unlock()
@@ -216,11 +224,11 @@
 		case <-w:
 		case <-ctx.Done():
 		}
-		return
+		return g.heardStore()
 	}
 	if time.Since(g.asked) < _refresh {
-		g.mu.Unlock()
-		return
+		defer g.mu.Unlock()
+		return g.heard
 	}
 	w := make(chan struct{})
 	g.asking, g.asked = w, time.Now()
@@ -231,8 +239,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.asking = nil
+	g.heard = err == nil
 	close(w)
 	if err == nil {
 		g.owners = o
 	}
+	return g.heard
+}
+
+func (g *Group) heardStore() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.heard
 }
