node: an entry that lost the store sends callers elsewhere; a fenced planner is gained

Change: where the owner isn't found and the store doesn't answer, the caller is told at once that nothing was run, and when to come back; the balancer is told to send others elsewhere for three seconds. What the code allows: the planner of a partition that went and came back in answers that were lost is refused by hosts (fence), and then waited for a generation that needn't come; no host moves any more. Change: it is gained anew like a pool (entry/member), which the shares test covers.

--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -55,9 +55,12 @@
 	bounds  atomic.Pointer[platform.Bounds]
 	config  atomic.Pointer[configured]
 	closing atomic.Bool
-	pools   pools
-	list    list
-	waves   waves
+	// stranded is when a request was refused last as its owner couldn't be learned
+	// without the store, in Unix milliseconds.
+	stranded atomic.Int64
+	pools    pools
+	list     list
+	waves    waves
 }
 
 // configured is the newest configuration with what is derived from it.
@@ -153,7 +156,8 @@
 		metrics.WritePrometheus(w, true)
 		return
 	}
-	if n.closing.Load() || n.config.Load() == nil {
+	stranded := time.Since(time.UnixMilli(n.stranded.Load())) < _strandedFor
+	if n.closing.Load() || n.config.Load() == nil || stranded {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -149,6 +149,15 @@
 	return p.shares.Token(_wavePartition)
 }
 
+// loseWaves notes that a host has heard of a later planner than the one with a token.
+func (p *pools) loseWaves(token int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shares.Token(_wavePartition) == token {
+		p.shares.Lose(_wavePartition)
+	}
+}
+
 // any reports whether any partition is held.
 func (p *pools) any() bool {
 	p.mu.Lock()
@@ -185,6 +194,12 @@
 const (
 	// _callTimeout is when a call between entries is taken to be unanswered.
 	_callTimeout = 1200 * time.Millisecond
+	// _elsewhere is when a caller may come back, to another entry, whose request was
+	// refused as this one has lost the store: the least that Retry-After can say.
+	_elsewhere = time.Second
+	// _strandedFor is how long the balancer is told to send callers elsewhere after
+	// that: it asks each second, and gives an entry up after two answers.
+	_strandedFor = 3 * time.Second
 	// _retryOwner is the pause before an owner is looked for again.
 	_retryOwner = 60 * time.Millisecond
 )
@@ -219,7 +234,11 @@
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: 1000}
 		case <-t.C:
 		}
-		n.group.Refresh(ctx)
+		if !n.group.Refresh(ctx) && !sent {
+			// Who owns the pool now can't be learned here, but at other entries.
+			n.stranded.Store(time.Now().UnixMilli())
+			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: _elsewhere.Milliseconds()}
+		}
 	}
 }
 
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -43,9 +43,6 @@
 
 	mu       sync.Mutex
 	declared map[int64]declared
-	// refused is the token with which orders were refused, as another holder's
-	// was higher.
-	refused int64
 }
 
 // declared is a wave of the operator.
@@ -82,7 +79,7 @@
 	w.cloud = platform.NewCloud(w.node.boot.Cloud.Address)
 	for ctx.Err() == nil {
 		token := w.node.pools.waveToken()
-		if token > 0 && token != w.refused && w.node.config.Load() != nil {
+		if token > 0 && w.node.config.Load() != nil {
 			w.hold(ctx, token)
 		}
 		pause(ctx, _planInterval)
@@ -133,7 +130,7 @@
 	}
 	t := time.NewTicker(_planInterval)
 	defer t.Stop()
-	for w.node.pools.waveToken() == token && token != w.refused {
+	for w.node.pools.waveToken() == token {
 		select {
 		case <-ctx.Done():
 			return
@@ -350,9 +347,7 @@
 	switch code, reason := platform.Status(err), platform.Reason(err); {
 	case err == nil:
 	case code == http.StatusConflict && reason == platform.ReasonFence:
-		s.mu.Lock()
-		s.refused = s.token
-		s.mu.Unlock()
+		s.node.pools.loseWaves(s.token)
 		r = hostplan.Unsure
 	case code == http.StatusConflict && reason == platform.ReasonBusy:
 		r = hostplan.Busy
