--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -293,7 +293,7 @@
 			c += _costFresh
 		}
 		if h.due {
-			c += 0 * _costDue
+			c += _costDue
 		}
 		c += _costSibling*float64(h.ofStep(st)) + _costRack*float64(p.onRack(st, h.rack))
 	}
