scheduler: durations are learned from whole steps, and the last task counts

Of each step only the first task to end was learned from, which is the shortest of eight; and a step is over when its last task is, not when an average one is. Ruled out: waiting (the pools had room), looks and appends (30 ms a step). Change: a step is learned from when all its tasks are done, by their mean; by how much the last takes longer is learned for each queue, and counts where a chain is predicted.

--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -186,7 +186,8 @@
 			end[i] = max(end[i], end[a])
 		}
 		if !d.GetLongRunning() {
-			end[i] += s.learned.duration(j.def.GetQueue(), d)
+			q := j.def.GetQueue()
+			end[i] += s.learned.last(q, d, s.learned.duration(q, d))
 		}
 		longest = max(longest, end[i])
 	}
--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -97,10 +97,9 @@
 		return
 	}
 	if took > 0 && t.checkpoint == "" {
-		st.took.note(float64(took) / s.remote(st, h))
-		if st.took.n == 1 {
-			s.learned.note(j.def.GetQueue(), st.def, took, s.remote(st, h))
-		}
+		v := float64(took) / s.remote(st, h)
+		st.took.note(v)
+		st.longest = max(st.longest, v)
 	}
 	if st.def.GetGang() {
 		for i := range st.tasks {
@@ -111,6 +110,10 @@
 		t.done = true
 		st.left--
 	}
+	if st.left == 0 && st.took.n > 0 {
+		// The first tasks to end say too little: they are the shortest.
+		s.learned.note(j.def.GetQueue(), st.def, st.took.mean, st.longest)
+	}
 	s.stopAll(now, t)
 	s.soil(now, j, _endDelay)
 	s.replan = true
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -170,7 +170,9 @@
 	// running counts its runs.
 	running int
 	// took is how long its tasks have run, in nanoseconds.
-	took    average
+	took average
+	// longest of them.
+	longest float64
 	tickets tickets
 }
 
--- a/entry/scheduler/learn.go
+++ b/entry/scheduler/learn.go
@@ -12,12 +12,15 @@
 type learned struct {
 	byImage map[string]*average
 	byQueue map[string]*trend
+	// spread is by how many times the last task of a step takes longer than its
+	// tasks do on average, by queue.
+	spread map[string]*average
 	// retry is when the scheduler has to look again at what it put off.
 	retry time.Time
 }
 
 func newLearned() learned {
-	return learned{byImage: make(map[string]*average), byQueue: make(map[string]*trend)}
+	return learned{byImage: make(map[string]*average), byQueue: make(map[string]*trend), spread: make(map[string]*average)}
 }
 
 const (
@@ -76,9 +79,17 @@
 	return math.Exp(w*line + (1-w)*math.Log(declared))
 }
 
-// note takes in how long a task of a queue ran, away from its data or not.
-func (l *learned) note(queue string, d *work.Step, took time.Duration, remote float64) {
-	v := float64(took) / remote
+// note takes in how long the tasks of a step of a queue ran near their data, on
+// average and at longest, in nanoseconds.
+func (l *learned) note(queue string, d *work.Step, v, longest float64) {
+	if d.GetCount() > 1 && v > 0 {
+		a := l.spread[queue]
+		if a == nil {
+			a = &average{}
+			l.spread[queue] = a
+		}
+		a.note(longest / v)
+	}
 	if i := d.GetImage(); i != "" {
 		a := l.byImage[i]
 		if a == nil {
@@ -109,6 +120,14 @@
 	return time.Duration(l.byQueue[queue].predict(float64(e)))
 }
 
+// last predicts from how long a task of a step runs when the last of the step ends.
+func (l *learned) last(queue string, d *work.Step, one time.Duration) time.Duration {
+	if a := l.spread[queue]; a != nil && d.GetCount() > 1 {
+		return time.Duration(float64(one) * a.mean)
+	}
+	return one
+}
+
 // retryAt asks for another look at a time.
 func (l *learned) retryAt(t time.Time) {
 	if l.retry.IsZero() || t.Before(l.retry) {
