node: records of the planner of hosts go in one append at a time

Ruled out: the cloud's bound (no 429), the planner's token. Change: one append is under way, with all that came up during the one before.

--- /dev/null
+++ b/entry/internal/node/record.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+
+	"fescuelanding/platform"
+)
+
+// _recordings bounds those that wait while an append is under way.
+const _recordings = 1024
+
+// recorder appends what the planner of hosts has to leave to later ones. One append is
+// under way at a time, with all that came up during the one before: a slow store takes
+// a tenth of a second for each, and orders wait for theirs.
+type recorder struct {
+	// Append adds records, all or none.
+	Append func(ctx context.Context, l []platform.Record) error
+	ask    chan recording
+}
+
+// recording is records of which somebody has to know that they last.
+type recording struct {
+	records []platform.Record
+	done    func(error)
+}
+
+func newRecorder(f func(context.Context, []platform.Record) error) *recorder {
+	return &recorder{Append: f, ask: make(chan recording, _recordings)}
+}
+
+// add has records appended; done is called with the outcome, unless ctx ends first.
+func (r *recorder) add(ctx context.Context, l []platform.Record, done func(error)) {
+	select {
+	case r.ask <- recording{l, done}:
+	case <-ctx.Done():
+	}
+}
+
+// run appends until ctx ends.
+func (r *recorder) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case x := <-r.ask:
+			r.append(ctx, r.collect(x))
+		}
+	}
+}
+
+// collect takes in what else waits.
+func (r *recorder) collect(x recording) []recording {
+	l := []recording{x}
+	for {
+		select {
+		case x := <-r.ask:
+			l = append(l, x)
+		default:
+			return l
+		}
+	}
+}
+
+func (r *recorder) append(ctx context.Context, l []recording) {
+	var all []platform.Record
+	for _, x := range l {
+		all = append(all, x.records...)
+	}
+	err := r.Append(ctx, all)
+	for _, x := range l {
+		x.done(err)
+	}
+}
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -101,6 +101,7 @@
 	token   int64
 	plan    *hostplan.Planner
 	results chan func(now time.Time)
+	records *recorder
 	view    hostplan.View
 	// asked counts the rounds of questions.
 	asked int64
@@ -125,6 +126,10 @@
 		}),
 		results: make(chan func(time.Time), _results), known: make(map[int64]bool),
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.records = newRecorder(s.record)
+	go s.records.run(ctx)
 	for ctx.Err() == nil && w.node.pools.waveToken() == token && !s.load(ctx) {
 		pause(ctx, _planInterval)
 	}
@@ -203,7 +208,7 @@
 	if !known {
 		at = d.at
 		v := strconv.AppendInt(nil, at.UnixMilli(), 10)
-		go s.append(ctx, _begunTopic, platform.Record{Key: _heardKey + strconv.FormatInt(d.Number, 10), Value: v})
+		s.keep(ctx, platform.Record{Key: _heardKey + strconv.FormatInt(d.Number, 10), Value: v})
 	}
 	s.plan.Declare(at, d.Wave, s.begun[d.Number])
 }
@@ -276,7 +281,7 @@
 		}
 	}
 	if len(orders) > 0 {
-		go s.order(ctx, orders)
+		s.order(ctx, orders)
 	}
 }
 
@@ -298,17 +303,40 @@
 	for _, op := range ops {
 		records = append(records, platform.Record{Key: _orderKey + machineOf(op), Value: at})
 	}
+	s.records.add(ctx, records, func(err error) {
+		for _, op := range ops {
+			go s.recorded(ctx, op, err)
+		}
+	})
+}
+
+// recorded gives an order if it is durable that it is given.
+func (s *shift) recorded(ctx context.Context, op hostplan.Op, err error) {
+	if err != nil {
+		s.node.log.Info("Host was not ordered.", "machine", machineOf(op), "err", err)
+		s.post(ctx, func(now time.Time) { s.plan.Ordered(now, machineOf(op), hostplan.Unsent) })
+		return
+	}
+	s.give(ctx, op)
+}
+
+// record appends to the planners' topic.
+func (s *shift) record(ctx context.Context, l []platform.Record) error {
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
-	err := s.node.store.Append(c, _begunTopic, 0, platform.Producer{}, records)
-	for _, op := range ops {
-		if err != nil {
-			s.node.log.Info("Host was not ordered.", "machine", machineOf(op), "err", err)
-			s.post(ctx, func(now time.Time) { s.plan.Ordered(now, machineOf(op), hostplan.Unsent) })
-			continue
+	return s.node.store.Append(c, _begunTopic, 0, platform.Producer{}, l)
+}
+
+// keep has a record appended, again and again until that is confirmed. A repeat does
+// no harm.
+func (s *shift) keep(ctx context.Context, r platform.Record) {
+	s.records.add(ctx, []platform.Record{r}, func(err error) {
+		if err == nil || s.node.pools.waveToken() != s.token {
+			return
 		}
-		go s.give(ctx, op)
-	}
+		s.node.log.Info("Record was not appended.", "topic", _begunTopic, "key", r.Key, "err", err)
+		time.AfterFunc(_planInterval, func() { s.keep(ctx, r) })
+	})
 }
 
 func machineOf(op hostplan.Op) string {
@@ -332,7 +360,7 @@
 		err := s.cloud.Upkeep(c, s.holder(), op.Machine, op.Wave)
 		s.ordered(ctx, "upkeep", op.Machine, err)
 		if err == nil {
-			s.append(ctx, _begunTopic, platform.Record{Key: fmt.Sprintf("%d/%s", op.Wave, op.Machine), Value: []byte{1}})
+			s.keep(ctx, platform.Record{Key: fmt.Sprintf("%d/%s", op.Wave, op.Machine), Value: []byte{1}})
 		}
 	}
 }
@@ -366,20 +394,20 @@
 		s.node.log.Warn("Wave can't be reported.", "wave", r.Wave, "err", err)
 		return
 	}
-	s.append(ctx, platform.TopicStatus, v)
+	s.append(ctx, v)
 	s.node.log.Info("Wave reported.", "wave", r.Wave, "completed", r.Completed)
 }
 
-// append adds a record until that is confirmed. A repeat does no harm.
-func (s *shift) append(ctx context.Context, topic string, r platform.Record) {
+// append adds a record about a wave until that is confirmed. A repeat does no harm.
+func (s *shift) append(ctx context.Context, r platform.Record) {
 	for ctx.Err() == nil && s.node.pools.waveToken() == s.token {
 		c, cancel := context.WithTimeout(ctx, _cloudTimeout)
-		err := s.node.store.Append(c, topic, 0, platform.Producer{}, []platform.Record{r})
+		err := s.node.store.Append(c, platform.TopicStatus, 0, platform.Producer{}, []platform.Record{r})
 		cancel()
 		if err == nil {
 			return
 		}
-		s.node.log.Info("Record was not appended.", "topic", topic, "key", r.Key, "err", err)
+		s.node.log.Info("Record was not appended.", "topic", platform.TopicStatus, "key", r.Key, "err", err)
 		pause(ctx, _planInterval)
 	}
 }
