--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 			&cli.Uint64Flag{Name: "from", Value: 1, Usage: "first seed"},
 			&cli.Uint64Flag{Name: "seeds", Value: 100, Usage: "number of histories, one a seed"},
 			&cli.IntFlag{Name: "workers", Value: 2, Usage: "histories played at the same time"},
+			&cli.BoolFlag{Name: "recovery", Usage: "kill the owner in each, and print how long the pool stood still"},
 			&cli.BoolFlag{Name: "trace", Usage: "print the history of the first seed, and play no other"},
 		},
 		Action: play,
@@ -35,6 +37,9 @@
 	if c.Bool("trace") {
 		return report(from, emulator.New(emulator.Settings{Seed: from, Trace: os.Stdout}).Run())
 	}
+	if c.Bool("recovery") {
+		return recovery(from, c.Uint64("seeds"))
+	}
 	begun := time.Now()
 	next := make(chan uint64)
 	failed := make(chan error, c.Int("workers"))
@@ -65,6 +70,22 @@
 	return nil
 }
 
+// recovery prints how long a pool stands still when its owner is killed.
+func recovery(from, seeds uint64) error {
+	var l []time.Duration
+	for seed := from; seed < from+seeds; seed++ {
+		w := emulator.New(emulator.Settings{Seed: seed, Calm: true, Jobs: 120, KillOwner: 6 * time.Second})
+		if err := report(seed, w.Run()); err != nil {
+			return err
+		}
+		l = append(l, w.Resumed())
+	}
+	slices.Sort(l)
+	at := func(share float64) time.Duration { return l[int(share*float64(len(l)-1))].Round(time.Millisecond) }
+	fmt.Printf("%d deaths of an owner; next start after p50 %v, p99 %v, at most %v\n", len(l), at(0.5), at(0.99), at(1))
+	return nil
+}
+
 // report prints what was wrong with a history.
 func report(seed uint64, wrong []emulator.Violation) error {
 	for _, v := range wrong {
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -138,6 +138,9 @@
 	if t.job.cancelled > 0 && l.world.now > t.job.cancelled+_cancelled {
 		l.broken("UNASKED", "%s: %v, cancelled at %v", t.name, s, t.job.cancelled)
 	}
+	if w := l.world; w.killedAt > 0 && w.resumedAt == 0 && w.now > w.killedAt+_maxDelay {
+		w.resumedAt = w.now
+	}
 	t.starts = append(t.starts, s)
 	l.world.say("%s starts %v", t.name, s)
 	return s
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -22,6 +22,8 @@
 	Upstreams, Jobs int
 	// Load is how long callers hand jobs in, and faults begin.
 	Load time.Duration
+	// KillOwner kills the owner at that time, where it isn't zero.
+	KillOwner time.Duration
 	// Calm has no faults, and jobs that are alike: two steps of eight tasks.
 	Calm bool
 	// Trace gets a line for each event, where it is set.
@@ -71,6 +73,8 @@
 	heard map[string]heard
 	gangs map[gangKey]*gang
 	fault storeFault
+	// killedAt is when the owner was killed, resumedAt when the next one started a task.
+	killedAt, resumedAt time.Duration
 	// planned counts the questions of the host planner.
 	planned int64
 }
@@ -143,11 +147,21 @@
 			w.after(w.between(time.Second, w.set.Load), w.drawFault())
 		}
 	}
+	if k := w.set.KillOwner; k > 0 {
+		w.after(k, func() {
+			w.killedAt = w.now
+			w.killOwner(_rest)
+		})
+	}
 	w.run(w.set.Load + _rest)
 	w.ledger.judge()
 	return w.ledger.wrong
 }
 
+// Resumed returns how long after the owner's death the next one started a task, and
+// zero where none did.
+func (w *World) Resumed() time.Duration { return max(0, w.resumedAt-w.killedAt) }
+
 // plan draws a job and when it is handed in.
 func (w *World) plan(i int) {
 	d := &work.Job{Id: fmt.Sprintf("%016x", i+1), Queue: w.queue.Name, Pool: _pool, Spec: fmt.Sprintf("job %d", i)}
