hostplan: a host that a former planner was about to order away is left empty

Change: the record of an order names the upstream that it ends; the next planner keeps that upstream vacated for as long as the order may come. Test: formerOrder. Open: a former planner that doesn't know yet can still append such a record after the next one has read them; the topic has no producer that fences it.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -39,13 +39,16 @@
 // Op is something that the planner wants done.
 type Op interface{ op() }
 
-// Move sends a host to another pool; Ordered answers.
-type Move struct{ Machine, Pool string }
+// Move sends a host to another pool, which ends the life of its upstream; Ordered
+// answers.
+type Move struct{ Machine, Upstream, Pool string }
 
-// Upkeep takes a host down for a wave; Ordered answers.
+// Upkeep takes a host down for a wave, which ends the life of its upstream; Ordered
+// answers.
 type Upkeep struct {
-	Machine string
-	Wave    int64
+	Machine  string
+	Upstream string
+	Wave     int64
 }
 
 // Report says how far a wave is.
@@ -79,8 +82,8 @@
 	ops    []Op
 	// absent are hosts that owners know and the list doesn't have.
 	absent map[string]absence
-	// touched is when former holders ordered a host.
-	touched map[string]time.Time
+	// touched are the last orders of former holders, by host.
+	touched map[string]touch
 	// gone are the upstreams by pool whose lives are over.
 	gone map[string][]*link.Gone
 	// begun is set when the last step began something with a host.
@@ -124,12 +127,25 @@
 	p.waves = append(p.waves, n)
 }
 
-// Touched says when a former holder was about to order a host.
-func (p *Planner) Touched(machine string, at time.Time) {
+// touch is an order of a former holder, which may be carried out yet.
+type touch struct {
+	at time.Time
+	// upstream is the life that the order ends.
+	upstream string
+}
+
+// Touched says when a former holder was about to order a host, whose upstream was
+// vacant.
+func (p *Planner) Touched(machine, upstream string, at time.Time) {
 	if p.touched == nil {
-		p.touched = make(map[string]time.Time)
+		p.touched = make(map[string]touch)
 	}
-	p.touched[machine] = at
+	p.touched[machine] = touch{at, upstream}
+}
+
+// recently reports whether a former holder's order for a host may be carried out yet.
+func (p *Planner) recently(now time.Time, machine string) bool {
+	return now.Sub(p.touched[machine].at) < p.set.Lease+_clockMargin
 }
 
 // Wishes returns what the owner of a pool is told when it is asked for its load.
@@ -142,6 +158,13 @@
 			l.Vacate = append(l.Vacate, t.machine.Upstream)
 		}
 	}
+	for _, name := range sorted(p.touched) {
+		u := p.touched[name].upstream
+		if m := p.byName[name]; u != "" && m.Pool == pool && m.Upstream == u && p.recently(now, name) {
+			// It was vacant, and nothing may begin there before the order comes.
+			l.Vacate = append(l.Vacate, u)
+		}
+	}
 	l.Due = p.due(pool)
 	return l
 }
@@ -286,7 +309,7 @@
 	if t.wave == 0 {
 		if p.spend() {
 			t.ordering = true
-			p.emit(Move{name, t.to})
+			p.emit(Move{name, t.machine.Upstream, t.to})
 		}
 		return
 	}
@@ -295,7 +318,7 @@
 		return
 	}
 	t.ordering = true
-	p.emit(Upkeep{name, t.wave})
+	p.emit(Upkeep{name, t.machine.Upstream, t.wave})
 }
 
 // candidate is a host that may go.
@@ -316,7 +339,7 @@
 	for _, m := range p.view.Machines {
 		ps := p.pools[m.Pool]
 		if ps == nil || p.tasks[m.Name] != nil || m.State != platform.MachineUp || !keep(m) ||
-			now.Sub(p.touched[m.Name]) < p.set.Lease+_clockMargin {
+			p.recently(now, m.Name) {
 			continue
 		}
 		runs, lasting := ps.runs(m.Upstream)
--- a/entry/hostplan/script_test.go
+++ b/entry/hostplan/script_test.go
@@ -27,7 +27,7 @@
 //	silent NAME                           its owner doesn't answer
 //	wave N MS ATONCE HOST,...             a wave that is due in MS
 //	begun N HOST,...
-//	touched HOST MS
+//	touched HOST MS [UPSTREAM]
 //	done|busy|unsure|refused HOST         the answer to an order
 //	at MS                                 go on to a time
 //	step                                  plan, and print
@@ -103,7 +103,7 @@
 	case "begun":
 		p.begun[p.number(f[1])] = strings.Split(f[2], ",")
 	case "touched":
-		p.p.Touched(f[1], _begin.Add(time.Duration(p.number(f[2]))*time.Millisecond))
+		p.p.Touched(f[1], strings.Join(f[3:], ""), _begin.Add(time.Duration(p.number(f[2]))*time.Millisecond))
 	case "done", "busy", "unsure", "refused":
 		r := map[string]Result{"done": Done, "busy": Busy, "unsure": Unsure, "refused": Refused}[f[0]]
 		for _, h := range strings.Split(f[1], ",") {
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -169,9 +169,7 @@
 			continue
 		}
 		if m, ok := strings.CutPrefix(r.Key, _orderKey); ok {
-			if ms, err := strconv.ParseInt(string(r.Value), 10, 64); err == nil {
-				s.plan.Touched(m, time.UnixMilli(ms))
-			}
+			s.loadOrder(m, string(r.Value))
 			continue
 		}
 		n, m, _ := strings.Cut(r.Key, "/")
@@ -191,6 +189,18 @@
 	return true
 }
 
+// loadOrder takes in the last order for a host: its time, and the upstream that it
+// ends.
+func (s *shift) loadOrder(machine, v string) {
+	at, upstream, _ := strings.Cut(v, " ")
+	ms, err := strconv.ParseInt(at, 10, 64)
+	if err != nil {
+		s.node.log.Warn("Order for a host can't be read.", "machine", machine, "err", err)
+		return
+	}
+	s.plan.Touched(machine, upstream, time.UnixMilli(ms))
+}
+
 // loadHeard takes in when a wave was first heard of.
 func (s *shift) loadHeard(wave string, at []byte) {
 	n, err := strconv.ParseInt(wave, 10, 64)
@@ -298,10 +308,11 @@
 // order gives orders about hosts, once it is durable that they are given: a later
 // holder leaves those hosts alone for a while.
 func (s *shift) order(ctx context.Context, ops []hostplan.Op) {
-	at := strconv.AppendInt(nil, time.Now().UnixMilli(), 10)
+	at := time.Now().UnixMilli()
 	var records []platform.Record
 	for _, op := range ops {
-		records = append(records, platform.Record{Key: _orderKey + machineOf(op), Value: at})
+		m, u := subject(op)
+		records = append(records, platform.Record{Key: _orderKey + m, Value: fmt.Appendf(nil, "%d %s", at, u)})
 	}
 	s.records.add(ctx, records, func(err error) {
 		for _, op := range ops {
@@ -313,8 +324,9 @@
 // recorded gives an order if it is durable that it is given.
 func (s *shift) recorded(ctx context.Context, op hostplan.Op, err error) {
 	if err != nil {
-		s.node.log.Info("Host was not ordered.", "machine", machineOf(op), "err", err)
-		s.post(ctx, func(now time.Time) { s.plan.Ordered(now, machineOf(op), hostplan.Unsent) })
+		m, _ := subject(op)
+		s.node.log.Info("Host was not ordered.", "machine", m, "err", err)
+		s.post(ctx, func(now time.Time) { s.plan.Ordered(now, m, hostplan.Unsent) })
 		return
 	}
 	s.give(ctx, op)
@@ -339,14 +351,15 @@
 	})
 }
 
-func machineOf(op hostplan.Op) string {
+// subject returns the host that an op is about, and the upstream that it ends.
+func subject(op hostplan.Op) (machine, upstream string) {
 	switch op := op.(type) {
 	case hostplan.Move:
-		return op.Machine
+		return op.Machine, op.Upstream
 	case hostplan.Upkeep:
-		return op.Machine
+		return op.Machine, op.Upstream
 	}
-	return ""
+	return "", ""
 }
 
 // give gives one order.
