group: the store is told at once that a pool was given up

The store gives a partition on only when its former holder joins with the new generation; that came with the next join, and others had been nudged before it. Change: an entry that gave partitions up joins again at once, and nudges others after that. The emulator's entries do the same.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -54,8 +54,9 @@
 	size int
 	// OnChange is called after each answer, on the goroutine of Run.
 	OnChange func(member.Change)
-	// OnMoved is called when partitions were given up or the group has changed
-	// by this entry's joining: others have to join to learn of it.
+	// OnMoved is called when the store has been told that partitions were given up,
+	// or the group has changed by this entry's joining: others have to join to learn
+	// of it.
 	OnMoved func()
 	// OnTrouble is called when the store stops answering, and with nil when it
 	// answers again.
@@ -70,7 +71,10 @@
 	heard   bool
 	failing bool
 	held    []int
-	nudge   chan struct{}
+	// giving is set while the store has not been told that partitions were given up: the
+	// next join does that.
+	giving bool
+	nudge  chan struct{}
 }
 
 // New returns the membership of an entry of some size, in thousandths of a core,
@@ -112,6 +116,9 @@
 			g.trouble(err)
 		} else {
 			g.trouble(nil)
+			if g.giving {
+				pause = 0
+			}
 		}
 		t.Reset(pause)
 	}
@@ -168,7 +175,11 @@
 	g.OnChange(member.Change{Generation: m.Generation, Partitions: m.Partitions, Confirmed: sent})
 	released := slices.ContainsFunc(g.held, func(k int) bool { return !slices.Contains(m.Partitions, k) })
 	g.held = m.Partitions
-	if released || n == 0 {
+	switch {
+	case released:
+		g.giving = true
+	case g.giving || n == 0:
+		g.giving = false
 		g.OnMoved()
 	}
 	return nil
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -45,7 +45,9 @@
 	generation int64
 	held       []int
 	joining    bool
-	owner      *owner
+	// giving is set while the store hasn't been told that the pool was given up.
+	giving bool
+	owner  *owner
 }
 
 // _contact is how long an entry must have been undisturbed to be held to what it
@@ -99,7 +101,7 @@
 func (e *entry) start() {
 	e.life++
 	e.up, e.frozen = true, 0
-	e.shares, e.generation, e.held, e.joining, e.owner = member.Shares{}, 0, nil, false, nil
+	e.shares, e.generation, e.held, e.joining, e.giving, e.owner = member.Shares{}, 0, nil, false, false, nil
 	e.world.say("%s starts", e.name)
 	e.loop()
 	e.list()
@@ -210,7 +212,12 @@
 		e.settle()
 		released := slices.Contains(e.held, _partition) && !slices.Contains(a.Partitions, _partition)
 		e.held = a.Partitions
-		if released || first {
+		switch {
+		case released:
+			e.giving = true
+			e.after(0, e.nudge)
+		case e.giving || first:
+			e.giving = false
 			e.nudgeOthers()
 		}
 		then(true)
