node: a planner of hosts that was suspended gives no order on waking

Ruled out: fences (they are kept for each host), the record (it names the host only). Change: an order is given only where the store has confirmed the duty within the last second by the time of day; the steady clock stands while a process is suspended.

--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -36,6 +36,10 @@
 	_heardKey = "heard/"
 )
 
+// errStale says that the store hasn't confirmed the planner's duty lately: after a
+// pause of the process another may have begun to plan.
+var errStale = errors.New("duty is not confirmed")
+
 // waves plans for all hosts while this entry is dealt that duty.
 type waves struct {
 	node  *Node
@@ -323,6 +327,9 @@
 
 // recorded gives an order if it is durable that it is given.
 func (s *shift) recorded(ctx context.Context, op hostplan.Op, err error) {
+	if err == nil && !s.node.pools.fresh(time.Now()) {
+		err = errStale
+	}
 	if err != nil {
 		m, _ := subject(op)
 		s.node.log.Info("Host was not ordered.", "machine", m, "err", err)
