--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -106,8 +106,13 @@
 }
 
 // holder is the entry that the store says holds the pool.
-func (w *World) holder() *entry {
-	m := w.store.Owners(w.time(), _group)[_partition]
+func (w *World) holder() *entry { return w.holderOf(_partition) }
+
+// planner is the entry that the store says plans for the hosts.
+func (w *World) planner() *entry { return w.holderOf(_duty) }
+
+func (w *World) holderOf(partition int) *entry {
+	m := w.store.Owners(w.time(), _group)[partition]
 	for _, e := range w.entries {
 		if e.member() == m {
 			return e
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -47,7 +47,11 @@
 	joining    bool
 	// giving is set while the store hasn't been told that the pool was given up.
 	giving bool
-	owner  *owner
+	// confirmed is when the call was sent that confirmed its shares, by the time of
+	// day, which goes on while it is frozen.
+	confirmed time.Duration
+	owner     *owner
+	shift     *shift
 }
 
 // _contact is how long an entry must have been undisturbed to be held to what it
@@ -101,7 +105,7 @@
 func (e *entry) start() {
 	e.life++
 	e.up, e.frozen = true, 0
-	e.shares, e.generation, e.held, e.joining, e.giving, e.owner = member.Shares{}, 0, nil, false, false, nil
+	e.shares, e.generation, e.held, e.joining, e.giving, e.owner, e.shift = member.Shares{}, 0, nil, false, false, nil, nil
 	e.world.say("%s starts", e.name)
 	e.loop()
 	e.list()
@@ -112,7 +116,7 @@
 	if !e.up {
 		return
 	}
-	e.up, e.owner = false, nil
+	e.up, e.owner, e.shift = false, nil, nil
 	e.disturb(e.world.now + back)
 	e.world.say("%s is killed", e.name)
 	e.world.after(back, e.start)
@@ -124,7 +128,7 @@
 		return
 	}
 	e.world.say("%s stops", e.name)
-	e.owner = nil
+	e.owner, e.shift = nil, nil
 	e.shares.Drop()
 	me := e.member()
 	call(e, _store, _storeTimeout, func(answer func(bool, error)) {
@@ -190,7 +194,7 @@
 		return
 	}
 	e.joining = true
-	sent, first := e.time(), e.generation == 0
+	sent, sentAt, first := e.time(), e.world.now, e.generation == 0
 	m := serve.Member{Group: _group, Name: e.member(), TTL: _ttl, Generation: e.generation}
 	call(e, _store, _storeTimeout, func(answer func(platform.Membership, error)) {
 		if err := e.world.refusal(e.name); err != nil {
@@ -207,7 +211,7 @@
 			then(false)
 			return
 		}
-		e.generation = a.Generation
+		e.generation, e.confirmed = a.Generation, sentAt
 		e.shares.Deal(member.Change{Generation: a.Generation, Partitions: a.Partitions, Confirmed: sent})
 		e.settle()
 		released := slices.Contains(e.held, _partition) && !slices.Contains(a.Partitions, _partition)
@@ -242,6 +246,12 @@
 	if e.owner != nil {
 		e.owner.confirm()
 	}
+	if t := e.shares.Token(_duty); e.shift == nil && t > 0 || e.shift != nil && t != e.shift.token {
+		e.shift = nil
+		if t > 0 {
+			takeDuty(e, t)
+		}
+	}
 }
 
 // list reads the list of upstreams while the pool is held.
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -1,12 +1,9 @@
 package emulator
 
 import (
-	"fmt"
-	"slices"
 	"time"
 
-	"fescuelanding/entry/link"
-	"fescuelanding/entry/scheduler"
+	"fescuelanding/platform"
 )
 
 // drawFault draws a fault of the kinds that the platform has.
@@ -29,9 +26,9 @@
 		func() { w.cutOwner(u, d) },
 		func() { w.dark(u, d) },
 		func() { w.crash(u, back, again) },
-		func() { w.move(u, back, 20) },
+		func() { w.killPlanner(back) },
+		func() { w.freezePlanner(d) },
 		func() { w.storeDown(d, nil) },
-		func() { w.storeDown(d, nil); w.move(u, back, 20) },
 		func() { w.storeDown(d, map[string]bool{e.name: true}) },
 		func() { w.storeForgets(d) },
 		func() { w.say("%s carries orders out late for %v", u.machine, d); u.late = w.now + d },
@@ -100,66 +97,22 @@
 		return
 	}
 	w.say("%s crashes", u.name())
-	old := u.report.ID
-	u.begin(old)
-	u.down = true
-	w.after(back, func() {
-		if sameID {
-			u.begin(old)
-			return
-		}
-		u.begin(fmt.Sprintf("%s-%d", u.machine, w.now.Milliseconds()))
-		w.after(w.between(500*time.Millisecond, 1500*time.Millisecond), func() { w.bereave(old, 10) })
-	})
-}
-
-// move plays the host planner, which takes a host away once the owner says that it
-// is vacant.
-func (w *World) move(u *upstream, back time.Duration, times int) {
-	w.planned++
-	n, old := w.planned, u.report.ID
-	e := w.holder()
-	if e == nil || e.owner == nil || u.down {
+	if u.host.state != platform.MachineUp {
 		return
 	}
-	e.do(e.life, func() {
-		if e.owner == nil {
-			return
-		}
-		e.owner.ask(func(r scheduler.Ref) scheduler.Event {
-			return scheduler.Measured{Ref: r, Token: 1, Sequence: n, Vacate: []string{old}}
-		}, func(a *link.Answer) {
-			if u.report.ID == old && slices.Contains(a.GetLoad().GetVacant(), old) {
-				w.crash(u, back, false)
-			}
-		})
-	})
-	if times > 1 {
-		w.after(500*time.Millisecond, func() {
-			if u.report.ID == old {
-				w.move(u, back, times-1)
-			}
-		})
-	}
+	u.host.state = platform.MachineDown
+	w.life(u, back, sameID)
 }
 
-// bereave plays the host planner, which tells the owner that no host names an
-// upstream any more.
-func (w *World) bereave(id string, times int) {
-	w.planned++
-	n, at := w.planned, w.unixMs()
-	if e := w.holder(); e != nil && e.owner != nil {
-		e.do(e.life, func() {
-			if e.owner == nil {
-				return
-			}
-			e.owner.ask(func(r scheduler.Ref) scheduler.Event {
-				return scheduler.Measured{Ref: r, Token: 1, Sequence: n, Gone: []*link.Gone{{Upstream: id, AtUnixMs: at}}}
-			}, func(*link.Answer) {})
-		})
+func (w *World) killPlanner(back time.Duration) {
+	if e := w.planner(); e != nil {
+		e.kill(back)
 	}
-	if times > 1 {
-		w.after(500*time.Millisecond, func() { w.bereave(id, times-1) })
+}
+
+func (w *World) freezePlanner(d time.Duration) {
+	if e := w.planner(); e != nil {
+		e.freeze(d)
 	}
 }
 
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -57,6 +57,7 @@
 	lasts   time.Duration
 	forever bool
 	starts  []*started
+	world   *World
 }
 
 // started is a start of a task, and what came of it.
@@ -73,6 +74,8 @@
 	noted bool
 	// forgotten is set where the upstream's life ended before that.
 	forgotten bool
+	// ordered is set where an order ended it.
+	ordered bool
 }
 
 func (s *started) String() string {
@@ -113,7 +116,7 @@
 	d := j.def.GetSteps()[n.Step]
 	t := &taskRecord{
 		name: n, job: j, def: d, cpu: d.GetMilliCpu(), forever: d.GetLongRunning(),
-		lasts: time.Duration(d.GetEstimateMs()) * time.Millisecond,
+		lasts: time.Duration(d.GetEstimateMs()) * time.Millisecond, world: l.world,
 	}
 	l.tasks[name] = t
 	return t
@@ -177,6 +180,72 @@
 	return n
 }
 
+// evict notes that an order about a host ends what runs there.
+func (l *ledger) evict(u *upstream, by string) {
+	for _, t := range sortedKeys(u.runs) {
+		l.ordered(u.runs[t].entry, u, "an order of "+by)
+		u.runs[t].entry.ordered = true
+	}
+}
+
+// _notice is for how long a task may be away for another cause than an order before
+// it counts as missing.
+const _notice = 4500 * time.Millisecond
+
+// ordered checks that a run may be ended by an order, with those of its step that are
+// away already.
+func (l *ledger) ordered(s *started, u *upstream, by string) {
+	t := s.task
+	s.ordered = true
+	sound := l.world.now-s.at >= _startup && l.world.now >= u.still
+	if t.def.GetMayMiss() == 0 || t.job.wantsCancel || !sound {
+		return
+	}
+	away := 0
+	for i := range int(t.def.GetCount()) {
+		n := t.name
+		n.Index = i
+		if o := l.tasks[n.String()]; i != t.name.Index && o != nil && o.away() {
+			away++
+		}
+	}
+	if away >= int(t.def.GetMayMiss()) {
+		l.broken("AVAIL", "%s: %v is ended by %s while %d others are away", t.name, s, by, away)
+	}
+}
+
+// away reports whether a task that lasts is missing: ended by an order and not at work
+// since, or not at work for a while.
+func (t *taskRecord) away() bool {
+	now := t.world.now
+	var last *started
+	for _, s := range t.starts {
+		if s.how == "" && now-s.at >= _startup {
+			return false
+		}
+		if s.how != "" && s.over-s.at >= _startup {
+			last = s // It was at work.
+		}
+	}
+	if last == nil {
+		return false // It has never been at work.
+	}
+	return last.ordered || now-last.over >= _notice
+}
+
+// upkeep checks that no more hosts of a wave are down than may be.
+func (l *ledger) upkeep(_ int64, u *upstream) {
+	down := 0
+	for _, o := range l.world.upstreams {
+		if o != u && o.host.state == platform.MachineUpkeep {
+			down++
+		}
+	}
+	if down >= l.world.declared.AtOnce {
+		l.broken("LIMIT", "upkeep of %s while %d are down", u.name(), down)
+	}
+}
+
 func (l *ledger) stop(s *started, at time.Duration, how platform.End) {
 	s.over, s.how = at, how
 	l.world.say("%s %s: %v", s.task.name, how, s)
--- a/standin/emulator/ledger_test.go
+++ b/standin/emulator/ledger_test.go
@@ -23,6 +23,8 @@
 //	at MS
 //	start TASK RUN HOST | end TASK RUN HOW | ack TASK RUN | crash HOST | lapse HOST
 //	accepted | refused | asked | cancelled | failing PERCENT | shown STATE
+//	lasting COUNT MISS    job J has one step of tasks that last
+//	order TASK RUN        an order ends it
 //	judge
 func TestLedger(t *testing.T) {
 	text, err := os.ReadFile("testdata/ledger.txt")
@@ -104,6 +106,17 @@
 		p.job.failing = int(p.number(f[1]))
 	case "shown":
 		p.w.shown(p.job, link.JobState(link.JobState_value["JOB_STATE_"+strings.ToUpper(f[1])]))
+	case "lasting":
+		p.job.def.Steps = []*work.Step{{
+			Count: int32(p.number(f[1])), MilliCpu: 500, LongRunning: true, MayMiss: int32(p.number(f[2])),
+		}}
+	case "order":
+		s := p.runs[f[1]+"/"+f[2]]
+		for _, u := range p.w.upstreams {
+			if u.name() == s.on {
+				l.ordered(s, u, "a stop")
+			}
+		}
 	case "stray":
 		l.start(l.task(f[1], "s"), p.w.at("m0"), 1, "e0")
 	case "judge":
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -18,6 +18,8 @@
 	_stopTime = 200 * time.Millisecond
 	// _holdMax is the longest lease.
 	_holdMax = 10 * time.Second
+	// _startup is how long a task that lasts takes until it is at work.
+	_startup = 900 * time.Millisecond
 )
 
 // upstream emulates an executor.
@@ -29,6 +31,7 @@
 	since time.Duration
 	rate  float64
 	down  bool
+	host  machine
 
 	token    int64
 	deadline int64
@@ -210,6 +213,7 @@
 	u.over[task] = max(u.over[task], number)
 	if r := u.runs[task]; r != nil && r.number <= number && !r.stopping {
 		r.stopping = true
+		u.world.ledger.ordered(r.entry, u, "a stop")
 		u.world.after(_stopTime, func() {
 			if u.runs[task] == r {
 				u.end(r, platform.EndStopped)
@@ -257,6 +261,9 @@
 	l := platform.Look{ClockMs: u.clockMs(), Born: u.report.Born, Ended: slices.Clone(u.ended)}
 	for _, t := range sortedKeys(u.runs) {
 		r, p := u.runs[t], 100
+		if r.forever && u.world.now-r.begun < _startup {
+			p = 50
+		}
 		if !r.forever {
 			p = min(99, int((u.world.now-r.begun)*100/max(r.lasts, 1)))
 		}
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -34,6 +34,7 @@
 	_entries   = 3
 	_hostCPU   = 8000
 	_upstreams = 5
+	_spares    = 3
 	_jobs      = 24
 	_load      = 12 * time.Second
 	// _rest is when all that was accepted must be over, after the load: the longest
@@ -75,8 +76,8 @@
 	fault storeFault
 	// killedAt is when the owner was killed, resumedAt when the next one started a task.
 	killedAt, resumedAt time.Duration
-	// planned counts the questions of the host planner.
-	planned int64
+	// declared is the operator's wave, if there is one.
+	declared platform.Wave
 }
 
 // heard is an entry in the list.
@@ -109,6 +110,10 @@
 	for i := range s.Upstreams {
 		w.addUpstream(fmt.Sprintf("m%d", i), s.Calm)
 	}
+	for i := range _spares {
+		w.addUpstream(fmt.Sprintf("s%d", i), s.Calm)
+		w.upstreams[len(w.upstreams)-1].host.pool = _spare
+	}
 	for i := range _entries {
 		w.entries = append(w.entries, &entry{world: w, name: fmt.Sprintf("e%d", i)})
 	}
@@ -122,6 +127,7 @@
 	}
 	u := &upstream{
 		world: w, machine: machine, rate: 0.98 + 0.02*w.rand.Float64(),
+		host: hostIn(_pool),
 		report: platform.Upstream{
 			Pool: _pool, Address: machine, Machine: machine, Labels: []string{"a", "r1-" + machine},
 			Capacity: platform.Capacity{MilliCPU: cpu, MemoryMB: 32000},
@@ -133,9 +139,14 @@
 // Run plays the history and returns what was wrong.
 func (w *World) Run() []Violation {
 	for _, u := range w.upstreams {
-		u.begin(u.machine + "-0")
+		if u.host.pool == _pool {
+			u.begin(u.machine + "-0")
+		}
 		w.beat(u)
 	}
+	if w.rand.IntN(2) == 0 {
+		w.declared = w.wave()
+	}
 	for _, e := range w.entries {
 		w.after(w.between(0, 300*time.Millisecond), e.start)
 	}
@@ -185,7 +196,9 @@
 	}
 	if w.rand.IntN(8) == 0 {
 		d.Steps = d.Steps[:1]
-		d.Steps[0].LongRunning, d.Steps[0].MilliCpu = true, 500
+		p := d.Steps[0]
+		p.LongRunning, p.MilliCpu, p.Count = true, 500, min(p.GetCount(), 4)
+		p.AntiAffinity, p.MayMiss = 1, 1
 	}
 	if w.rand.IntN(6) == 0 {
 		p := d.Steps[w.rand.IntN(len(d.Steps))]
@@ -244,7 +257,7 @@
 
 // beat has an upstream write its entry in the list.
 func (w *World) beat(u *upstream) {
-	if !u.down && w.net.open(u.machine, _store, w.now) && (w.fault.only != nil || w.fault.down <= w.now) {
+	if !u.down && u.report.ID != "" && w.net.open(u.machine, _store, w.now) && (w.fault.only != nil || w.fault.down <= w.now) {
 		r := u.report
 		r.ClockMs = u.clockMs()
 		w.heard[r.ID] = heard{r, w.now}
