--- a/standin/emulator/cloud.go
+++ b/standin/emulator/cloud.go
@@ -16,8 +16,8 @@
 	_upkeep = 2 * time.Second
 )
 
-// machine is what the cloud interface knows of the host of an upstream.
-type machine struct {
+// host is what the cloud interface knows of the host of an upstream.
+type host struct {
 	pool  string
 	state platform.MachineState
 	// token is the highest that an order had.
@@ -27,7 +27,7 @@
 }
 
 // hostIn returns a host that is up in a pool.
-func hostIn(pool string) machine { return machine{pool: pool, state: platform.MachineUp} }
+func hostIn(pool string) host { return host{pool: pool, state: platform.MachineUp} }
 
 // machines lists all hosts.
 func (w *World) machines() []platform.Machine {
--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -108,17 +108,17 @@
 			return
 		}
 		s.view.Machines, s.view.ListedAt = l, sent
-		s.load2(func() {
+		s.measure(func() {
 			s.step()
 			if s.plan.Begun() {
-				s.load2(s.step)
+				s.measure(s.step)
 			}
 		})
 	})
 }
 
-// load2 asks the owner for its load, tells it what is planned, and goes on.
-func (s *shift) load2(then func()) {
+// measure asks the owner for its load, tells it what is planned, and goes on.
+func (s *shift) measure(then func()) {
 	w, e := s.entry.world, s.entry
 	s.asked++
 	q := s.plan.Wishes(e.time(), _pool)
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -31,7 +31,7 @@
 	since time.Duration
 	rate  float64
 	down  bool
-	host  machine
+	host  host
 
 	token    int64
 	deadline int64
