node: the planner of hosts looks for a pool's owner anew when it asks the wrong entry

A pool goes to its new owner some time after the generation has changed; the planner's entry had asked for the owners at the change, and went on asking the former one, which said each time that it isn't the owner. Callers' requests look for the owner anew then, the planner's questions didn't. Ruled out: the check that the duty is confirmed (no order was held back by it), the load's time-out (the owner was never asked). Change: a question that came to the wrong entry has the owners asked for anew.

--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -263,7 +263,13 @@
 			c, cancel := context.WithTimeout(ctx, _loadTimeout)
 			defer cancel()
 			// Who doesn't answer at once is asked again in the next round.
-			s.view.Pools[i].Load = s.node.askOnce(c, q).GetLoad()
+			a := s.node.askOnce(c, q)
+			if a.GetOutcome() == link.Outcome_OUTCOME_NOT_OWNER {
+				// A pool goes to its new owner after the change of the group that
+				// was heard of.
+				s.node.group.Refresh(ctx)
+			}
+			s.view.Pools[i].Load = a.GetLoad()
 		})
 	}
 	wg.Wait()
