--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -63,7 +64,7 @@
 		default:
 			pause = _pause
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -110,15 +111,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/internal/follow/follower.go
+++ b/entry/internal/follow/follower.go
@@ -14,6 +14,7 @@
 	"fescuelanding/fleet"
 	"fescuelanding/fleet/platform"
 	"fescuelanding/fleet/record"
+	"fescuelanding/fleet/wait"
 )
 
 const (
@@ -53,7 +54,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.warn("Log can't be read.", err)
-			pause(ctx, _pause)
+			wait.For(ctx, _pause)
 		}
 	}
 }
@@ -185,13 +186,3 @@
 		f.Log.Warn(what, "err", err)
 	}
 }
-
-// pause waits, or returns as soon as the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fescuelanding/entry/member"
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -88,7 +89,7 @@
 // long as there are larger ones.
 func (g *Group) Run(ctx context.Context) {
 	if g.size < _large {
-		sleep(ctx, _patience)
+		wait.For(ctx, _patience)
 		for lacking := 0; ctx.Err() == nil; {
 			if lacking++; !g.Refresh(ctx) || g.larger() >= _enough {
 				lacking = 0
@@ -96,7 +97,7 @@
 			if lacking == _lacking {
 				break
 			}
-			sleep(ctx, _observe)
+			wait.For(ctx, _observe)
 		}
 	}
 	t := time.NewTimer(0)
@@ -108,7 +109,7 @@
 		case <-t.C:
 		case <-g.nudge:
 			// Several changes often come together.
-			sleep(ctx, _nudgePause)
+			wait.For(ctx, _nudgePause)
 		}
 		pause := _interval
 		if err := g.join(ctx); err != nil {
@@ -128,15 +129,6 @@
 // in the store.
 const _nudgePause = 10 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Nudge has the entry join again at once.
 func (g *Group) Nudge() {
 	select {
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"fescuelanding/entry/scheduler"
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -142,13 +143,7 @@
 
 // sleep pauses for longer each time, and reports whether ctx goes on.
 func sleep(ctx context.Context, pause *time.Duration) bool {
-	t := time.NewTimer(*pause)
-	defer t.Stop()
-	*pause = min(2**pause, _maxPause)
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	d := *pause
+	*pause = min(2*d, _maxPause)
+	return wait.For(ctx, d)
 }
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -10,6 +10,7 @@
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/member"
 	"fescuelanding/entry/scheduler"
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -236,15 +237,11 @@
 		default:
 			return a
 		}
-		t := time.NewTimer(_retryOwner)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !wait.For(ctx, _retryOwner) {
 			if sent {
 				return &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN}
 			}
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: 1000}
-		case <-t.C:
 		}
 		if !n.group.Refresh(ctx) && !sent {
 			// Who owns the pool now can't be learned here, but at other entries.
--- a/entry/internal/node/reload.go
+++ b/entry/internal/node/reload.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -32,7 +33,7 @@
 func (n *Node) watchBoot(ctx context.Context) {
 	seen := modified()
 	for ctx.Err() == nil {
-		pause(ctx, _bootInterval)
+		wait.For(ctx, _bootInterval)
 		if m := modified(); !m.Equal(seen) {
 			seen = m
 			n.Reload()
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -12,6 +12,7 @@
 
 	"fescuelanding/entry/hostplan"
 	"fescuelanding/entry/link"
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -86,16 +87,7 @@
 		if token > 0 && w.node.config.Load() != nil {
 			w.hold(ctx, token)
 		}
-		pause(ctx, _planInterval)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, _planInterval)
 	}
 }
 
@@ -135,7 +127,7 @@
 	s.records = newRecorder(s.record)
 	go s.records.run(ctx)
 	for ctx.Err() == nil && w.node.pools.waveToken() == token && !s.load(ctx) {
-		pause(ctx, _planInterval)
+		wait.For(ctx, _planInterval)
 	}
 	t := time.NewTicker(_planInterval)
 	defer t.Stop()
@@ -434,7 +426,7 @@
 			return
 		}
 		s.node.log.Info("Record was not appended.", "topic", platform.TopicStatus, "key", r.Key, "err", err)
-		pause(ctx, _planInterval)
+		wait.For(ctx, _planInterval)
 	}
 }
 
--- a/entry/peer/dial.go
+++ b/entry/peer/dial.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"fescuelanding/fleet/wait"
 )
 
 const (
@@ -93,7 +95,7 @@
 			entry = name
 			continue
 		}
-		pause(ctx, b.NextBackOff())
+		wait.For(ctx, b.NextBackOff())
 	}
 }
 
@@ -104,15 +106,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // connect dials a peer and returns its name once a link with it stands,
 // whichever side dialled it. The link is served in the background.
 func (s *Set) connect(ctx context.Context, t target) (string, error) {
--- a/fleet/platform/record.go
+++ b/fleet/platform/record.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"fescuelanding/fleet/wait"
 )
 
 // AppendRecord appends a record that carries an id of its own, and tries until
@@ -34,7 +36,7 @@
 		if a.final(err) {
 			return 0, a.outcome(err)
 		}
-		if !sleep(ctx, max(b.NextBackOff(), retryAfter(err))) {
+		if !wait.For(ctx, max(b.NextBackOff(), retryAfter(err))) {
 			return 0, a.outcome(err)
 		}
 	}
@@ -106,15 +108,3 @@
 	}
 	return 0
 }
-
-// sleep waits and returns true, or false as soon as the context ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
