scheduler: one walk for the longest chain; state that nothing raised is gone

chain and remaining walked the same steps; both call longestChain. host.acked was only ever set to zero, so that a comparison with it was one with zero. When failed advice is asked for again stood in what was learned of durations, with a minimum of its own; it is a waker beside the other times.

--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -179,19 +179,10 @@
 
 // chain returns the longest chain of work of a job.
 func (s *Scheduler) chain(j *job) time.Duration {
-	end := make([]time.Duration, len(j.def.GetSteps()))
-	longest := time.Duration(0)
-	for i, d := range j.def.GetSteps() {
-		for _, a := range d.GetAfter() {
-			end[i] = max(end[i], end[a])
-		}
-		if !d.GetLongRunning() {
-			q := j.def.GetQueue()
-			end[i] += s.learned.last(q, d, s.learned.duration(q, d))
-		}
-		longest = max(longest, end[i])
-	}
-	return longest
+	q, steps := j.def.GetQueue(), j.def.GetSteps()
+	return longestChain(steps, func(i int) time.Duration {
+		return s.learned.last(q, steps[i], s.learned.duration(q, steps[i]))
+	})
 }
 
 // objective returns how soon a job should be done.
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -43,8 +43,8 @@
 	anew bool
 
 	// seen is the highest end that was taken in, durable the highest that was
-	// appended, acked the highest that the upstream may have forgotten.
-	seen, durable, acked int64
+	// appended.
+	seen, durable int64
 	// telling is the highest end that says how far a job is: done or failed.
 	telling int64
 
--- a/entry/scheduler/learn.go
+++ b/entry/scheduler/learn.go
@@ -15,8 +15,6 @@
 	// spread is by how many times the last task of a step takes longer than its
 	// tasks do on average, by queue.
 	spread map[string]*average
-	// retry is when the scheduler has to look again at what it put off.
-	retry time.Time
 }
 
 func newLearned() learned {
@@ -128,13 +126,6 @@
 	return one
 }
 
-// retryAt asks for another look at a time.
-func (l *learned) retryAt(t time.Time) {
-	if l.retry.IsZero() || t.Before(l.retry) {
-		l.retry = t
-	}
-}
-
 // record encodes what is known by queue.
 func (l *learned) record() *work.Learned {
 	m := &work.Learned{Queues: make(map[string]*work.Trend, len(l.byQueue))}
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -89,7 +89,7 @@
 		// Its lease was named on the former life's clock; the longest is granted.
 		h.deadlineMs = l.ClockMs + max(s.set.HoldMax, _lease).Milliseconds()
 	}
-	h.seen, h.durable, h.acked, h.telling, h.failed = 0, 0, 0, 0, 0
+	h.seen, h.durable, h.telling, h.failed = 0, 0, 0, 0
 	h.health = health{}
 	h.lookDue = now
 	delete(s.journal.ends, h)
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -18,7 +18,9 @@
 	if !h.listed {
 		return true // Whether it is still there decides if it is forgotten.
 	}
-	return h.durable > h.acked && h.failed == 0
+	// One that ran something is looked at while idle, too: while the list lacks it, its
+	// last look tells whether it is used.
+	return h.durable > 0
 }
 
 // _lookAgain is the pause between looks that list the same ends, while the
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -224,7 +224,7 @@
 				s.replan = true
 				if e.Err != nil {
 					st.tickets.askAt = now.Add(_retryAdvice)
-					s.learned.retryAt(st.tickets.askAt)
+					s.advice.at(st.tickets.askAt)
 					s.note("Advice failed.", j.def.GetId(), "step", e.Step, "err", e.Err)
 					return
 				}
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -42,14 +42,30 @@
 
 // remaining predicts how long an occurrence takes if all its tasks run at once.
 func (s *Scheduler) remaining(o *occurrence) time.Duration {
-	var end [_maxChain]time.Duration
+	q, n := o.job.def.GetQueue(), min(len(o.steps), _maxChain)
+	return longestChain(o.job.def.GetSteps()[:n], func(i int) time.Duration {
+		if o.steps[i].left <= 0 {
+			return 0
+		}
+		return s.learned.last(q, o.steps[i].def, s.expect(o.steps[i]))
+	})
+}
+
+// longestChain returns the longest time that steps take one after another, by what
+// each takes. Those that last take none.
+func longestChain(steps []*work.Step, takes func(i int) time.Duration) time.Duration {
+	var few [_maxChain]time.Duration
+	end := few[:]
+	if len(steps) > len(few) {
+		end = make([]time.Duration, len(steps))
+	}
 	longest := time.Duration(0)
-	for i, st := range o.steps[:min(len(o.steps), _maxChain)] {
-		for _, a := range st.def.GetAfter() {
+	for i, d := range steps {
+		for _, a := range d.GetAfter() {
 			end[i] = max(end[i], end[a])
 		}
-		if st.left > 0 && !st.def.GetLongRunning() {
-			end[i] += s.learned.last(o.job.def.GetQueue(), st.def, s.expect(st))
+		if !d.GetLongRunning() {
+			end[i] += takes(i)
 		}
 		longest = max(longest, end[i])
 	}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	demand   demand
 	// first is when a caller handed a job in that was refused.
 	first firstSeen
+	// advice is when advice that failed is asked for again.
+	advice waker
 	// placedAt is when tasks were placed last.
 	placedAt time.Time
 	// placed are starts that are yet to be noted.
@@ -174,8 +176,8 @@
 		s.expire(now, h)
 	}
 	s.occur(now)
-	if t := s.learned.retry; !t.IsZero() && !now.Before(t) {
-		s.learned.retry, s.replan = time.Time{}, true
+	if t := s.advice.time; !t.IsZero() && !now.Before(t) {
+		s.advice, s.replan = waker{}, true
 	}
 	if s.replan && s.mayOrder(now) && !now.Before(s.nextPlace()) {
 		s.replan = false
@@ -233,7 +235,7 @@
 	if len(s.past) > 0 {
 		w.at(s.past[0].endedAt.Add(s.set.Status))
 	}
-	w.at(s.learned.retry)
+	w.at(s.advice.time)
 	return w.time
 }
 
