scheduler: callers of a lost pool are answered in one order

Cause: three of a hundred emulator seeds (90, 97, 98) gave different histories from one play to the next, though a seed is to give one: an owner that lost its pool answered those who waited in the order of a map. Change: in the order of arrival.

--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/entry/link"
@@ -290,12 +291,9 @@
 	}
 	s.lost = true
 	s.note("Pool lost to a later owner.", "", "token", s.set.Token, "refusedBy", by)
-	for _, j := range s.jobs {
+	for _, j := range slices.Concat(s.active, s.past) {
 		// Whether the later owner knows the job can't be told.
-		for _, r := range j.waiting {
-			s.reply(r, &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN})
-		}
-		for _, r := range j.cancelling {
+		for _, r := range slices.Concat(j.waiting, j.cancelling) {
 			s.reply(r, &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN})
 		}
 	}
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -32,13 +32,19 @@
 	}
 }
 
-// TestOneHistory plays a seed twice: the histories are the same.
+// TestOneHistory plays some seeds three times each: the histories are the same. In 90,
+// 97 and 98 an owner loses the pool while several callers wait.
 func TestOneHistory(t *testing.T) {
-	var a, b strings.Builder
-	emulator.New(emulator.Settings{Seed: 5, Trace: &a}).Run()
-	emulator.New(emulator.Settings{Seed: 5, Trace: &b}).Run()
-	assert.Equal(t, a.String(), b.String())
-	assert.Assert(t, strings.Contains(a.String(), "done"), fmt.Sprintf("%d bytes", a.Len()))
+	for _, seed := range []uint64{5, 90, 97, 98} {
+		var first strings.Builder
+		emulator.New(emulator.Settings{Seed: seed, Trace: &first}).Run()
+		assert.Assert(t, strings.Contains(first.String(), "done"), fmt.Sprintf("%d bytes", first.Len()))
+		for range 2 {
+			var again strings.Builder
+			emulator.New(emulator.Settings{Seed: seed, Trace: &again}).Run()
+			assert.Assert(t, first.String() == again.String(), "seed %d", seed)
+		}
+	}
 }
 
 // BenchmarkTurn plays a queue's turn on a large pool: 150 jobs a second, with room for
