member, scheduler: the emulator plays the numbering and the hand-over of the product

The emulator had its own copies of what an answer to an append means, of who has to join when a partition changes hands, and of the membership's times, with small differences: it paused 150 ms after a failed join (100 ms in the product), and looked at one partition only when it told others. Behaviour of the entry is the same.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -20,11 +20,6 @@
 const (
 	_group = "entries"
 	_topic = "pools"
-	// _ttl is how long a silent member keeps its partitions: a takeover begins
-	// this long after an entry died, and a pause of half of it is harmless.
-	_ttl = 1100 * time.Millisecond
-	// _interval is between joins; two may be lost within _ttl.
-	_interval = 300 * time.Millisecond
 	// _timeout of a call. A slow store answers within a quarter second.
 	_timeout = 600 * time.Millisecond
 	// _refresh is the least time between two questions after the owners.
@@ -69,13 +64,10 @@
 	asked      time.Time
 	asking     chan struct{}
 	// heard is set where the store answered the last question after the owners.
-	heard   bool
-	failing bool
-	held    []int
-	// giving is set while the store has not been told that partitions were given up: the
-	// next join does that.
-	giving bool
-	nudge  chan struct{}
+	heard    bool
+	failing  bool
+	handover member.Handover
+	nudge    chan struct{}
 }
 
 // New returns the membership of an entry of some size, in thousandths of a core,
@@ -109,26 +101,14 @@
 		case <-t.C:
 		case <-g.nudge:
 			// Several changes often come together.
-			wait.For(ctx, _nudgePause)
-		}
-		pause := _interval
-		if err := g.join(ctx); err != nil {
-			pause = _interval / 3
-			g.trouble(err)
-		} else {
-			g.trouble(nil)
-			if g.giving {
-				pause = 0
-			}
+			wait.For(ctx, member.NudgePause)
 		}
+		pause, err := g.join(ctx)
+		g.trouble(err)
 		t.Reset(pause)
 	}
 }
 
-// _nudgePause is how long an entry that was nudged waits for the change to be
-// in the store.
-const _nudgePause = 10 * time.Millisecond
-
 // Nudge has the entry join again at once.
 func (g *Group) Nudge() {
 	select {
@@ -145,16 +125,17 @@
 	g.OnTrouble(err)
 }
 
-func (g *Group) join(ctx context.Context) error {
+// join enters the group, or stays in it, and returns when to join again.
+func (g *Group) join(ctx context.Context) (time.Duration, error) {
 	c, cancel := context.WithTimeout(ctx, _timeout)
 	defer cancel()
 	g.mu.Lock()
 	n := g.generation
 	g.mu.Unlock()
 	sent := time.Now()
-	m, err := g.store.Join(c, _group, g.member, _topic, max(_ttl, time.Second), n)
+	m, err := g.store.Join(c, _group, g.member, _topic, member.TTL, n)
 	if err != nil {
-		return fmt.Errorf("join: %w", err)
+		return member.RetryInterval, fmt.Errorf("join: %w", err)
 	}
 	g.mu.Lock()
 	changed := m.Generation != g.generation
@@ -165,16 +146,14 @@
 	}
 	slices.Sort(m.Partitions)
 	g.OnChange(member.Change{Generation: m.Generation, Partitions: m.Partitions, Confirmed: sent})
-	released := slices.ContainsFunc(g.held, func(k int) bool { return !slices.Contains(m.Partitions, k) })
-	g.held = m.Partitions
-	switch {
-	case released:
-		g.giving = true
-	case g.giving || n == 0:
-		g.giving = false
+	again, nudge := g.handover.Joined(m.Partitions)
+	if nudge {
 		g.OnMoved()
 	}
-	return nil
+	if again {
+		return 0, nil
+	}
+	return member.Interval, nil
 }
 
 // Leave gives the partitions back at once.
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -35,12 +35,11 @@
 
 // Journal is the part of the topic that belongs to a pool.
 type Journal struct {
-	store *platform.Store
-	pool  string
-	part  int
-	epoch int64
-	// next is the sequence number of the next append.
-	next int64
+	store   *platform.Store
+	pool    string
+	part    int
+	epoch   int64
+	numbers scheduler.Numbering
 }
 
 // New returns the journal of a pool for the owner with a token.
@@ -97,24 +96,16 @@
 // store or ctx has ended.
 func (j *Journal) Append(ctx context.Context, records []platform.Record) error {
 	pause := _firstPause
-	unsure := false
 	for {
 		err := j.try(ctx, records)
-		switch {
-		case err == nil:
-			j.next++
+		switch j.numbers.Answered(err) {
+		case scheduler.AttemptDone:
 			return nil
-		case platform.Reason(err) == "seq":
-			if done := j.resync(err, unsure); done {
-				return nil
-			}
+		case scheduler.AttemptAgain:
 			continue
-		case platform.Status(err) == http.StatusConflict:
-			return fmt.Errorf("append: %w", err)
-		case platform.Status(err) == 0:
-			unsure = true
-		case !unsure:
+		case scheduler.AttemptRefused:
 			return fmt.Errorf("append: %w", err)
+		case scheduler.AttemptLater:
 		}
 		if !sleep(ctx, &pause) {
 			return fmt.Errorf("append: %w", err)
@@ -122,22 +113,10 @@
 	}
 }
 
-// resync takes the sequence number that the store expects, and reports whether
-// that shows that an attempt without an answer was carried out.
-func (j *Journal) resync(err error, unsure bool) bool {
-	var e *platform.Error
-	if !errors.As(err, &e) {
-		return false
-	}
-	was := j.next
-	j.next = e.Expected
-	return unsure && e.Expected == was+1
-}
-
 func (j *Journal) try(ctx context.Context, records []platform.Record) error {
 	c, cancel := context.WithTimeout(ctx, _timeout)
 	defer cancel()
-	p := platform.Producer{Name: j.pool, Epoch: j.epoch, Sequence: j.next}
+	p := platform.Producer{Name: j.pool, Epoch: j.epoch, Sequence: j.numbers.Next()}
 	return j.store.Append(c, _topic, j.part, p, records)
 }
 
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -150,16 +150,12 @@
 	return p.shares.Token(_wavePartition)
 }
 
-// _fresh is how old the store's word may be for an order about a host: it deals the
-// partitions of a silent member anew after 1.1 s.
-const _fresh = time.Second
-
 // fresh reports whether the store has confirmed lately what is held here. It goes by
 // the time of day, as the steady clock stands while the process is suspended.
 func (p *pools) fresh(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Round(0).Sub(p.shares.Confirmed().Round(0)) < _fresh
+	return now.Round(0).Sub(p.shares.Confirmed().Round(0)) < member.Fresh
 }
 
 // loseWaves notes that a host has heard of a later planner than the one with a token.
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"fescuelanding/entry/member"
@@ -11,14 +10,8 @@
 )
 
 const (
-	// _ttl, _joinPause and _joinRetry are those of an entry's membership, and
-	// _storeTimeout when it takes a call to be unanswered.
-	_ttl          = 1100 * time.Millisecond
-	_joinPause    = 300 * time.Millisecond
-	_joinRetry    = 150 * time.Millisecond
+	// _storeTimeout is when an entry takes a call to the store to be unanswered.
 	_storeTimeout = 600 * time.Millisecond
-	// _nudgePause is how long an entry that was nudged waits.
-	_nudgePause = 10 * time.Millisecond
 	// _listPause is between reads of the list of upstreams.
 	_listPause = 400 * time.Millisecond
 	// _partition is that of the pool.
@@ -43,10 +36,8 @@
 
 	shares     member.Shares
 	generation int64
-	held       []int
+	handover   member.Handover
 	joining    bool
-	// giving is set while the store hasn't been told that the pool was given up.
-	giving bool
 	// confirmed is when the call was sent that confirmed its shares, by the time of
 	// day, which goes on while it is frozen.
 	confirmed time.Duration
@@ -105,7 +96,8 @@
 func (e *entry) start() {
 	e.life++
 	e.up, e.frozen = true, 0
-	e.shares, e.generation, e.held, e.joining, e.giving, e.owner, e.shift = member.Shares{}, 0, nil, false, false, nil, nil
+	e.shares, e.handover, e.generation, e.joining = member.Shares{}, member.Handover{}, 0, false
+	e.owner, e.shift = nil, nil
 	e.world.say("%s starts", e.name)
 	e.loop()
 	e.list()
@@ -167,9 +159,9 @@
 // loop joins the group again and again.
 func (e *entry) loop() {
 	e.join(func(ok bool) {
-		pause := _joinPause
+		pause := member.Interval
 		if !ok {
-			pause = _joinRetry
+			pause = member.RetryInterval
 		}
 		e.after(pause, e.loop)
 	})
@@ -177,7 +169,7 @@
 
 // nudge has the entry join at once.
 func (e *entry) nudge() {
-	e.after(_nudgePause, func() { e.join(func(bool) {}) })
+	e.after(member.NudgePause, func() { e.join(func(bool) {}) })
 }
 
 func (e *entry) nudgeOthers() {
@@ -194,8 +186,8 @@
 		return
 	}
 	e.joining = true
-	sent, sentAt, first := e.time(), e.world.now, e.generation == 0
-	m := serve.Member{Group: _group, Name: e.member(), TTL: _ttl, Generation: e.generation}
+	sent, sentAt := e.time(), e.world.now
+	m := serve.Member{Group: _group, Name: e.member(), TTL: member.TTL, Generation: e.generation}
 	call(e, _store, _storeTimeout, func(answer func(platform.Membership, error)) {
 		if err := e.world.refusal(e.name); err != nil {
 			answer(platform.Membership{}, err)
@@ -214,16 +206,13 @@
 		e.generation, e.confirmed = a.Generation, sentAt
 		e.shares.Deal(member.Change{Generation: a.Generation, Partitions: a.Partitions, Confirmed: sent})
 		e.settle()
-		released := slices.Contains(e.held, _partition) && !slices.Contains(a.Partitions, _partition)
-		e.held = a.Partitions
-		switch {
-		case released:
-			e.giving = true
-			e.after(0, e.nudge)
-		case e.giving || first:
-			e.giving = false
+		again, nudge := e.handover.Joined(a.Partitions)
+		if nudge {
 			e.nudgeOthers()
 		}
+		if again {
+			e.after(0, func() { e.join(func(bool) {}) })
+		}
 		then(true)
 	})
 }
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -31,11 +30,10 @@
 	ended bool
 	wake  time.Time
 	// early counts the wakes in a row that were asked for at a time that was past.
-	early int
-	// sequence of the next append.
-	sequence int64
-	last     scheduler.Ref
-	waiting  map[scheduler.Ref]func(*link.Answer)
+	early   int
+	numbers scheduler.Numbering
+	last    scheduler.Ref
+	waiting map[scheduler.Ref]func(*link.Answer)
 }
 
 // _maxEarly is how many such wakes in a row are no harm.
@@ -96,7 +94,7 @@
 			f(op.Answer)
 		}
 	case scheduler.Append:
-		o.append(op, false)
+		o.append(op)
 	case scheduler.Look:
 		o.look(op)
 	case scheduler.Start:
@@ -146,7 +144,7 @@
 	w, e := o.entry.world, o.entry
 	a := serve.Append{
 		Topic: _topic, Records: records,
-		Producer: platform.Producer{Name: _pool, Epoch: o.token, Sequence: o.sequence},
+		Producer: platform.Producer{Name: _pool, Epoch: o.token, Sequence: o.numbers.Next()},
 	}
 	call(e, _store, _appendTimeout, func(answer func(serve.Refusal, error)) {
 		if err := w.refusal(e.name); err != nil {
@@ -215,29 +213,22 @@
 }
 
 // append adds a batch, until its outcome is known.
-func (o *owner) append(a scheduler.Append, unsure bool) {
+func (o *owner) append(a scheduler.Append) {
 	o.tell(a.Records, func(err error) {
-		var e *platform.Error
-		switch {
-		case err == nil:
-			o.sequence++
-		case platform.Reason(err) == "seq" && errors.As(err, &e):
-			was := o.sequence
-			o.sequence = e.Expected
-			if !unsure || e.Expected != was+1 {
-				o.append(a, unsure)
-				return
-			}
+		switch o.numbers.Answered(err) {
+		case scheduler.AttemptDone:
 			err = nil
-		case platform.Status(err) == http.StatusConflict:
-		case platform.Status(err) == 0 || unsure:
-			unsure = unsure || platform.Status(err) == 0
+		case scheduler.AttemptAgain:
+			o.append(a)
+			return
+		case scheduler.AttemptLater:
 			o.entry.after(_appendPause, func() {
 				if o.entry.owner == o {
-					o.append(a, unsure)
+					o.append(a)
 				}
 			})
 			return
+		case scheduler.AttemptRefused:
 		}
 		o.post(scheduler.Appended{Batch: a.Batch, Err: err})
 	})
--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -9,6 +9,7 @@
 
 	"fescuelanding/entry/hostplan"
 	"fescuelanding/entry/link"
+	"fescuelanding/entry/member"
 	"fescuelanding/entry/scheduler"
 	"fescuelanding/platform"
 	"fescuelanding/platform/serve"
@@ -22,10 +23,8 @@
 	_cloudTimeout = time.Second
 	_loadTimeout  = 150 * time.Millisecond
 	_cloudLease   = 3 * time.Second
-	// _fresh is how old the store's word may be for an order about a host.
-	_fresh       = time.Second
-	_upkeepTopic = "keyed.upkeep"
-	_orderKey    = "order/"
+	_upkeepTopic  = "keyed.upkeep"
+	_orderKey     = "order/"
 )
 
 // shift is the time for which an entry plans for the hosts.
@@ -205,7 +204,7 @@
 		name, wave = op.Machine, op.Wave
 		pool = w.at(name).host.pool
 	}
-	if recorded != nil || w.now-e.confirmed >= _fresh {
+	if recorded != nil || w.now-e.confirmed >= member.Fresh {
 		s.plan.Ordered(e.time(), name, hostplan.Unsent)
 		return
 	}
