--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -141,12 +141,18 @@
 	f.verdict(w, r, a)
 }
 
-func (f *Front) state(ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue, id string) {
-	c := &link.Call{Pool: q.Pool, Body: &link.Call_State{State: &link.State{Id: id}}}
+// find asks after a job that was handed in, wherever it is.
+func (f *Front) find(ctx context.Context, c *link.Call) *link.Answer {
 	a := f.Ask(ctx, c)
 	if a.GetOutcome() == link.Outcome_OUTCOME_GONE {
 		a = f.Locate(ctx, c)
 	}
+	return a
+}
+
+func (f *Front) state(ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue, id string) {
+	c := &link.Call{Pool: q.Pool, Body: &link.Call_State{State: &link.State{Id: id}}}
+	a := f.find(ctx, c)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		answer(w, platform.StateBody(_states[a.GetState()]))
 		return
@@ -164,10 +170,7 @@
 
 func (f *Front) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue, id string) {
 	c := &link.Call{Pool: q.Pool, Body: &link.Call_Cancel{Cancel: &link.Cancel{Id: id}}}
-	a := f.Ask(ctx, c)
-	if a.GetOutcome() == link.Outcome_OUTCOME_GONE {
-		a = f.Locate(ctx, c)
-	}
+	a := f.find(ctx, c)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		answer(w, []byte("{}"))
 		return
