emulator: what a run's start tells isn't kept twice

A run repeated its task's size and times and its start; six methods each struck one entry if there was one; acknowledged and forgotten ends were looked for by the same loop; some parameters and a field were read by nobody. Eight traced histories are the same to the byte before and after.

--- a/standin/emulator/cloud.go
+++ b/standin/emulator/cloud.go
@@ -22,8 +22,6 @@
 	state platform.MachineState
 	// token is the highest that an order had.
 	token int64
-	// wave is the one that the host is down for.
-	wave int64
 }
 
 // hostIn returns a host that is up in a pool.
@@ -58,11 +56,11 @@
 	w.say("%s orders %s to %s, wave %d", by, u.name(), pool, wave)
 	d, state := _move, platform.MachineMoving
 	if wave > 0 {
-		w.ledger.upkeep(wave, u)
+		w.ledger.upkeep(u)
 		d, state = _upkeep, platform.MachineUpkeep
 	}
 	w.ledger.evict(u, by)
-	u.host.state, u.host.pool, u.host.wave = state, pool, wave
+	u.host.state, u.host.pool = state, pool
 	w.life(u, d, false)
 	return nil
 }
@@ -74,7 +72,7 @@
 	u.begin(old)
 	u.down = true
 	w.after(back, func() {
-		u.host.state, u.host.wave = platform.MachineUp, 0
+		u.host.state = platform.MachineUp
 		switch {
 		case u.host.pool == _spare:
 			u.report.ID = ""
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -15,19 +15,19 @@
 	again := w.rand.IntN(2) == 0
 	faults := []func(){
 		func() { e.kill(back) },
-		func() { w.killOwner(back) },
+		func() { w.holder().suffer(func(e *entry) { e.kill(back) }) },
 		func() { w.killAll(back) },
 		func() { e.terminate(back) },
 		func() { e.freeze(d) },
-		func() { w.freezeOwner(d) },
+		func() { w.holder().suffer(func(e *entry) { e.freeze(d) }) },
 		func() { w.cutStore(e, d) },
-		func() { w.cutStoreOwner(d) },
+		func() { w.holder().suffer(func(e *entry) { w.cutStore(e, d) }) },
 		func() { w.cutLink(e, u, d) },
-		func() { w.cutOwner(u, d) },
+		func() { w.holder().suffer(func(e *entry) { w.cutLink(e, u, d) }) },
 		func() { w.dark(u, d) },
 		func() { w.crash(u, back, again) },
-		func() { w.killPlanner(back) },
-		func() { w.freezePlanner(d) },
+		func() { w.planner().suffer(func(e *entry) { e.kill(back) }) },
+		func() { w.planner().suffer(func(e *entry) { e.freeze(d) }) },
 		func() { w.storeDown(d, nil) },
 		func() { w.storeDown(d, map[string]bool{e.name: true}) },
 		func() { w.storeForgets(d) },
@@ -39,9 +39,10 @@
 	return faults[w.rand.IntN(len(faults))]
 }
 
-func (w *World) killOwner(back time.Duration) {
-	if e := w.holder(); e != nil {
-		e.kill(back)
+// suffer has a fault strike an entry, if there is one.
+func (e *entry) suffer(fault func(*entry)) {
+	if e != nil {
+		fault(e)
 	}
 }
 
@@ -51,24 +52,6 @@
 	}
 }
 
-func (w *World) freezeOwner(d time.Duration) {
-	if e := w.holder(); e != nil {
-		e.freeze(d)
-	}
-}
-
-func (w *World) cutStoreOwner(d time.Duration) {
-	if e := w.holder(); e != nil {
-		w.cutStore(e, d)
-	}
-}
-
-func (w *World) cutOwner(u *upstream, d time.Duration) {
-	if e := w.holder(); e != nil {
-		w.cutLink(e, u, d)
-	}
-}
-
 // cutStore cuts an entry off the store.
 func (w *World) cutStore(e *entry, d time.Duration) {
 	w.say("%s is cut off the store for %v", e.name, d)
@@ -104,18 +87,6 @@
 	w.life(u, back, sameID)
 }
 
-func (w *World) killPlanner(back time.Duration) {
-	if e := w.planner(); e != nil {
-		e.kill(back)
-	}
-}
-
-func (w *World) freezePlanner(d time.Duration) {
-	if e := w.planner(); e != nil {
-		e.freeze(d)
-	}
-}
-
 // storeDown has the store refuse calls, of some entries or of all.
 func (w *World) storeDown(d time.Duration, only map[string]bool) {
 	w.say("store is down for %v, for %v", d, only)
--- a/standin/emulator/gang.go
+++ b/standin/emulator/gang.go
@@ -31,7 +31,7 @@
 
 // join adds a member; the last has all work, and end, together.
 func (w *World) join(u *upstream, r *run, t *taskRecord) {
-	k := gangKey{platform.StepName(t.name.Job, t.name.Occurrence, t.name.Step), r.number}
+	k := gangKey{platform.StepName(t.name.Job, t.name.Occurrence, t.name.Step), r.entry.number}
 	g := w.gangs[k]
 	if g == nil {
 		g = &gang{world: w, need: int(t.def.GetCount())}
@@ -45,7 +45,7 @@
 	}
 	if len(g.members) == g.need {
 		g.began = true
-		w.after(r.lasts, func() { g.finish(r.fails) })
+		w.after(t.lasts, func() { g.finish(r.fails) })
 		return
 	}
 	w.after(_gangTimeout, func() {
@@ -70,8 +70,8 @@
 	}
 }
 
-// ended has the others end as well.
-func (g *gang) ended(platform.End) {
+// breakUp has the others end as one has.
+func (g *gang) breakUp() {
 	if g.over {
 		return
 	}
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -234,7 +234,7 @@
 }
 
 // upkeep checks that no more hosts of a wave are down than may be.
-func (l *ledger) upkeep(_ int64, u *upstream) {
+func (l *ledger) upkeep(u *upstream) {
 	down := 0
 	for _, o := range l.world.upstreams {
 		if o != u && o.host.state == platform.MachineUpkeep {
@@ -246,33 +246,30 @@
 	}
 }
 
-func (l *ledger) stop(s *started, at time.Duration, how platform.End) {
-	s.over, s.how = at, how
+// stop notes that a run is over.
+func (l *ledger) stop(s *started, how platform.End) {
+	s.over, s.how = l.world.now, how
 	l.world.say("%s %s: %v", s.task.name, how, s)
 }
 
-// end notes an end that an upstream lists.
-func (l *ledger) end(s *started, _ *upstream, e platform.Ended) { l.stop(s, l.world.now, e.End) }
+// listed returns the start whose end an upstream lists.
+func (l *ledger) listed(u *upstream, e platform.Ended) *started {
+	all := l.tasks[e.Task].starts
+	i := slices.IndexFunc(all, func(s *started) bool { return s.number == e.Run && s.on == u.name() })
+	return all[i]
+}
 
 // ack notes that an upstream was told to forget an end. One before the lease ran
 // out doesn't count: the task may run elsewhere by then.
 func (l *ledger) ack(u *upstream, e platform.Ended) {
-	for _, s := range l.tasks[e.Task].starts {
-		if s.number == e.Run && s.on == u.name() && !s.forgotten && u.lapsed < s.over {
-			s.noted = true
-		}
+	if s := l.listed(u, e); !s.forgotten && u.lapsed < s.over {
+		s.noted = true
 	}
 }
 
 // forget notes that an end is lost with its upstream's life: nobody had to know
 // of it.
-func (l *ledger) forget(u *upstream, e platform.Ended) {
-	for _, s := range l.tasks[e.Task].starts {
-		if s.number == e.Run && s.on == u.name() {
-			s.forgotten = true
-		}
-	}
-}
+func (l *ledger) forget(u *upstream, e platform.Ended) { l.listed(u, e).forgotten = true }
 
 // judge checks what can be told only in the end.
 func (l *ledger) judge() {
--- a/standin/emulator/ledger_test.go
+++ b/standin/emulator/ledger_test.go
@@ -81,7 +81,7 @@
 		name := "00000000000000aa.0." + f[1]
 		p.runs[f[1]+"/"+f[2]] = l.start(l.task(name, "s"), p.w.at(f[3]), p.number(f[2]), "e0")
 	case "end":
-		l.end(p.runs[f[1]+"/"+f[2]], nil, platform.Ended{End: platform.End(f[3])})
+		l.stop(p.runs[f[1]+"/"+f[2]], platform.End(f[3]))
 	case "ack", "forget":
 		s := p.runs[f[1]+"/"+f[2]]
 		for _, u := range p.w.upstreams {
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -51,16 +51,11 @@
 
 // run is a run on an upstream.
 type run struct {
-	task   string
-	number int64
-	begun  time.Duration
-	lasts  time.Duration
-	cpu    int64
-	fails  bool
-	// forever is set for a task that lasts.
-	forever  bool
-	stopping bool
+	// entry is its start in the ledger, with the task.
 	entry    *started
+	task     string
+	fails    bool
+	stopping bool
 	// gang is set for a member of one: it works from when all are there.
 	gang *gang
 }
@@ -76,7 +71,7 @@
 func (u *upstream) begin(id string) {
 	var gangs []*gang
 	for _, t := range sortedKeys(u.runs) {
-		u.world.ledger.stop(u.runs[t].entry, u.world.now, "crashed")
+		u.world.ledger.stop(u.runs[t].entry, "crashed")
 		if g := u.runs[t].gang; g != nil {
 			gangs = append(gangs, g)
 		}
@@ -89,7 +84,7 @@
 	u.report.ID, u.report.Born = id, u.world.unixMs()
 	u.world.say("%s begins as %s", u.machine, id)
 	for _, g := range gangs {
-		g.ended("crashed")
+		g.breakUp()
 	}
 }
 
@@ -114,13 +109,13 @@
 	if err := u.check(target.ID, s.Token); err != nil {
 		return err
 	}
-	if r := u.runs[s.Task]; r != nil && r.number == s.Run {
+	if r := u.runs[s.Task]; r != nil && r.entry.number == s.Run {
 		return nil
 	}
 	d := u.world.ledger.task(s.Task, s.Spec)
 	used := d.cpu
 	for _, r := range u.runs {
-		used += r.cpu
+		used += r.entry.task.cpu
 	}
 	reason := ""
 	switch {
@@ -140,16 +135,15 @@
 		return refused(http.StatusConflict, reason)
 	}
 	r := &run{
-		task: s.Task, number: s.Run, begun: u.world.now, lasts: d.lasts, cpu: d.cpu, forever: d.forever,
-		fails: d.failsOn(s.Run), entry: u.world.ledger.start(d, u, s.Run, by),
+		task: s.Task, fails: d.failsOn(s.Run), entry: u.world.ledger.start(d, u, s.Run, by),
 	}
 	u.runs[s.Task] = r
 	if d.def.GetGang() {
 		u.world.join(u, r, d)
 		return nil
 	}
-	if !r.forever || r.fails {
-		u.finishLater(r, r.lasts)
+	if !d.forever || r.fails {
+		u.finishLater(r, d.lasts)
 	}
 	return nil
 }
@@ -191,18 +185,18 @@
 
 func (u *upstream) end(r *run, how platform.End) {
 	delete(u.runs, r.task)
-	u.over[r.task] = max(u.over[r.task], r.number)
+	u.over[r.task] = max(u.over[r.task], r.entry.number)
 	u.lastEnd++
-	e := platform.Ended{Number: u.lastEnd, Task: r.task, Run: r.number, End: how}
+	e := platform.Ended{Number: u.lastEnd, Task: r.task, Run: r.entry.number, End: how}
 	u.ended = append(u.ended, e)
-	u.world.ledger.end(r.entry, u, e)
+	u.world.ledger.stop(r.entry, how)
 	l := u.waiting
 	u.waiting = nil
 	for _, x := range l {
 		x.answer()
 	}
 	if r.gang != nil {
-		r.gang.ended(how)
+		r.gang.breakUp()
 	}
 }
 
@@ -211,7 +205,7 @@
 		return err
 	}
 	u.over[task] = max(u.over[task], number)
-	if r := u.runs[task]; r != nil && r.number <= number && !r.stopping {
+	if r := u.runs[task]; r != nil && r.entry.number <= number && !r.stopping {
 		r.stopping = true
 		u.world.ledger.ordered(r.entry, u, "a stop")
 		u.world.after(_stopTime, func() {
@@ -261,16 +255,16 @@
 	l := platform.Look{ClockMs: u.clockMs(), Born: u.report.Born, Ended: slices.Clone(u.ended)}
 	for _, t := range sortedKeys(u.runs) {
 		r, p := u.runs[t], 100
-		if r.forever && u.world.now-r.begun < _startup {
+		if r.entry.task.forever && u.world.now-r.entry.at < _startup {
 			p = 50
 		}
-		if !r.forever {
-			p = min(99, int((u.world.now-r.begun)*100/max(r.lasts, 1)))
+		if !r.entry.task.forever {
+			p = min(99, int((u.world.now-r.entry.at)*100/max(r.entry.task.lasts, 1)))
 		}
 		if u.world.now < u.still {
 			p = 1
 		}
-		l.Running = append(l.Running, platform.Running{Task: t, Run: r.number, Percent: p})
+		l.Running = append(l.Running, platform.Running{Task: t, Run: r.entry.number, Percent: p})
 	}
 	return l
 }
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -161,7 +161,7 @@
 	if k := w.set.KillOwner; k > 0 {
 		w.after(k, func() {
 			w.killedAt = w.now
-			w.killOwner(_rest)
+			w.holder().suffer(func(e *entry) { e.kill(_rest) })
 		})
 	}
 	w.run(w.set.Load + _rest)
