--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -289,3 +290,11 @@
 	}
 	return out
 }
+
+// lost tells whether a call that failed may have been carried out.
+func lost(err error) link.Outcome {
+	if errors.Is(err, link.ErrNotSent) {
+		return link.Outcome_OUTCOME_NOT_OWNER
+	}
+	return link.Outcome_OUTCOME_UNKNOWN
+}
--- a/entry/internal/node/record.go
+++ b/entry/internal/node/record.go
@@ -9,12 +9,13 @@
 // _recordings bounds those that wait while an append is under way.
 const _recordings = 1024
 
-// recorder appends what the planner of hosts has to leave to later ones. One append is
-// under way at a time, with all that came up during the one before: a slow store takes
+// recorder appends to a topic what the planner of hosts has to leave to others. One
+// append is under way at a time, with all that came up during the one before: a slow store takes
 // a tenth of a second for each, and orders wait for theirs.
 type recorder struct {
 	// Append adds records, all or none.
-	Append func(ctx context.Context, l []platform.Record) error
+	Append func(ctx context.Context, topic string, l []platform.Record) error
+	topic  string
 	ask    chan recording
 }
 
@@ -24,8 +25,8 @@
 	done    func(error)
 }
 
-func newRecorder(f func(context.Context, []platform.Record) error) *recorder {
-	return &recorder{Append: f, ask: make(chan recording, _recordings)}
+func newRecorder(topic string, f func(context.Context, string, []platform.Record) error) *recorder {
+	return &recorder{Append: f, topic: topic, ask: make(chan recording, _recordings)}
 }
 
 // add has records appended; done is called with the outcome, unless ctx ends first.
@@ -66,7 +67,7 @@
 	for _, x := range l {
 		all = append(all, x.records...)
 	}
-	err := r.Append(ctx, all)
+	err := r.Append(ctx, r.topic, all)
 	for _, x := range l {
 		x.done(err)
 	}
--- a/entry/internal/node/record_test.go
+++ b/entry/internal/node/record_test.go
@@ -15,7 +15,7 @@
 // together in the next one, and each hears its outcome.
 func TestRecorder(t *testing.T) {
 	begun, answer := make(chan int), make(chan error)
-	r := newRecorder(func(_ context.Context, l []platform.Record) error {
+	r := newRecorder("topic", func(_ context.Context, _ string, l []platform.Record) error {
 		begun <- len(l)
 		return <-answer
 	})
