scheduler: a task that a former owner may be stopping isn't taken to be at work

A former owner orders a task away and stops itself; the task's upstream lists it as at work until it has stopped, and the new owner, which looks just then, lets another of the step go. Change: a run that an owner didn't start counts as at work once it has been listed for longer than a stop takes (400 ms by the boot file, and 100 ms for the order's way).

--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -109,7 +109,7 @@
 func (p *pools) gain(c *configured, name string, token int64) {
 	b := p.node.bounds.Load()
 	set := scheduler.Settings{
-		Pool: name, Token: token, HoldMax: b.HoldMax, Status: b.Status,
+		Pool: name, Token: token, HoldMax: b.HoldMax, Status: b.Status, StopTimeout: b.StopTimeout,
 		RemoteFactor: b.RemoteFactor,
 	}
 	o, err := owner.Start(p.node.system, set, p.node.boot.Store.Partitions, p.node.peers, p.node.log)
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -249,7 +249,7 @@
 // says so.
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.state == runRunning && r.percent >= 100 && r.host.failed == 0 && !r.host.gone {
+		if r.state == runRunning && r.met.IsZero() && r.percent >= 100 && r.host.failed == 0 && !r.host.gone {
 			return true
 		}
 	}
@@ -298,6 +298,9 @@
 	// started is when the upstream confirmed it.
 	ordered time.Time
 	started time.Time
+	// met is when a run was found that this owner didn't start, until it has been listed
+	// for longer than a stop takes: a former owner may have ordered it away.
+	met time.Time
 	// stopped is when a stop was confirmed; zero before.
 	stopped  time.Time
 	stopSent bool
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -106,7 +106,7 @@
 // can't be taken away.
 func (h *host) starting() bool {
 	for _, r := range h.runs {
-		if r.state == runRunning && r.percent < 100 && r.task.step.def.GetMayMiss() > 0 {
+		if r.state == runRunning && (r.percent < 100 || !r.met.IsZero()) && r.task.step.def.GetMayMiss() > 0 {
 			return true
 		}
 	}
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -17,7 +17,7 @@
 		}
 		if r != nil {
 			listed[r] = true
-			s.watch(now, r, n)
+			s.watch(now, r, n, e.Sent)
 		} else {
 			h.strangers++
 		}
@@ -43,7 +43,7 @@
 		s.emit(Stop{Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token})
 		return nil
 	}
-	r := &run{task: t, number: n.Run, state: runRunning, started: now, percent: -1, pace: 100}
+	r := &run{task: t, number: n.Run, state: runRunning, started: now, met: now, percent: -1, pace: 100}
 	t.last = max(t.last, n.Run)
 	t.step.occurrence.job.begun = true
 	former := len(t.runs) > 0
@@ -57,7 +57,10 @@
 }
 
 // watch follows a run that is listed.
-func (s *Scheduler) watch(now time.Time, r *run, n platform.Running) {
+func (s *Scheduler) watch(now time.Time, r *run, n platform.Running, sent time.Time) {
+	if !sent.Before(r.met.Add(s.set.StopTimeout + _stopMargin)) {
+		r.met = time.Time{}
+	}
 	if r.state == runOrdered || r.state == runUnsure {
 		r.set(runRunning)
 		r.started = now
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -95,7 +95,7 @@
 	p := &player{t: t, now: _begin, starts: map[string]Start{}, stops: map[string]Stop{}}
 	p.s = New(Settings{
 		Pool: "pool", Token: 7, HoldMax: 10 * time.Second,
-		Status: 2 * time.Minute, RemoteFactor: 2,
+		Status: 2 * time.Minute, RemoteFactor: 2, StopTimeout: 400 * time.Millisecond,
 	})
 	p.s.Step(p.now, StoreSeen{At: p.now})
 	return p
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -11,6 +11,8 @@
 	HoldMax time.Duration
 	// Status is how long the state of an ended job is known.
 	Status time.Duration
+	// StopTimeout is how long a stop takes at most.
+	StopTimeout time.Duration
 	// RemoteFactor is how many times longer a task takes off its rack.
 	RemoteFactor float64
 }
@@ -35,6 +37,8 @@
 	// _maxRetryLook.
 	_retryLook    = 150 * time.Millisecond
 	_maxRetryLook = time.Second
+	// _stopMargin covers the way of a former owner's last order to an upstream.
+	_stopMargin = 100 * time.Millisecond
 	// _retryStop is the pause after a stop that failed.
 	_retryStop = 200 * time.Millisecond
 	// _ackLater is how long ends that nothing waits for stay unacknowledged.
