--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -18,6 +18,8 @@
 		func() { w.holder().suffer(func(e *entry) { e.kill(back) }) },
 		func() { w.killAll(back) },
 		func() { e.terminate(back) },
+		func() { w.holder().suffer(func(e *entry) { e.terminate(back) }) },
+		func() { w.roll(back) },
 		func() { e.freeze(d) },
 		func() { w.holder().suffer(func(e *entry) { e.freeze(d) }) },
 		func() { w.cutStore(e, d) },
@@ -46,6 +48,13 @@
 	}
 }
 
+// roll has all entries stop and start in turn.
+func (w *World) roll(back time.Duration) {
+	for i, e := range w.entries {
+		w.after(time.Duration(i)*(back+time.Second), func() { e.terminate(back) })
+	}
+}
+
 func (w *World) killAll(back time.Duration) {
 	for _, e := range w.entries {
 		e.kill(back)
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -43,7 +43,7 @@
 func gain(e *entry, token int64) {
 	o := &owner{entry: e, token: token, waiting: make(map[scheduler.Ref]func(*link.Answer))}
 	o.sched = scheduler.New(scheduler.Settings{
-		Pool: _pool, Token: token, HoldMax: _holdMax, Status: _status, RemoteFactor: 1,
+		Pool: _pool, Token: token, HoldMax: _holdMax, Status: _status, RemoteFactor: 1, StopTimeout: _stopTime,
 	})
 	e.owner = o
 	o.confirm()
