hostplan: a new planner's first question keeps former orders' hosts empty, too

Cause: read again: the first question to the owners goes out before the planner has planned once, and so before it knows which pool a host is in. What a former planner was about to order away wasn't named in it, and the owner used it again for 200 ms. Change: before the first list, such upstreams are named to every pool. Test: formerOrder asks before the first step, and is told nothing without the change.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -160,7 +160,10 @@
 	}
 	for _, name := range sorted(p.touched) {
 		u := p.touched[name].upstream
-		if m := p.byName[name]; u != "" && m.Pool == pool && m.Upstream == u && p.recently(now, name) {
+		m := p.byName[name]
+		// Before the first list, each pool may have it.
+		there := len(p.byName) == 0 || m.Pool == pool && m.Upstream == u
+		if u != "" && there && p.recently(now, name) {
 			// It was vacant, and nothing may begin there before the order comes.
 			l.Vacate = append(l.Vacate, u)
 		}
