fleet/plan, standin/platform: two tests of KNOWN-RED mended

TestQuietFleetSettles. Traced: a wave over 16 hosts of pools without headroom takes down one host after the other; each needs its reboot of 10 min and one or two ticks of a minute, so the last one serves after 3 h 1 min, and the test allowed 3 h. The check is replaced by one as strict: the plan never rests for longer than two reboots before every host serves, and has settled within the time that a wave and a recall take one host at a time.

TestOutages/slow.

--- a/fleet/plan/property_test.go
+++ b/fleet/plan/property_test.go
@@ -131,9 +131,21 @@
 	})
 }
 
+const (
+	// _quietTick is the tick of a fleet without events.
+	_quietTick = time.Minute
+	// _settledAfter is the time without a proposal after which a fleet has settled. A
+	// host that reboots holds the plan up for less.
+	_settledAfter = 2 * _reboot
+	// _settleWithin is the longest time that a fleet takes to settle. Without headroom
+	// in any pool, a wave and a recall take down one host after the other, and each
+	// needs a reboot and two ticks for its steps.
+	_settleWithin = 2 * _propertyHosts * (_reboot + 2*_quietTick)
+)
+
 // TestQuietFleetSettles guards against hosts that stay out of service and plans that
-// never end: once events stop, every host that no operator drains serves, and the
-// planner proposes nothing.
+// stall or never end: once events stop, the planner proposes something at least every
+// _settledAfter, until every host that no operator drains serves.
 func TestQuietFleetSettles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newSimulation(t, drawConfig(t), plan.Plan)
@@ -144,11 +156,12 @@
 		clear(m.offList)
 		clear(m.leaving)
 		clear(m.confirmsStopped)
-		m.tick = time.Minute
-		m.run(3 * time.Hour)
-		proposed := m.proposed
-		m.run(10 * time.Minute)
-		assert.Equal(t, m.proposed, proposed)
+		m.tick = _quietTick
+		for began, proposed := m.now, -1; m.proposed != proposed; {
+			assert.Assert(t, m.now.Sub(began) < _settleWithin)
+			proposed = m.proposed
+			m.run(_settledAfter)
+		}
 		for _, h := range m.state.Hosts() {
 			kept := m.state.Intent(h.Name()).Drain()
 			assert.Assert(t, h.MovingTo() == "" && (kept || h.Duty() == fleet.Serving), "%v", plan.Explain(m.state, m.observations, h.Name(), m.now))
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -60,6 +60,8 @@
 	assert.Equal(t, len(b.Records()), 0)
 }
 
+// TestOutages delays answers by far more than the client's timeout, so that even a
+// test process that is suspended for a while gives up before the answer arrives.
 func TestOutages(t *testing.T) {
 	for mode, want := range map[Mode]error{
 		ModeRefuse: client.ErrUnavailable,
@@ -69,7 +71,7 @@
 		t.Run(string(mode), func(t *testing.T) {
 			u := start(t, &Server{})
 			c := newClient(u)
-			control(t, u+"/control/faults", `{"mode":"`+string(mode)+`","delayMs":150}`)
+			control(t, u+"/control/faults", `{"mode":"`+string(mode)+`","delayMs":2000}`)
 			_, err := c.Append(t.Context(), _stream, []byte("a"))
 			assert.ErrorIs(t, err, want)
 			_, err = c.Read(t.Context(), _stream, 1, 0)
