standin play: several pools, and replay of loads from files

The emulator had one pool and drew its load from the seed. The entries, owners and planner are the product's, as before.

A call that times out now wraps context.DeadlineExceeded, as the product's clients do.

--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "workers", Value: 2, Usage: "simulations that run at the same time"},
 			&cli.BoolFlag{Name: "recovery", Usage: "kill the pool's owner in each simulation, and print the time until the pool starts jobs again"},
 			&cli.BoolFlag{Name: "trace", Usage: "print the trace of the first seed's simulation, and run no other"},
+			&cli.StringFlag{Name: "load", Usage: "replay the load in this file with each seed, and print the results"},
 		},
 		Action: play,
 	}
@@ -35,6 +36,9 @@
 
 func play(_ context.Context, c *cli.Command) error {
 	from := c.Uint64("from")
+	if f := c.String("load"); f != "" {
+		return replay(f, from, c.Uint64("seeds"), c.Bool("trace"))
+	}
 	if c.Bool("trace") {
 		return report(from, emulator.New(emulator.Settings{Seed: from, Trace: os.Stdout}).Run())
 	}
@@ -71,6 +75,32 @@
 	return nil
 }
 
+// replay replays a load with some seeds and prints the results. With trace, it prints the
+// trace of the first seed's simulation before its result, and runs no other.
+func replay(file string, from, seeds uint64, trace bool) error {
+	r, err := os.Open(file)
+	if err != nil {
+		return fmt.Errorf("open load: %w", err)
+	}
+	defer r.Close()
+	l, err := emulator.ParseLoad(r)
+	if err != nil {
+		return fmt.Errorf("parse %s: %w", file, err)
+	}
+	if trace {
+		v := emulator.Replay(l, from, os.Stdout)
+		fmt.Print(v)
+		return report(from, v.Violations())
+	}
+	var all error
+	for seed := from; seed < from+seeds; seed++ {
+		v := emulator.Replay(l, seed, nil)
+		fmt.Printf("seed %d\n%v", seed, v)
+		all = errors.Join(all, report(seed, v.Violations()))
+	}
+	return all
+}
+
 // recovery kills a pool's owner once for each seed, and prints percentiles of the
 // time until the pool starts a job again.
 func recovery(from, seeds uint64) error {
--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/entry/link"
@@ -26,6 +27,7 @@
 type request struct {
 	world *World
 	entry *entry
+	pool  string
 	event func(scheduler.Ref) scheduler.Event
 	// maybeExecuted is set once the owner may have executed the call.
 	maybeExecuted bool
@@ -35,13 +37,13 @@
 	answeredBy *entry
 }
 
-// callOwner sends a call through a random entry, which forwards it to the owner and
-// retries while ownership of the pool changes. The answer is sure if neither the
+// callOwner sends a call through a random entry, which forwards it to the owner of the
+// pool and retries while the ownership changes. The answer is sure if neither the
 // forwarding nor the answering entry had a recent fault.
-func (w *World) callOwner(event func(scheduler.Ref) scheduler.Event, done func(a *link.Answer, sure bool)) {
+func (w *World) callOwner(pool string, event func(scheduler.Ref) scheduler.Event, done func(a *link.Answer, sure bool)) {
 	e := w.entries[w.rand.IntN(len(w.entries))]
 	over := false
-	r := &request{world: w, entry: e, event: event, deadline: w.now + _callerTimeout}
+	r := &request{world: w, entry: e, pool: pool, event: event, deadline: w.now + _callerTimeout}
 	r.done = func(a *link.Answer) {
 		if !over {
 			over = true
@@ -55,24 +57,25 @@
 
 func (r *request) try() {
 	w, e := r.world, r.entry
-	if o := e.owner; o != nil {
+	if o := e.owners[r.pool]; o != nil {
 		r.answeredBy = e
 		o.submit(r.event, r.answered)
 		return
 	}
-	to := w.holder()
+	to := w.holderOf(w.partition(r.pool))
 	if to == nil || to == e {
 		r.answered(&link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER})
 		return
 	}
 	call(e, to.name, _linkTimeout, func(answer func(*link.Answer, error)) {
 		to.do(to.incarnation, func() {
-			if to.owner == nil {
+			o := to.owners[r.pool]
+			if o == nil {
 				answer(&link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER}, nil)
 				return
 			}
 			r.answeredBy = to
-			to.owner.submit(r.event, func(a *link.Answer) { answer(a, nil) })
+			o.submit(r.event, func(a *link.Answer) { answer(a, nil) })
 		})
 	}, func(a *link.Answer, err error) {
 		if err != nil {
@@ -107,8 +110,13 @@
 	r.done(a)
 }
 
-// holder returns the entry that owns the pool according to the store, or nil.
-func (w *World) holder() *entry { return w.holderOf(_poolPartition) }
+// holder returns the entry that owns the first pool according to the store, or nil.
+func (w *World) holder() *entry { return w.holderOf(_firstPoolPartition) }
+
+// partition returns the partition of a pool.
+func (w *World) partition(pool string) int {
+	return _firstPoolPartition + slices.Index(w.pools, pool)
+}
 
 // planner returns the entry that plans for the hosts according to the store, or nil.
 func (w *World) planner() *entry { return w.holderOf(_plannerPartition) }
@@ -126,7 +134,7 @@
 // submit submits a job as a caller and retries up to _submitAttempts times while it isn't
 // accepted.
 func (w *World) submit(j *jobRecord, attempt int) {
-	w.callOwner(func(r scheduler.Ref) scheduler.Event {
+	w.callOwner(j.def.GetPool(), func(r scheduler.Ref) scheduler.Event {
 		return scheduler.Submitted{Ref: r, Job: j.def}
 	}, func(a *link.Answer, _ bool) {
 		again := false
@@ -153,7 +161,7 @@
 // pollState polls the state of an accepted job until the history ends.
 func (w *World) pollState(j *jobRecord) {
 	id := j.def.GetId()
-	w.callOwner(func(r scheduler.Ref) scheduler.Event {
+	w.callOwner(j.def.GetPool(), func(r scheduler.Ref) scheduler.Event {
 		return scheduler.StateRequested{Ref: r, ID: id}
 	}, func(a *link.Answer, sure bool) {
 		switch {
@@ -212,7 +220,7 @@
 // cancel cancels a job as a caller and repeats the call until it is answered.
 func (w *World) cancel(j *jobRecord) {
 	j.cancelRequested = true
-	w.callOwner(func(r scheduler.Ref) scheduler.Event {
+	w.callOwner(j.def.GetPool(), func(r scheduler.Ref) scheduler.Event {
 		return scheduler.CancelRequested{Ref: r, ID: j.def.GetId()}
 	}, func(a *link.Answer, _ bool) {
 		switch a.GetOutcome() {
--- a/standin/emulator/cloud.go
+++ b/standin/emulator/cloud.go
@@ -60,6 +60,9 @@
 		w.ledger.checkUpkeep(u)
 		d, state = _upkeepTime, platform.MachineUpkeep
 	}
+	if wave == 0 {
+		w.moves++
+	}
 	w.ledger.recordEviction(u, by)
 	u.host.state, u.host.pool = state, pool
 	w.restartUpstream(u, d, false)
@@ -74,7 +77,7 @@
 	u.beginIncarnation(old)
 	u.down = true
 	w.after(downtime, func() {
-		u.host.state = platform.MachineUp
+		u.host.state, u.report.Pool = platform.MachineUp, u.host.pool
 		switch {
 		case u.host.pool == _spare:
 			u.report.ID = ""
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -14,13 +14,13 @@
 	_storeTimeout = 600 * time.Millisecond
 	// _listInterval is the time between reads of the list of upstreams.
 	_listInterval = 400 * time.Millisecond
-	// _poolPartition is the partition whose holder owns the pool.
-	_poolPartition = 1
-	_store         = "store"
+	// _firstPoolPartition is the partition whose holder owns the first pool.
+	_firstPoolPartition = 1
+	_store              = "store"
 )
 
 // entry emulates an entry: its group membership and, while it holds the partitions
-// for them, the owner of the pool and the planner of the hosts.
+// for them, the owners of pools and the planner of the hosts.
 type entry struct {
 	world *World
 	name  string
@@ -44,8 +44,9 @@
 	// confirmed is when it sent the call that confirmed its partitions, in world time,
 	// which continues while the entry is frozen.
 	confirmed time.Duration
-	owner     *owner
-	planner   *planner
+	// owners are the owners that it runs, by pool.
+	owners  map[string]*owner
+	planner *planner
 }
 
 // _settleTime is how long an entry must have been without a fault before the ledger
@@ -102,7 +103,7 @@
 	e.incarnation++
 	e.up, e.frozenUntil = true, 0
 	e.partitions, e.handover, e.generation, e.joining = member.Partitions{}, member.Handover{}, 0, false
-	e.owner, e.planner = nil, nil
+	e.owners, e.planner = make(map[string]*owner), nil
 	e.world.tracef("%s starts", e.name)
 	e.loop()
 	e.list()
@@ -113,7 +114,7 @@
 	if !e.up {
 		return
 	}
-	e.up, e.owner, e.planner = false, nil, nil
+	e.up, e.owners, e.planner = false, make(map[string]*owner), nil
 	e.recordFault(e.world.now + downtime)
 	e.world.tracef("%s is killed", e.name)
 	e.world.after(downtime, e.start)
@@ -125,7 +126,7 @@
 		return
 	}
 	e.world.tracef("%s stops", e.name)
-	e.owner, e.planner = nil, nil
+	e.owners, e.planner = make(map[string]*owner), nil
 	e.partitions.Drop()
 	me := e.member()
 	call(e, _store, _storeTimeout, func(answer func(bool, error)) {
@@ -230,21 +231,8 @@
 // applyAssignment starts and stops the owner and the planner so that they match the
 // assigned partitions.
 func (e *entry) applyAssignment() {
-	if o := e.owner; o != nil {
-		if o.sched.Lost() || o.ended {
-			e.partitions.NoteLaterOwner(_poolPartition)
-		}
-		if t := e.partitions.Token(_poolPartition); t == 0 || t != o.token {
-			e.world.tracef("%s releases the pool", e.name)
-			e.owner = nil
-		}
-	}
-	if t := e.partitions.Token(_poolPartition); e.owner == nil && t > 0 {
-		e.world.tracef("%s gains the pool, token %d", e.name, t)
-		takeOwnership(e, t)
-	}
-	if e.owner != nil {
-		e.owner.confirm()
+	for i, p := range e.world.pools {
+		e.applyPoolAssignment(p, _firstPoolPartition+i)
 	}
 	if t := e.partitions.Token(_plannerPartition); e.planner == nil && t > 0 || e.planner != nil && t != e.planner.token {
 		e.planner = nil
@@ -254,9 +242,30 @@
 	}
 }
 
-// list reads the list of upstreams periodically while the entry owns the pool.
+// applyPoolAssignment starts or stops the owner of a pool so that it matches the pool's
+// partition.
+func (e *entry) applyPoolAssignment(pool string, partition int) {
+	if o := e.owners[pool]; o != nil {
+		if o.sched.Lost() || o.ended {
+			e.partitions.NoteLaterOwner(partition)
+		}
+		if t := e.partitions.Token(partition); t == 0 || t != o.token {
+			e.world.tracef("%s releases %s", e.name, pool)
+			delete(e.owners, pool)
+		}
+	}
+	if t := e.partitions.Token(partition); e.owners[pool] == nil && t > 0 {
+		e.world.tracef("%s gains %s, token %d", e.name, pool, t)
+		takeOwnership(e, pool, t)
+	}
+	if o := e.owners[pool]; o != nil {
+		o.confirm()
+	}
+}
+
+// list reads the list of upstreams periodically while the entry owns a pool.
 func (e *entry) list() {
-	if e.owner == nil {
+	if len(e.owners) == 0 {
 		e.after(_listInterval/2, e.list)
 		return
 	}
@@ -267,8 +276,10 @@
 		}
 		answer(e.world.listUpstreams(), nil)
 	}, func(l []platform.Upstream, err error) {
-		if err == nil && e.owner != nil {
-			e.owner.updateUpstreams(l)
+		if err == nil {
+			for _, p := range sortedKeys(e.owners) {
+				e.owners[p].updateUpstreams(l)
+			}
 		}
 		e.after(_listInterval, e.list)
 	})
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -64,6 +64,10 @@
 	refused             bool
 	cancelRequested     bool
 	lastState           link.JobState
+	// runTimes are the mean run times of its tasks by step, if a load is replayed; took is
+	// how long its caller waited for its end, zero if that wasn't seen.
+	runTimes []time.Duration
+	took     time.Duration
 }
 
 // taskRecord is a task with all its runs.
@@ -141,6 +145,9 @@
 		name: n, job: j, def: d, cpu: d.GetMilliCpu(), longRunning: d.GetLongRunning(),
 		duration: time.Duration(d.GetEstimateMs()) * time.Millisecond, world: l.world,
 	}
+	if len(j.runTimes) > 0 {
+		t.duration = j.runTime(n)
+	}
 	l.tasks[name] = t
 	return t
 }
@@ -335,7 +342,7 @@
 	}
 	failed := 0
 	for _, s := range t.runs {
-		if failed >= l.world.queue.Attempts {
+		if failed >= l.world.queueOf(t.job.def.GetPool()).Attempts {
 			l.addViolation("BUDGET", "%s: %v started after %d runs had failed, which exhausts the attempts of the queue", t.name, s, failed)
 		}
 		if s.outcome == platform.EndFailed && s.acked {
--- a/standin/emulator/ledger_test.go
+++ b/standin/emulator/ledger_test.go
@@ -69,7 +69,7 @@
 func (p *ledgerPlayer) begin() {
 	p.w = New(Settings{Seed: 1})
 	p.w.now = time.Second
-	p.job = &jobRecord{def: &work.Job{Id: "00000000000000aa", Spec: "s", Steps: []*work.Step{
+	p.job = &jobRecord{def: &work.Job{Pool: _pool, Id: "00000000000000aa", Spec: "s", Steps: []*work.Step{
 		{Count: 1, MilliCpu: 500}, {Count: 1, MilliCpu: 500, After: []int32{0}},
 	}}}
 	p.w.ledger.jobs[p.job.def.GetId()] = p.job
--- a/standin/emulator/network.go
+++ b/standin/emulator/network.go
@@ -1,12 +1,13 @@
 package emulator
 
 import (
-	"errors"
+	"context"
+	"fmt"
 	"time"
 )
 
 // errNoAnswer is the error of a call that timed out.
-var errNoAnswer = errors.New("no answer")
+var errNoAnswer = fmt.Errorf("no answer: %w", context.DeadlineExceeded)
 
 const (
 	// _minDelay and _maxDelay bound the one-way latency of a call.
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -22,9 +22,10 @@
 	_topic            = "keyed.jobs"
 )
 
-// owner runs the scheduler of the pool for an entry and executes its operations.
+// owner runs the scheduler of a pool for an entry and executes its operations.
 type owner struct {
 	entry *entry
+	pool  string
 	token int64
 	sched *scheduler.Scheduler
 	// ended is set if a later owner fenced this one off before it could load the records.
@@ -43,15 +44,15 @@
 // _maxPastWakes is how many consecutive requests for a wake in the past are tolerated.
 const _maxPastWakes = 20
 
-// takeOwnership makes the entry the owner of the pool.
-func takeOwnership(e *entry, token int64) {
-	o := &owner{entry: e, token: token, waiting: make(map[scheduler.Ref]func(*link.Answer))}
+// takeOwnership makes the entry the owner of a pool.
+func takeOwnership(e *entry, pool string, token int64) {
+	o := &owner{entry: e, pool: pool, token: token, waiting: make(map[scheduler.Ref]func(*link.Answer))}
 	o.sched = scheduler.New(scheduler.Settings{
-		Pool: _pool, Token: token, MaxLease: _maxLease, StatusRetention: _statusRetention, RemoteFactor: 1, StopTimeout: _stopTime,
+		Pool: pool, Token: token, MaxLease: _maxLease, StatusRetention: _statusRetention, RemoteFactor: 1, StopTimeout: _stopTime,
 	})
-	e.owner = o
+	e.owners[pool] = o
 	o.confirm()
-	o.post(scheduler.Configured{Queues: []platform.Queue{e.world.queue}})
+	o.post(scheduler.Configured{Queues: []platform.Queue{e.world.queueOf(pool)}})
 	o.claim()
 }
 
@@ -60,12 +61,24 @@
 
 func (o *owner) confirm() { o.post(scheduler.OwnershipConfirmed{At: o.entry.partitions.ConfirmedAt()}) }
 
-func (o *owner) updateUpstreams(l []platform.Upstream) { o.post(scheduler.Listed{Upstreams: l}) }
+// isCurrent reports whether the entry still runs this owner.
+func (o *owner) isCurrent() bool { return o.entry.owners[o.pool] == o }
+
+// updateUpstreams passes the upstreams of the pool to the scheduler.
+func (o *owner) updateUpstreams(all []platform.Upstream) {
+	var l []platform.Upstream
+	for _, u := range all {
+		if u.Pool == o.pool {
+			l = append(l, u)
+		}
+	}
+	o.post(scheduler.Listed{Upstreams: l})
+}
 
 // post passes an event to the scheduler, executes the operations that it returns and
 // schedules its next wake.
 func (o *owner) post(ev scheduler.Event) {
-	if o.entry.owner != o || o.ended {
+	if !o.isCurrent() || o.ended {
 		return
 	}
 	now := o.entry.time()
@@ -84,7 +97,7 @@
 	}
 	o.nextWake = next
 	o.entry.after(max(next.Sub(now), time.Millisecond), func() {
-		if o.nextWake.Equal(next) && o.entry.owner == o {
+		if o.nextWake.Equal(next) && o.isCurrent() {
 			o.nextWake = time.Time{}
 			o.post(scheduler.Woken{})
 		}
@@ -150,7 +163,7 @@
 	w, e := o.entry.world, o.entry
 	a := serve.Append{
 		Topic: _topic, Records: records,
-		Producer: platform.Producer{Name: _pool, Epoch: o.token, Sequence: o.sequence.Next()},
+		Producer: platform.Producer{Name: o.pool, Epoch: o.token, Sequence: o.sequence.Next()},
 	}
 	call(e, _store, _appendTimeout, func(answer func(serve.Refusal, error)) {
 		if err := w.storeError(e.name); err != nil {
@@ -172,7 +185,7 @@
 		if err == nil && r.Status != 0 {
 			err = &platform.Error{Status: r.Status, Reason: r.Reason, Expected: r.Expected}
 		}
-		if e.owner == o {
+		if o.isCurrent() {
 			done(err)
 		}
 	})
@@ -205,14 +218,14 @@
 		l, _ := w.store.Newest(_topic, 0)
 		answer(l, nil)
 	}, func(l []platform.Record, err error) {
-		if o.entry.owner != o {
+		if !o.isCurrent() {
 			return
 		}
 		if err != nil {
 			o.entry.after(_appendRetryDelay, o.load)
 			return
 		}
-		d, err := scheduler.Decode(_pool, l)
+		d, err := scheduler.Decode(o.pool, l)
 		if err != nil {
 			w.ledger.addViolation("DECODE", "%v", err)
 			return
@@ -232,7 +245,7 @@
 			return
 		case scheduler.AttemptRepeat:
 			o.entry.after(_appendRetryDelay, func() {
-				if o.entry.owner == o {
+				if o.isCurrent() {
 					o.append(a)
 				}
 			})
--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -39,6 +39,8 @@
 	maintained   map[int64][]string
 	loadSequence int64
 	view         hostplan.View
+	// wave is the number of the declared wave that the planner has.
+	wave int64
 }
 
 // startPlanner starts the host planner at an entry that has gained its partition.
@@ -74,9 +76,6 @@
 			for _, r := range l {
 				p.restore(r)
 			}
-			if w.declaredWave.Number > 0 {
-				p.plan.AddWave(p.entry.time(), w.declaredWave, p.maintained[w.declaredWave.Number])
-			}
 			p.tick()
 		}
 	})
@@ -102,6 +101,10 @@
 		return
 	}
 	w, e := p.entry.world, p.entry
+	if n := w.declaredWave.Number; n > 0 && n != p.wave {
+		p.wave = n
+		p.plan.AddWave(e.time(), w.declaredWave, p.maintained[n])
+	}
 	sent := e.time()
 	call(e, _cloud, _cloudTimeout, func(answer func([]platform.Machine, error)) {
 		answer(w.machines(), nil)
@@ -124,27 +127,50 @@
 	})
 }
 
-// exchangeLoad requests the pool's load from its owner and sends the planned changes
-// along. It calls then once, whether or not the owner answers, unless the planner has
-// ended meanwhile.
+// exchangeLoad requests the load of each pool from its owner and sends the planned
+// changes along. It calls then once, after every owner has answered or failed to, unless
+// the planner has ended meanwhile.
 func (p *planner) exchangeLoad(then func()) {
+	w := p.entry.world
+	p.view.Pools = nil
+	left := len(w.pools)
+	for _, name := range w.pools {
+		p.view.Pools = append(p.view.Pools, hostplan.Pool{Name: name})
+	}
+	if w.load == nil || w.load.standby > 0 {
+		p.view.Pools = append(p.view.Pools, hostplan.Pool{Name: _spare, Standby: true})
+	}
+	answers := p.view.Pools
+	for i, name := range w.pools {
+		p.requestLoad(name, func(l *link.PoolLoad) {
+			answers[i].Load = l // nil if the owner did not answer
+			if left--; left == 0 {
+				then()
+			}
+		})
+	}
+}
+
+// requestLoad exchanges the load of one pool, and passes nil to done if its owner doesn't
+// answer.
+func (p *planner) requestLoad(pool string, done func(*link.PoolLoad)) {
 	w, e := p.entry.world, p.entry
 	p.loadSequence++
-	q := p.plan.LoadRequest(e.time(), _pool)
+	q := p.plan.LoadRequest(e.time(), pool)
 	n := p.loadSequence
-	p.view.Pools = []hostplan.Pool{{Name: _pool}, {Name: _spare, Standby: true}}
-	to := w.holder()
+	to := w.holderOf(w.partition(pool))
 	if to == nil {
-		then()
+		done(nil)
 		return
 	}
 	call(e, to.name, _loadTimeout, func(answer func(*link.PoolLoad, error)) {
 		to.do(to.incarnation, func() {
-			if to.owner == nil {
+			o := to.owners[pool]
+			if o == nil {
 				answer(nil, errNoAnswer)
 				return
 			}
-			to.owner.submit(func(r scheduler.Ref) scheduler.Event {
+			o.submit(func(r scheduler.Ref) scheduler.Event {
 				return scheduler.LoadRequested{
 					Ref: r, Token: p.token, Sequence: n, Arrivals: q.GetArrivals(),
 					Vacate: q.GetVacate(), Due: q.GetDue(), Gone: q.GetGone(),
@@ -153,8 +179,7 @@
 		})
 	}, func(l *link.PoolLoad, _ error) {
 		if p.isCurrent() {
-			p.view.Pools[0].Load = l // Load is nil if the owner did not answer.
-			then()
+			done(l)
 		}
 	})
 }
@@ -207,7 +232,7 @@
 // entry's membership is no longer confirmed.
 func (p *planner) sendOrder(op hostplan.Op, recorded error) {
 	w, e := p.entry.world, p.entry
-	name, pool, wave := "", _pool, int64(0)
+	name, pool, wave := "", "", int64(0)
 	switch op := op.(type) {
 	case hostplan.Move:
 		name, pool = op.Machine, op.Pool
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -66,7 +66,9 @@
 	trace    io.Writer
 	net      network
 	store    *site.Store
-	queue    platform.Queue
+	// pools are the pools in the order of their partitions. Each has one queue, in queues.
+	pools  []string
+	queues map[string]platform.Queue
 	// enforcesCapacity is set if upstreams refuse runs beyond their capacity.
 	enforcesCapacity bool
 	upstreams        []*upstream
@@ -80,6 +82,15 @@
 	killedAt, resumedAt time.Duration
 	// declaredWave is the operator's wave; its number is zero if there is none.
 	declaredWave platform.Wave
+
+	// load is the load that is replayed, or nil. Until lateCallsUntil, the share lateCalls
+	// of the calls to upstreams has no answer and is executed late. hostTime is the time
+	// that hosts have spent in pools, moves the number of hosts that moved.
+	load           *Load
+	lateCalls      float64
+	lateCallsUntil time.Duration
+	hostTime       time.Duration
+	moves          int
 }
 
 // listEntry is an upstream's report with its time.
@@ -104,8 +115,8 @@
 	s = s.withDefaults()
 	w := &World{
 		settings: s, rand: rand.New(rand.NewPCG(s.Seed, 0)), trace: s.Trace, store: site.NewStore(), listing: make(map[string]listEntry),
-		gangs: make(map[gangKey]*gang),
-		queue: platform.Queue{Name: "sizes", Pool: _pool, Attempts: 3, Stretch: 50, Target: time.Minute},
+		gangs: make(map[gangKey]*gang), pools: []string{_pool},
+		queues: map[string]platform.Queue{_pool: {Name: "sizes", Pool: _pool, Attempts: 3, Stretch: 50, Target: time.Minute}},
 	}
 	w.ledger = ledger{world: w, tasks: make(map[string]*taskRecord), jobs: make(map[string]*jobRecord)}
 	w.enforcesCapacity = w.rand.IntN(2) == 0
@@ -171,13 +182,16 @@
 	return w.ledger.violations
 }
 
+// queueOf returns the queue of a pool.
+func (w *World) queueOf(pool string) platform.Queue { return w.queues[pool] }
+
 // FailoverTime returns the time from the kill of the owner to the first task that the
 // next owner started, or zero if there was none.
 func (w *World) FailoverTime() time.Duration { return max(0, w.resumedAt-w.killedAt) }
 
 // planJob draws a job, the time of its submission and whether it is cancelled.
 func (w *World) planJob(i int) {
-	d := &work.Job{Id: fmt.Sprintf("%016x", i+1), Queue: w.queue.Name, Pool: _pool, Spec: fmt.Sprintf("job %d", i)}
+	d := &work.Job{Id: fmt.Sprintf("%016x", i+1), Queue: w.queueOf(_pool).Name, Pool: _pool, Spec: fmt.Sprintf("job %d", i)}
 	j := &jobRecord{def: d}
 	if w.settings.FaultFree {
 		w.planUniform(j)
