scheduler: a pool has the hosts that its largest gang needs at a time

The planner had shrunk the pool to two hosts by its demand, and the gang's members fit only on more. The load that the owner reports counts the hosts of the largest gang beside long-running tasks.

--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -133,5 +133,29 @@
 			}
 		}
 	}
+	l.Spread = max(l.Spread, s.gangHosts(l.GetLasting()))
 	return l
 }
+
+// gangHosts returns how many hosts the largest gang that hasn't ended needs at a time,
+// beside long-running tasks that request the given CPU in millicores. A pool with fewer
+// could never start it.
+func (s *Scheduler) gangHosts(longRunning int64) int32 {
+	var cpu int64
+	for _, h := range s.hosts.order {
+		cpu = max(cpu, h.up.Capacity.MilliCPU)
+	}
+	var most int32
+	for _, j := range s.active {
+		for _, d := range j.def.GetSteps() {
+			if each := d.GetMilliCpu(); d.GetGang() && each > 0 && each <= cpu {
+				fit := int32(cpu / each)
+				most = max(most, (d.GetCount()+fit-1)/fit)
+			}
+		}
+	}
+	if most == 0 {
+		return 0
+	}
+	return most + int32((longRunning+cpu-1)/cpu)
+}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -179,6 +179,9 @@
 	if l := a.GetLoad(); l != nil {
 		o += fmt.Sprintf(" capacity=%d longRunning=%d doubtful=%v vacant=%v", l.GetCapacity(), l.GetLasting(),
 			names(l.GetDoubtful()), l.GetVacant())
+		if n := l.GetSpread(); n > 0 {
+			o += fmt.Sprintf(" spread=%d", n)
+		}
 	}
 	return o
 }
