scheduler: an unlisted upstream gets no tasks until it has answered a poll

A host crashed and its upstream left the list; the pool's owner was frozen, and placed a task on it in the moment in which it woke and the host came back under the same ID. The successor had ended the former incarnation and placed the task elsewhere, so nothing had fenced the new one off.

An upstream without a list entry used to be usable if it had answered within 2.5 s; now it has to answer a poll sent since it left the list, which is sent at once beside a waiting one. A store that forgets its list costs one round trip.

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -194,13 +194,13 @@
 }
 
 // _unlistedGrace is how long an upstream stays in use after its entry has
-// disappeared from the list, if it still answers polls. Entries that lapsed in an
+// disappeared from the list, once it has answered a poll since. Entries that lapsed in an
 // outage of the store are back by then.
 const _unlistedGrace = 2500 * time.Millisecond
 
 // usable reports whether tasks may be placed on the upstream.
 func (h *host) usable(now time.Time) bool {
-	known := h.listed || now.Sub(h.unlistedAt) < _unlistedGrace && now.Sub(h.lastAnsweredAt) < _unlistedGrace
+	known := h.listed || now.Sub(h.unlistedAt) < _unlistedGrace && h.lastAnsweredAt.After(h.unlistedAt)
 	return known && !h.gone && h.fenced && h.recordDurable && h.unknownRuns == 0 && !h.up.Draining && h.failedPolls == 0 &&
 		!now.Before(h.health.ejectedUntil) && !now.Before(h.drainedUntil)
 }
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -47,7 +47,7 @@
 // poll still waits for a run to end, a concurrent second poll is sent only to
 // confirm the state of runs at once.
 func (s *Scheduler) poll(now time.Time, h *host) {
-	if h.concurrentPoll || h.polling && !h.hasUnconfirmedRuns() || !s.wantsPoll(h) || now.Before(s.pollTime(h)) {
+	if h.concurrentPoll || h.polling && !h.needsConfirmation() || !s.wantsPoll(h) || now.Before(s.pollTime(h)) {
 		return
 	}
 	hold := platform.Hold{Token: s.set.Token, Acked: h.acknowledgeable(now), Wait: s.pollWait(h)}
@@ -64,10 +64,11 @@
 	s.emit(l)
 }
 
-// hasUnconfirmedRuns reports whether only a poll can confirm the state of some
-// run: its start had no answer, or its stop was answered and it may have ended.
-func (h *host) hasUnconfirmedRuns() bool {
-	if h.states[runUnconfirmed] > 0 {
+// needsConfirmation reports whether only a poll can confirm the state of the upstream
+// or of some run: the upstream was removed from the list, a start had no answer, or a
+// stop was answered and its run may have ended.
+func (h *host) needsConfirmation() bool {
+	if h.states[runUnconfirmed] > 0 || h.unlistedUnanswered() {
 		return true
 	}
 	if h.states[runStopping] == 0 {
@@ -81,6 +82,12 @@
 	return false
 }
 
+// unlistedUnanswered reports whether the upstream was removed from the list and hasn't
+// answered a poll since.
+func (h *host) unlistedUnanswered() bool {
+	return !h.listed && !h.gone && h.fenced && !h.lastAnsweredAt.After(h.unlistedAt)
+}
+
 func (s *Scheduler) leaseTime() time.Duration {
 	if s.set.MaxLease > 0 {
 		return min(_lease, s.set.MaxLease)
@@ -93,7 +100,7 @@
 	if len(h.runs) == 0 || !h.fenced {
 		return 0
 	}
-	if h.hasUnconfirmedRuns() {
+	if h.needsConfirmation() {
 		return 0
 	}
 	if h.hasServingAndBestEffort() {
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -249,7 +249,7 @@
 // addHostTimes adds the times of an upstream's next poll and stops, of the lapse
 // of its leases, and of the end of its ejection or draining.
 func (s *Scheduler) addHostTimes(now time.Time, h *host, w *earliest) {
-	if !h.concurrentPoll && (!h.polling || h.hasUnconfirmedRuns()) && s.wantsPoll(h) {
+	if !h.concurrentPoll && (!h.polling || h.needsConfirmation()) && s.wantsPoll(h) {
 		w.add(s.pollTime(h))
 	}
 	if len(h.runs) > 0 && h.failedPolls > 0 {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -39,8 +40,8 @@
 //	state REF JOB | pending REF QUEUE | cancel REF JOB
 //	measure REF [vacate=ID,...] [due=ID,...] [gone=ID,...] [token=N] [sequence=N]    a request of the planner
 //	appended [STATUS [REASON]]    the answer to the append in flight
-//	polled ID [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
-//	pollFailed ID [STATUS REASON]
+//	polled ID [concurrent] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
+//	pollFailed ID [STATUS REASON] | pollFailed ID lost sent=MS
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
 //	advised STEP ID=TICKET ... | adviceFailed STEP
 //	paceFailed STATUS             the last change of pace failed
@@ -276,6 +277,11 @@
 	case "polled":
 		p.polled(f[1], f[2:])
 	case "pollFailed":
+		if len(f) > 2 && f[2] == "lost" {
+			e := fmt.Errorf("hold: %w", context.DeadlineExceeded)
+			p.step(Polled{Host: f[1], Sent: _startTime.Add(time.Duration(p.number(m["sent"])) * time.Millisecond), Err: e})
+			return
+		}
 		e := failure("hold", f[2:])
 		if e == nil {
 			e = &platform.Error{Call: "hold"}
@@ -487,6 +493,7 @@
 func (p *player) polled(id string, words []string) {
 	l := platform.UpstreamStatus{StartUnixMs: 1, ClockMs: p.now.Sub(_startTime).Milliseconds()}
 	sent := p.now
+	concurrent := false
 	for _, w := range words {
 		k, v, _ := strings.Cut(w, "=")
 		f := strings.Split(v, "/")
@@ -497,6 +504,8 @@
 			l.ClockMs = p.number(v)
 		case "sent":
 			sent = _startTime.Add(time.Duration(p.number(v)) * time.Millisecond)
+		case "concurrent":
+			concurrent = true
 		case "gauge":
 			l.Running[len(l.Running)-1].Gauge = p.number(v)
 		case "run":
@@ -513,5 +522,5 @@
 			l.Ended = append(l.Ended, e)
 		}
 	}
-	p.step(Polled{Host: id, Sent: sent, Result: l})
+	p.step(Polled{Host: id, Concurrent: concurrent, Sent: sent, Result: l})
 }
