scheduler: back an unanswered poll by a second one once answers were lost

Cause: while upstreams leave a share of the calls without an answer, polls are lost too. A poll waits for up to 1.5 s and times out 0.6 s later; until then the ends of the upstream's runs are unknown and it gets no tasks.

Change: for 10 s after a call timed out, an unanswered poll of an upstream on which runs may end is backed by one that doesn't wait, 250 ms after the last. A lost poll doesn't count as a failure if a later one was answered.

--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -86,7 +86,8 @@
 	// were started or stopped later.
 	Sent   time.Time
 	Result platform.UpstreamStatus
-	Err    error
+	// Err wraps context.DeadlineExceeded if there was no answer in time.
+	Err error
 }
 
 // Ordered is the answer to a Start, a Stop or a Pace.
@@ -95,7 +96,8 @@
 	// ClockMs is the upstream's clock in the answer, in milliseconds; zero if
 	// there was none.
 	ClockMs int64
-	Err     error
+	// Err wraps context.DeadlineExceeded if there was no answer in time.
+	Err error
 }
 
 // Appended is the answer to an Append.
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -45,12 +47,17 @@
 
 // poll polls an upstream and renews its leases if that is due. While an earlier
 // poll still waits for a run to end, a concurrent second poll is sent only to
-// confirm the state of runs at once.
+// confirm the state of runs at once, or because the earlier one may be lost.
 func (s *Scheduler) poll(now time.Time, h *host) {
-	if h.concurrentPoll || h.polling && !h.needsConfirmation() || !s.wantsPoll(h) || now.Before(s.pollTime(h)) {
+	overdue := s.pollOverdue(now, h)
+	if h.concurrentPoll || h.polling && !h.needsConfirmation() && !overdue || !s.wantsPoll(h) || now.Before(s.pollTime(h)) {
 		return
 	}
 	hold := platform.Hold{Token: s.set.Token, Acked: h.acknowledgeable(now), Wait: s.pollWait(h)}
+	if overdue {
+		hold.Wait = 0
+	}
+	h.polledAt = now
 	// Leases of an unreachable upstream aren't renewed, so that its tasks can be
 	// placed elsewhere once the current lease has lapsed.
 	if s.mayOrder(now) && !h.clockReadAt.IsZero() && len(h.runs) > 0 && h.failedPolls == 0 {
@@ -64,6 +71,35 @@
 	s.emit(l)
 }
 
+const (
+	// _pollHedge is the time after which a second poll backs an unanswered one.
+	_pollHedge = 250 * time.Millisecond
+	// _lossMemory is how long polls are backed after a call had no answer.
+	_lossMemory = 10 * time.Second
+)
+
+// hedgeTime returns when a second poll backs an unanswered one. Without it, an upstream
+// whose answer is lost stands idle until the poll times out, because the ends of its
+// runs are unknown. It is zero while answers arrive, and if no run is expected to end.
+func (s *Scheduler) hedgeTime(now time.Time, h *host) time.Time {
+	if !h.polling || h.concurrentPoll || now.Sub(s.answerLostAt) > _lossMemory || len(h.runs) == h.longRunning() || !s.wantsPoll(h) {
+		return time.Time{}
+	}
+	if t := s.pollTime(h); t.After(h.polledAt.Add(_pollHedge)) {
+		return t
+	}
+	return h.polledAt.Add(_pollHedge)
+}
+
+func (s *Scheduler) pollOverdue(now time.Time, h *host) bool {
+	t := s.hedgeTime(now, h)
+	return !t.IsZero() && !now.Before(t)
+}
+
+// timedOut reports whether a call had no answer in time. Connections that are refused
+// or reset don't count: their calls are known to be lost at once.
+func timedOut(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+
 // needsConfirmation reports whether only a poll can confirm the state of the upstream
 // or of some run: the upstream was removed from the list, a start had no answer, or a
 // stop was answered and its run may have ended.
@@ -142,7 +178,7 @@
 		h.polling = false
 	}
 	if e.Err != nil {
-		s.pollFailed(now, h, e.Err)
+		s.pollFailed(now, h, e)
 		return
 	}
 	if e.Result.StartUnixMs != 0 && h.born != 0 && e.Result.StartUnixMs != h.born {
@@ -203,8 +239,16 @@
 	s.journal.schedule(now.Add(_acceptDelay))
 }
 
-func (s *Scheduler) pollFailed(now time.Time, h *host, err error) {
-	switch platform.Status(err) {
+func (s *Scheduler) pollFailed(now time.Time, h *host, e Polled) {
+	if timedOut(e.Err) {
+		s.answerLostAt = now
+		if h.lastAnsweredAt.After(e.Sent) {
+			// A later poll was answered, so that only this one was lost.
+			h.pollDue = now
+			return
+		}
+	}
+	switch platform.Status(e.Err) {
 	case http.StatusMisdirectedRequest:
 		s.endIncarnation(now, h, "address serves another upstream")
 		return
@@ -215,6 +259,6 @@
 	h.failedPolls++
 	h.pollDue = now.Add(min(time.Duration(h.failedPolls)*_pollRetryDelay, _maxPollRetryDelay))
 	if h.failedPolls == 1 {
-		s.logNote("Upstream did not answer a poll; its leases are not renewed until it does.", "", "upstream", h.up.ID, "runs", len(h.runs), "err", err)
+		s.logNote("Upstream did not answer a poll; its leases are not renewed until it does.", "", "upstream", h.up.ID, "runs", len(h.runs), "err", e.Err)
 	}
 }
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -152,6 +152,9 @@
 		r.task.avoid = h.up.ID
 		s.release(now, r)
 	default:
+		if timedOut(err) {
+			s.answerLostAt = now
+		}
 		if r.state == runOrdered {
 			r.setState(runUnconfirmed)
 		}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -43,6 +43,8 @@
 	demand   demand
 	// firstAttempts holds when jobs were first submitted.
 	firstAttempts firstSeen
+	// answerLostAt is when a call to an upstream last had no answer.
+	answerLostAt time.Time
 	// adviceRetry is when failed requests to policies are repeated.
 	adviceRetry earliest
 	// placedAt is the time of the last round of placement.
@@ -252,6 +254,7 @@
 	if !h.concurrentPoll && (!h.polling || h.needsConfirmation()) && s.wantsPoll(h) {
 		w.add(s.pollTime(h))
 	}
+	w.add(s.hedgeTime(now, h))
 	if len(h.runs) > 0 && h.failedPolls > 0 {
 		w.add(h.lapseTime())
 	}
