scheduler, platform: an order knows how late it may be sent; an owner's calls and events cost less

Cause: a call to an upstream had no bound between its decision and its first byte, and a call that wasn't sent looked like one without an answer: the run stayed unconfirmed, was polled, stopped and confirmed before its task could be placed again.

Change: - Start, Stop, Pace and Poll carry a permit (fleet/permit): 300 ms, and no longer than the store's confirmation of the ownership is valid. A poll that expired isn't a failed one. - A job counts as pending until a start of it is confirmed. - agenda: an event looks at the upstreams it touches or that are due. - A crowded pool uses a sum of its backlog for 10 ms.

journalOutage.golden: the job's start is unanswered when its state is asked, so it is queued, not running.

--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -270,30 +270,25 @@
 // pollHost extends the leases on an upstream and reads its state, with a long poll of up
 // to l.Hold.Wait.
 func (o *Owner) pollHost(l scheduler.Poll, sent time.Time) {
-	ctx, cancel := context.WithTimeout(o.ctx, l.Hold.Wait+_holdSlack)
-	defer cancel()
-	a, err := o.clients.Upstreams.Hold(ctx, l.Target, l.Hold)
+	v := platform.Sending{Permit: l.Permit, Timeout: l.Hold.Wait + _holdSlack}
+	a, err := o.clients.Upstreams.Hold(o.ctx, v, l.Target, l.Hold)
 	o.Post(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Sent: sent, Result: a, Err: err})
 }
 
 func (o *Owner) start(s scheduler.Start) {
-	ctx, cancel := context.WithTimeout(o.ctx, _orderTimeout)
-	defer cancel()
-	ms, err := o.clients.Upstreams.Start(ctx, s.Target, s.Order)
+	ms, err := o.clients.Upstreams.Start(o.ctx, platform.Sending{Permit: s.Permit, Timeout: _orderTimeout}, s.Target, s.Order)
 	o.Post(scheduler.Ordered{Op: s, ClockMs: ms, Err: err})
 }
 
 func (o *Owner) stop(s scheduler.Stop) {
-	ctx, cancel := context.WithTimeout(o.ctx, _orderTimeout)
-	defer cancel()
-	err := o.clients.Upstreams.Stop(ctx, s.Target, s.Task, s.Run, s.Token)
+	v := platform.Sending{Permit: s.Permit, Timeout: _orderTimeout}
+	err := o.clients.Upstreams.Stop(o.ctx, v, s.Target, s.Task, s.Run, s.Token)
 	o.Post(scheduler.Ordered{Op: s, Err: err})
 }
 
 func (o *Owner) pace(p scheduler.Pace) {
-	ctx, cancel := context.WithTimeout(o.ctx, _orderTimeout)
-	defer cancel()
-	err := o.clients.Upstreams.Pace(ctx, p.Target, p.Task, p.Run, p.Token, p.Percent)
+	v := platform.Sending{Permit: p.Permit, Timeout: _orderTimeout}
+	err := o.clients.Upstreams.Pace(o.ctx, v, p.Target, p.Task, p.Run, p.Token, p.Percent)
 	o.Post(scheduler.Ordered{Op: p, Err: err})
 }
 
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -44,7 +44,7 @@
 	if j.longRunning() || j.recurring() {
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
-	b := s.backlog(now)
+	b := s.recentBacklog(now)
 	wait, known := b.wait(now, s.jobWork(j), s.arrivals)
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
@@ -68,28 +68,21 @@
 // fits reports whether every task of a job fits on some upstream, even an empty
 // one. It returns true while the capacity of no upstream is known.
 func (s *Scheduler) fits(j *job) bool {
-	known := s.knownCapacities()
-	if len(known) == 0 {
+	if !slices.ContainsFunc(s.hosts.order, (*host).capacityKnown) {
 		return true
 	}
 	for _, d := range j.def.GetSteps() {
-		if !slices.ContainsFunc(known, func(c platform.Capacity) bool { return fitsIn(d, c) }) {
+		if !slices.ContainsFunc(s.hosts.order, func(h *host) bool { return h.capacityKnown() && fitsIn(d, h.up.Capacity) }) {
 			return false
 		}
 	}
 	return true
 }
 
-// knownCapacities returns the capacities of the upstreams that may be used. That of an
-// upstream which was never listed is unknown.
-func (s *Scheduler) knownCapacities() []platform.Capacity {
-	var l []platform.Capacity
-	for _, h := range s.hosts.order {
-		if c := h.up.Capacity; !h.gone && (h.listed || h.recordQueued) && c != (platform.Capacity{}) {
-			l = append(l, c)
-		}
-	}
-	return l
+// capacityKnown reports whether the upstream may be used and its capacity is known. That of
+// an upstream which was never listed is unknown.
+func (h *host) capacityKnown() bool {
+	return !h.gone && (h.listed || h.recordQueued) && h.up.Capacity != (platform.Capacity{})
 }
 
 // backlog is the work ahead of a new job.
@@ -134,6 +127,19 @@
 // is placed on it at a time.
 const _placedWork = 500 * time.Millisecond
 
+// _backlogAge is how long a crowded pool uses a sum of its backlog. The time to sum it grows
+// with the jobs, and the wait that follows from it changes by no more than its age.
+const _backlogAge = 10 * time.Millisecond
+
+// recentBacklog returns the backlog as of at most _backlogAge ago, with the jobs that were
+// accepted since.
+func (s *Scheduler) recentBacklog(now time.Time) backlog {
+	if !s.crowded() || now.Sub(s.summedAt) >= _backlogAge {
+		s.summed, s.summedAt = s.backlog(now), now
+	}
+	return s.summed
+}
+
 // backlog sums the work of all accepted jobs.
 func (s *Scheduler) backlog(now time.Time) backlog {
 	var b backlog
--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -50,6 +50,7 @@
 	}
 	r := h.findRun(e.Task, e.Run)
 	t.lastRun = max(t.lastRun, e.Run)
+	t.step.occurrence.job.begun = true
 	if e.Checkpoint != "" {
 		s.saveCheckpoint(t, e.Checkpoint)
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuelanding/entry/link"
+	"fescuelanding/fleet/permit"
 	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
@@ -86,7 +87,8 @@
 	// were started or stopped later.
 	Sent   time.Time
 	Result platform.UpstreamStatus
-	// Err wraps context.DeadlineExceeded if there was no answer in time.
+	// Err wraps context.DeadlineExceeded if there was no answer in time, and
+	// platform.ErrExpired if the Poll's permit expired before it was sent.
 	Err error
 }
 
@@ -96,7 +98,9 @@
 	// ClockMs is the upstream's clock in the answer, in milliseconds; zero if
 	// there was none.
 	ClockMs int64
-	// Err wraps context.DeadlineExceeded if there was no answer in time.
+	// Err wraps context.DeadlineExceeded if there was no answer in time,
+	// platform.ErrNotSent if the order wasn't sent, and platform.ErrExpired besides if that
+	// was because its permit had expired.
 	Err error
 }
 
@@ -141,12 +145,16 @@
 // Op is an action that the scheduler's owner has to carry out.
 type Op interface{ op() }
 
+// The permit of an op to an upstream limits how late it may be sent. It reflects what the
+// decision relied on: the ownership of the pool, and the state of upstream and tasks.
+
 // Start starts a run on an upstream. Host is the upstream's ID, as in the other
 // ops and events.
 type Start struct {
 	Host   string
 	Target platform.Target
 	Order  platform.Start
+	Permit permit.Permit
 }
 
 // Stop stops a run.
@@ -156,6 +164,7 @@
 	Task   string
 	Run    int64
 	Token  int64
+	Permit permit.Permit
 }
 
 // Pace sets the speed limit of a run, in percent of its full speed.
@@ -166,6 +175,7 @@
 	Run     int64
 	Token   int64
 	Percent int
+	Permit  permit.Permit
 }
 
 // Poll renews the leases of an upstream's runs and lists its running and ended
@@ -177,6 +187,7 @@
 	Concurrent bool
 	Target     platform.Target
 	Hold       platform.Hold
+	Permit     permit.Permit
 }
 
 // Append adds records to the pool's journal. Batches are sent one at a time, each
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -83,15 +83,35 @@
 	// later owner polls the upstream before it places inherited jobs.
 	recordQueued  bool
 	recordDurable bool
+
+	// agenda has the upstream's next due time, due, at dueIndex of its heap; that is zero
+	// if it is never due. touched is set while due may be out of date.
+	agenda   *agenda
+	due      time.Time
+	dueIndex int
+	touched  bool
+	// dropped is set once the upstream is no longer in the hostSet.
+	dropped bool
 }
 
+// touch marks the upstream's due time as out of date.
+func (h *host) touch() { h.agenda.touch(h) }
+
 // hostSet holds upstreams by ID, and in the order of their IDs.
 type hostSet struct {
-	byID  map[string]*host
-	order []*host
+	byID   map[string]*host
+	order  []*host
+	agenda agenda
 }
 
-func (s *hostSet) get(id string) *host { return s.byID[id] }
+// get returns an upstream, or nil. The caller may change it.
+func (s *hostSet) get(id string) *host {
+	h := s.byID[id]
+	if h != nil {
+		h.touch()
+	}
+	return h
+}
 
 // all returns a copy of the upstreams, so that they may be dropped during
 // iteration.
@@ -102,11 +122,17 @@
 		s.byID = make(map[string]*host)
 	}
 	s.byID[h.up.ID] = h
+	h.agenda = &s.agenda
+	h.touch()
 	i, _ := slices.BinarySearchFunc(s.order, h, func(a, b *host) int { return strings.Compare(a.up.ID, b.up.ID) })
 	s.order = slices.Insert(s.order, i, h)
 }
 
 func (s *hostSet) drop(id string) {
+	if h := s.byID[id]; h != nil {
+		h.dropped = true
+		s.agenda.remove(h)
+	}
 	delete(s.byID, id)
 	s.order = slices.DeleteFunc(s.order, func(h *host) bool { return h.up.ID == id })
 }
@@ -230,6 +256,7 @@
 }
 
 func (h *host) add(r *run) {
+	h.touch()
 	h.runs = append(h.runs, r)
 	h.states[r.state]++
 	r.host = h
@@ -241,6 +268,7 @@
 	if i < 0 {
 		return
 	}
+	h.touch()
 	h.runs = slices.Delete(h.runs, i, i+1)
 	h.states[r.state]--
 	h.charge(r.task.step, -1)
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -294,6 +294,7 @@
 
 // setState changes the state of a run.
 func (r *run) setState(v runState) {
+	r.host.touch()
 	r.host.states[r.state]--
 	r.state = v
 	r.host.states[v]++
@@ -317,6 +318,10 @@
 	stopped  time.Time
 	stopSent bool
 	stopDue  time.Time
+	// stopTried is set once a stop may have been sent. A keepable run goes on if its stop
+	// wasn't: it was stopped only to move the task.
+	stopTried bool
+	keepable  bool
 	// percent is the reported progress; -1 before the first report.
 	percent      int
 	progressedAt time.Time
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -112,6 +112,7 @@
 // tasks are placed on the present one before a record of its own is durable.
 func (n *journal) forgetHost(h *host) {
 	h.recordQueued, h.recordDurable = false, false
+	h.touch()
 	same := func(x *host) bool { return x == h }
 	n.hosts = slices.DeleteFunc(n.hosts, same)
 	if n.inFlight != nil {
@@ -288,10 +289,12 @@
 func (s *Scheduler) completeBatch(now time.Time, b *batch) {
 	for _, h := range b.hosts {
 		h.recordDurable = true
+		h.touch()
 		s.replan = true
 	}
 	for _, j := range b.accepting {
 		j.durable = true
+		s.upcoming = append(s.upcoming, j)
 		s.logNote("Job accepted.", j.def.GetId(), "queue", j.def.GetQueue(),
 			"afterMs", now.Sub(j.arrived).Milliseconds())
 		for _, r := range j.acceptWaiters {
@@ -317,6 +320,7 @@
 	}
 	for h, n := range b.ends {
 		h.durableEnd = max(h.durableEnd, n)
+		h.touch()
 		// The next poll acknowledges the ends. It is delayed if the upstream is
 		// idle, because nothing waits for the acknowledgement then.
 		if len(h.runs) > 0 {
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -44,6 +44,7 @@
 		if h.listed && !seen[id] {
 			h.listed, h.unlistedAt = false, now
 			h.pollDue = now
+			h.touch()
 			s.logNote("Upstream no longer listed.", "", "upstream", id, "runs", len(h.runs))
 		}
 		if !h.listed {
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"fescuelanding/fleet/permit"
 	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
@@ -54,6 +55,7 @@
 		return
 	}
 	hold := platform.Hold{Token: s.set.Token, Acked: h.acknowledgeable(now), Wait: s.pollWait(h)}
+	p := permit.New(now, _orderLife)
 	if overdue {
 		hold.Wait = 0
 	}
@@ -62,8 +64,9 @@
 	// placed elsewhere once the current lease has lapsed.
 	if s.mayOrder(now) && !h.clockReadAt.IsZero() && len(h.runs) > 0 && h.failedPolls == 0 {
 		hold.DeadlineMs = h.extendLease(now, s.leaseTime())
+		p = s.ownerPermit(now, _orderLife)
 	}
-	l := Poll{Host: h.up.ID, Concurrent: h.polling, Target: h.target, Hold: hold}
+	l := Poll{Host: h.up.ID, Concurrent: h.polling, Target: h.target, Hold: hold, Permit: p}
 	if l.Concurrent {
 		h.concurrentPoll = true
 	}
@@ -91,6 +94,17 @@
 	return h.polledAt.Add(_pollHedge)
 }
 
+// noteLostAnswer notes that a call to an upstream had no answer in time.
+func (s *Scheduler) noteLostAnswer(now time.Time) {
+	if now.Sub(s.answerLostAt) > _lossMemory {
+		// All unanswered polls are backed from now on.
+		for _, h := range s.hosts.order {
+			h.touch()
+		}
+	}
+	s.answerLostAt = now
+}
+
 func (s *Scheduler) pollOverdue(now time.Time, h *host) bool {
 	t := s.hedgeTime(now, h)
 	return !t.IsZero() && !now.Before(t)
@@ -243,8 +257,13 @@
 }
 
 func (s *Scheduler) pollFailed(now time.Time, h *host, e Polled) {
+	if errors.Is(e.Err, platform.ErrExpired) {
+		// This entry was late, which shows nothing about the upstream.
+		h.pollDue = now
+		return
+	}
 	if timedOut(e.Err) {
-		s.answerLostAt = now
+		s.noteLostAnswer(now)
 		if h.lastAnsweredAt.After(e.Sent) {
 			// A later poll was answered, so that only this one was lost.
 			h.pollDue = now
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
+	"fescuelanding/fleet/permit"
 	"fescuelanding/platform"
 )
 
@@ -22,17 +24,25 @@
 	t.runs = append(t.runs, r)
 	st.running++
 	h.add(r)
-	j := st.occurrence.job
-	j.begun = true
+	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
+	s.emitStart(now, r)
+}
+
+func (s *Scheduler) emitStart(now time.Time, r *run) {
+	t, h := r.task, r.host
 	o := platform.Start{
-		Task: t.name, Run: n, Spec: j.def.GetSpec(), Token: s.set.Token,
+		Task: t.name, Run: r.number, Spec: t.step.occurrence.job.def.GetSpec(), Token: s.set.Token,
 		DeadlineMs: h.extendLease(now, s.leaseTime()), Checkpoint: t.checkpoint,
 	}
-	if st.tickets.byHost != nil {
-		o.Ticket = st.tickets.byHost[h.up.ID]
+	if t.step.tickets.byHost != nil {
+		o.Ticket = t.step.tickets.byHost[h.up.ID]
 	}
-	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
-	s.emit(Start{Host: h.up.ID, Target: h.target, Order: o})
+	s.emit(Start{Host: h.up.ID, Target: h.target, Order: o, Permit: s.ownerPermit(now, _orderLife)})
+}
+
+// ownerPermit returns a permit for an order that only the owner of the pool may give.
+func (s *Scheduler) ownerPermit(now time.Time, life time.Duration) permit.Permit {
+	return permit.New(now, max(0, min(life, s.ownershipConfirmedAt.Add(_storeTimeout).Sub(now))))
 }
 
 // unloggedStart is a start that wasn't logged yet.
@@ -66,13 +76,15 @@
 	}
 	r.setState(runStopping)
 	r.stopDue = now
-	s.sendStop(r)
+	s.sendStop(now, r)
 }
 
-func (s *Scheduler) sendStop(r *run) {
+func (s *Scheduler) sendStop(now time.Time, r *run) {
 	r.stopSent = true
+	r.host.touch()
 	s.emit(Stop{
 		Host: r.host.up.ID, Target: r.host.target, Task: r.task.name, Run: r.number, Token: s.set.Token,
+		Permit: permit.New(now, _orderLife),
 	})
 }
 
@@ -83,7 +95,7 @@
 	}
 	for _, r := range h.runs {
 		if r.state == runStopping && !r.stopSent && !now.Before(r.stopDue) {
-			s.sendStop(r)
+			s.sendStop(now, r)
 		}
 	}
 }
@@ -128,6 +140,7 @@
 		if r.state == runOrdered {
 			r.setState(runRunning)
 			r.started, r.progressedAt = now, now
+			r.task.step.occurrence.job.begun = true
 		}
 		if r.host.pollDue.After(now) {
 			r.host.pollDue = now
@@ -139,6 +152,8 @@
 	s.logNote("Start was refused, or had no answer (status 0).", r.task.step.occurrence.job.def.GetId(), "task", r.task.name, "run", r.number,
 		"upstream", h.up.ID, "status", code, "reason", reason, "err", err)
 	switch {
+	case errors.Is(err, platform.ErrNotSent):
+		s.startNotSent(now, r, errors.Is(err, platform.ErrExpired))
 	case code == http.StatusConflict && reason == platform.ReasonFence:
 		s.loseOwnership(h.up.ID)
 	case code == http.StatusConflict:
@@ -147,13 +162,13 @@
 		s.endIncarnation(now, h, "address serves another upstream")
 	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
 		h.health.eject(now)
-		s.release(now, r)
+		s.releaseUnstarted(now, r)
 	case code == http.StatusBadRequest:
 		r.task.avoid = h.up.ID
-		s.release(now, r)
+		s.releaseUnstarted(now, r)
 	default:
 		if timedOut(err) {
-			s.answerLostAt = now
+			s.noteLostAnswer(now)
 		}
 		if r.state == runOrdered {
 			r.setState(runUnconfirmed)
@@ -163,6 +178,34 @@
 	}
 }
 
+// startNotSent handles a start that wasn't sent, so that the run can't exist: its permit
+// had expired, or there was no connection to the upstream.
+func (s *Scheduler) startNotSent(now time.Time, r *run, expired bool) {
+	h := r.host
+	if !expired {
+		r.task.avoid = h.up.ID
+		s.countUnanswered(now, h)
+	}
+	if expired && r.task.step.def.GetGang() && r.state == runOrdered {
+		// The other members may be waiting for this one.
+		r.ordered = now
+		s.emitStart(now, r)
+		return
+	}
+	s.releaseUnstarted(now, r)
+}
+
+// releaseUnstarted ends a run that never began. The other members of its gang, which would
+// wait for it in vain, are stopped.
+func (s *Scheduler) releaseUnstarted(now time.Time, r *run) {
+	s.release(now, r)
+	if r.task.step.def.GetGang() {
+		for i := range r.task.step.tasks {
+			s.stopAll(now, &r.task.step.tasks[i])
+		}
+	}
+}
+
 // _suspectAfter is how many consecutive unanswered starts make an upstream
 // suspect. Healthy upstreams may lose or delay single requests.
 const _suspectAfter = 3
@@ -192,7 +235,7 @@
 		h.health.ejectedUntil = now.Add(_noRoomPause)
 		h.pollDue = now
 	}
-	s.release(now, r)
+	s.releaseUnstarted(now, r)
 }
 
 // _noRoomPause is how long an upstream gets no tasks after it had less room than
@@ -213,7 +256,14 @@
 	case http.StatusMisdirectedRequest:
 		s.endIncarnation(now, h, "address serves another upstream")
 	default:
+		if !errors.Is(err, platform.ErrNotSent) {
+			r.stopTried = true
+		}
 		r.stopSent, r.stopDue = false, now.Add(_stopRetryDelay)
+		if !r.stopTried && r.keepable && !r.task.step.occurrence.job.over() {
+			// The tasks that may be unavailable are counted anew before the next stop.
+			r.setState(runRunning)
+		}
 	}
 }
 
--- a/entry/scheduler/pace.go
+++ b/entry/scheduler/pace.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"fescuelanding/fleet/permit"
+)
 
 // Long-running serving tasks have an objective for their tail latency.
 // Best-effort tasks, which use the CPU left over by others on the host, raise it
@@ -64,6 +68,7 @@
 			r.pace = percent
 			s.emit(Pace{
 				Host: h.up.ID, Target: h.target, Task: r.task.name, Run: r.number, Token: s.set.Token, Percent: percent,
+				Permit: permit.New(now, _orderLife),
 			})
 		}
 	}
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -13,15 +13,16 @@
 // startOccurrences creates the occurrences of accepted jobs that are due, so that
 // their tasks are placed.
 func (s *Scheduler) startOccurrences(now time.Time) {
-	for _, j := range s.active {
-		if !j.durable {
-			continue
+	s.upcoming = slices.DeleteFunc(s.upcoming, func(j *job) bool {
+		if j.over() {
+			return true
 		}
 		for k := len(j.occurrences); k < j.times() && !now.Before(j.due(k)); k++ {
 			j.ensureOccurrence(k)
 			s.replan = true
 		}
-	}
+		return len(j.occurrences) >= j.times()
+	})
 }
 
 // rank orders jobs. Long-running jobs come first, because they must run however
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fescuelanding/fleet/permit"
 	"fescuelanding/platform"
 )
 
@@ -42,7 +43,9 @@
 func (s *Scheduler) adoptRun(now time.Time, h *host, n platform.Running) *run {
 	t := s.findTask(n.Task)
 	if t == nil {
-		s.emit(Stop{Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token})
+		s.emit(Stop{
+			Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token, Permit: permit.New(now, _orderLife),
+		})
 		return nil
 	}
 	r := &run{task: t, number: n.Run, state: runRunning, started: now, adoptedAt: now, percent: -1, pace: 100}
@@ -68,6 +71,7 @@
 	if r.state == runOrdered || r.state == runUnconfirmed {
 		r.setState(runRunning)
 		r.started = now
+		r.task.step.occurrence.job.begun = true
 	}
 	if n.Checkpoint != "" {
 		s.saveCheckpoint(r.task, n.Checkpoint)
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -16,6 +16,8 @@
 	jobs   map[string]*job
 	// active are the jobs that haven't ended, in order of arrival.
 	active []*job
+	// upcoming are the durable jobs with occurrences that aren't due yet.
+	upcoming []*job
 	// past are the ended jobs, in the order in which they expire.
 	past []*job
 
@@ -49,6 +51,9 @@
 	answerLostAt time.Time
 	// adviceRetry is when failed requests to policies are repeated.
 	adviceRetry earliest
+	// summed is the backlog as of summedAt, with the jobs accepted since.
+	summed   backlog
+	summedAt time.Time
 	// workedAt is when due work was done last.
 	workedAt time.Time
 	// placedAt is the time of the last round of placement.
@@ -184,7 +189,9 @@
 	}
 	s.expireUnpolled(now)
 	s.logUnpolled(now)
-	for _, h := range s.hosts.order {
+	a := &s.hosts.agenda
+	a.touchDue(now)
+	for _, h := range slices.Clone(a.list()) {
 		s.expire(now, h)
 		if h.unblockedSince(s.workedAt, now) {
 			s.replan = true
@@ -199,12 +206,18 @@
 		s.replan = false
 		s.place(now)
 	}
-	for _, h := range s.hosts.order {
-		s.resendStops(now, h)
-		s.poll(now, h)
+	for _, h := range a.list() {
+		if !h.dropped {
+			s.resendStops(now, h)
+			s.poll(now, h)
+		}
 	}
 	s.dropExpiredJobs(now)
 	s.flush(now)
+	for _, h := range a.touched {
+		a.set(h, s.dueTime(now, h))
+	}
+	a.touched = a.touched[:0]
 }
 
 // nextPlaceTime returns the earliest time of the next round of placement.
@@ -242,13 +255,9 @@
 	if s.replan && s.mayOrder(now) {
 		w.add(s.nextPlaceTime())
 	}
-	for _, h := range s.hosts.order {
-		s.addHostTimes(now, h, &w)
-	}
-	for _, j := range s.active {
-		if k := len(j.occurrences); j.recurring() && j.durable && k < j.times() {
-			w.add(j.due(k))
-		}
+	w.add(s.hosts.agenda.next())
+	for _, j := range s.upcoming {
+		w.add(j.due(len(j.occurrences)))
 	}
 	if len(s.past) > 0 {
 		w.add(s.past[0].endedAt.Add(s.set.StatusRetention))
@@ -257,9 +266,14 @@
 	return w.time
 }
 
-// addHostTimes adds the times of an upstream's next poll and stops, of the lapse
-// of its leases, and of the end of its ejection or draining.
-func (s *Scheduler) addHostTimes(now time.Time, h *host, w *earliest) {
+// dueTime returns when an upstream is due next: for a poll or a repeated stop, for the
+// lapse of its leases, or for the end of its ejection or draining. It is zero if it
+// is never due.
+func (s *Scheduler) dueTime(now time.Time, h *host) time.Time {
+	var w earliest
+	if h.dropped {
+		return w.time
+	}
 	if !h.concurrentPoll && (!h.polling || h.needsConfirmation()) && s.wantsPoll(h) {
 		w.add(s.pollTime(h))
 	}
@@ -280,6 +294,7 @@
 	if h.drainedUntil.After(now) {
 		w.add(h.drainedUntil)
 	}
+	return w.time
 }
 
 // earliest keeps the earliest of the times added to it; zero times are ignored.
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -48,6 +48,7 @@
 //	polled ID [concurrent] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	pollFailed ID [STATUS REASON] | pollFailed ID lost sent=MS
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
+//	    STATUS: an HTTP status, or lost, expired or notSent
 //	advised STEP ID=TICKET ... | adviceFailed STEP
 //	paceFailed STATUS             the last change of pace failed
 //	storeOutage                   the store no longer confirms ownership of the pool
@@ -155,6 +156,7 @@
 	for _, op := range p.s.Step(p.now, e) {
 		p.print(op)
 	}
+	p.checkAgenda()
 	if n := p.s.Next(p.now); !n.IsZero() && n.Before(p.now) {
 		fmt.Fprintf(&p.out, "  %6d  Next returned the past time %d\n", p.now.Sub(_startTime).Milliseconds(), n.Sub(_startTime).Milliseconds())
 	}
@@ -163,6 +165,16 @@
 	}
 }
 
+// checkAgenda checks that no upstream is due before the agenda's time for it.
+func (p *player) checkAgenda() {
+	for _, h := range p.s.hosts.order {
+		want := p.s.dueTime(p.now, h)
+		if p.s.loaded && !p.s.lost && !want.IsZero() {
+			assert.Assert(p.t, h.dueIndex > 0 && !h.due.After(want), "upstream %s is due at %v, not at %v", h.up.ID, want, h.due)
+		}
+	}
+}
+
 func (p *player) print(op Op) {
 	at := p.now.Sub(_startTime).Milliseconds()
 	w := func(format string, a ...any) {
@@ -354,11 +366,18 @@
 }
 
 // failure decodes the status and the reason of a failed call, which may be
-// absent. The status "lost" means that there was no answer.
+// absent. The status "lost" means that there was no answer, "expired" that the call's permit
+// had expired before it was sent, and "notSent" that there was no connection.
 func failure(call string, f []string) error {
 	if len(f) == 0 {
 		return nil
 	}
+	switch f[0] {
+	case "expired":
+		return fmt.Errorf("%s: %w: %w", call, platform.ErrNotSent, platform.ErrExpired)
+	case "notSent":
+		return fmt.Errorf("%s: %w", call, platform.ErrNotSent)
+	}
 	e := &platform.Error{Call: call}
 	if f[0] != "lost" {
 		e.Status, _ = strconv.Atoi(f[0])
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -42,6 +42,9 @@
 	// longer run anything for a former owner. It includes 5 % of the lease for
 	// slow clocks.
 	_formerOwnerTimeout = _storeTimeout + _lease + _lease/20 + _leaseLapseMargin
+	// _orderLife is how old an order or a poll may be when it is sent. Later, tasks may have
+	// ended or become unavailable, and the decision is made anew.
+	_orderLife = 300 * time.Millisecond
 	// _pollRetryDelay is the pause after a failed poll. It grows linearly with
 	// each failure in a row, up to _maxPollRetryDelay.
 	_pollRetryDelay    = 150 * time.Millisecond
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -35,6 +35,7 @@
 			s.past = append(s.past, j)
 		} else {
 			s.active = append(s.active, j)
+			s.upcoming = append(s.upcoming, j)
 		}
 	}
 	for _, u := range e.Hosts {
@@ -140,6 +141,9 @@
 		return
 	}
 	j.predicted = v.predicted
+	if !j.longRunning() && !j.recurring() {
+		s.summed.waiting += s.jobWork(j)
+	}
 	s.jobs[id] = j
 	s.active = append(s.active, j)
 	s.journal.accepting = append(s.journal.accepting, j)
@@ -227,6 +231,7 @@
 	for _, h := range s.hosts.all() {
 		if !slices.Contains(ids, h.up.ID) && now.Before(h.drainedUntil) {
 			h.drainedUntil = time.Time{}
+			h.touch()
 			s.replan = true
 		}
 	}
@@ -274,6 +279,7 @@
 	for _, r := range h.cloneRuns() {
 		if r.task.step.def.GetLongRunning() && r.state == runRunning && r.task.step.mayStop(r.task) {
 			s.stop(now, r)
+			r.keepable = true
 		}
 	}
 }
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -48,12 +48,18 @@
 }
 
 // BenchmarkTurn measures the scheduling turns of a queue on a large pool: 150 jobs a
-// second, with room for two thirds of them.
+// second with room for two thirds of them, and 250 jobs a second with room for all.
 func BenchmarkTurn(b *testing.B) {
-	for range b.N {
-		w := emulator.New(emulator.Settings{Seed: 1, Upstreams: 200, Jobs: 900, SubmitPeriod: 6 * time.Second, FaultFree: true})
-		for _, v := range w.Run() {
-			b.Error(v)
-		}
+	for name, s := range map[string]emulator.Settings{
+		"200upstreams": {Seed: 1, Upstreams: 200, Jobs: 900, SubmitPeriod: 6 * time.Second, FaultFree: true},
+		"600upstreams": {Seed: 1, Upstreams: 600, Jobs: 1000, SubmitPeriod: 4 * time.Second, FaultFree: true},
+	} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				for _, v := range emulator.New(s).Run() {
+					b.Error(v)
+				}
+			}
+		})
 	}
 }
