scheduler: a window of starts; ends are told by incarnation, not by clock; a suspension counts

Changes: - Owners name the incarnation of each upstream and how long they have known it; the planner reports which incarnation ended, and only from a list that was read a second after it was known. No time of another entry plays a part. Orders of a former planner are waited for from this planner's first step on. - flow: no more than a window of starts is without an answer; the window follows the delay of the answers; timeouts grow with the delay that all upstreams show; a job that can't be started in time is refused at once; an upstream that doesn't answer starts gets no further ones; polls collect ends while answers are slow. - The owner handles requests of callers and the planner before answers of upstreams. A full event queue leaves the outcome of a submission unknown instead of denying it. - Suspended: the time by which the wall clock ran ahead of the monotonic one counts against the confirmation of the ownership.

Scripts changed: a report of an end names the incarnation (four files, same ops); in recurring the starts are answered, as an upstream that leaves a start unanswered gets no other one; takeover places on the upstream that answers; limitPriorUpkeepLag waits for the lease from the planner's first step instead of the record's time.

--- a/entry/hostplan/doc.go
+++ b/entry/hostplan/doc.go
@@ -20,6 +20,6 @@
 // elsewhere. The planner orders the host once the owner reports it vacant.
 //
 // An upstream runs on a host. As it may come back under the same ID after a move or
-// an upkeep, the planner reports the end of its incarnation with the time. The
+// an upkeep, the planner reports which incarnation of it has ended. The
 // platform's types and the log call a host a machine.
 package hostplan
--- a/entry/hostplan/lives.go
+++ b/entry/hostplan/lives.go
@@ -12,8 +12,32 @@
 // the owners of the pools must be informed.
 func (p *Planner) TasksStarted() bool { return p.tasksStarted }
 
-// findEnded collects the upstreams whose incarnations have certainly ended. That is
-// the case if one of these holds:
+// incarnation identifies an incarnation of an upstream.
+type incarnation struct {
+	upstream    string
+	startUnixMs int64
+}
+
+// knownIncarnations returns since when each incarnation that an owner reports is certainly
+// known, by this entry's clock.
+func (p *Planner) knownIncarnations(now time.Time) map[incarnation]time.Time {
+	known := make(map[incarnation]time.Time)
+	for _, s := range p.pools {
+		for _, h := range slices.Concat(s.load.GetDoubtful(), s.load.GetHosts()) {
+			i := incarnation{h.GetUpstream(), h.GetStartUnixMs()}
+			since, ok := p.known[i]
+			if !ok {
+				since = now.Add(-time.Duration(h.GetKnownMs()) * time.Millisecond)
+			}
+			known[i] = since
+		}
+	}
+	return known
+}
+
+// findEnded collects the upstreams whose incarnations have certainly ended. An
+// incarnation that was known _listLag before the hosts were listed, if not longer, has
+// ended if one of these holds:
 //
 //   - an owner reports the upstream, but its host isn't up, has another upstream, or
 //     has none and is in another pool;
@@ -23,20 +47,19 @@
 // The confirmation of an order proves nothing, as the platform also confirms one that it
 // has carried out before, and then leaves the host as it is. Nor does the absence of a
 // host from a single list, as the pages of a list are read at different moments.
-func (p *Planner) findEnded() {
+//
+// Times of other entries play no part, as clocks differ and may be set.
+func (p *Planner) findEnded(now time.Time) {
 	p.ended = make(map[string][]*link.Gone)
-	end := func(pool, u string, at time.Time) {
-		p.ended[pool] = append(p.ended[pool], &link.Gone{Upstream: u, AtUnixMs: at.UnixMilli()})
-	}
+	p.known = p.knownIncarnations(now)
 	for _, name := range sortedKeys(p.pools) {
 		l := p.pools[name].load
 		for _, h := range slices.Concat(l.GetDoubtful(), l.GetHosts()) {
 			m, listed := p.byName[h.GetMachine()]
-			if p.confirmedMissing(h.GetMachine()) {
-				end(name, h.GetUpstream(), p.view.ListedAt)
-			}
-			if listed && provesEnd(m, name, h.GetUpstream()) {
-				end(name, h.GetUpstream(), p.view.ListedAt)
+			ended := p.confirmedMissing(h.GetMachine()) || listed && provesEnd(m, name, h.GetUpstream())
+			i := incarnation{h.GetUpstream(), h.GetStartUnixMs()}
+			if ended && p.view.ListedAt.Sub(p.known[i]) >= _listLag {
+				p.ended[name] = append(p.ended[name], &link.Gone{Upstream: i.upstream, StartUnixMs: i.startUnixMs})
 			}
 		}
 	}
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -89,8 +89,12 @@
 	ops      []Op
 	// absent are the hosts that confirmedMissing was asked about and the list lacks.
 	absent map[string]absence
+	// startedAt is the time of the first step.
+	startedAt time.Time
 	// priorOrders are the last orders of previous planners, by host.
 	priorOrders map[string]priorOrder
+	// known holds since when the incarnations that the owners report are known.
+	known map[incarnation]time.Time
 	// ended are the upstreams whose incarnations have ended, by pool.
 	ended map[string][]*link.Gone
 	// tasksStarted is set when the last step started a task.
@@ -159,9 +163,12 @@
 }
 
 // priorOrderPending reports whether a previous planner's order for a host may still
-// be carried out.
+// be carried out. That is the case until Settings.Lease after this planner's first step, as the
+// previous one sends nothing later. An order that is older by any clock has been carried out.
 func (p *Planner) priorOrderPending(now time.Time, machine string) bool {
-	return now.Sub(p.priorOrders[machine].at) < p.settings.Lease+_maxClockSkew
+	o, ok := p.priorOrders[machine]
+	return ok && now.Sub(o.at) < p.settings.Lease+_maxClockSkew &&
+		(p.startedAt.IsZero() || now.Sub(p.startedAt) < p.settings.Lease)
 }
 
 // priorOrderUnseen reports whether a previous planner's order for a host may have been
@@ -264,6 +271,9 @@
 // order.
 func (p *Planner) Step(now time.Time, v View) []Op {
 	p.ops, p.tasksStarted = nil, false
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
 	p.view = v
 	p.byName = make(map[string]platform.Machine, len(v.Machines))
 	for _, m := range v.Machines {
@@ -273,7 +283,7 @@
 	p.refillOrderCredit(now)
 	p.updatePools(now)
 	p.updateWaveExtras()
-	p.findEnded()
+	p.findEnded(now)
 	p.advanceTasks(now)
 	p.reportWaves(now)
 	p.planUpkeeps(now)
@@ -354,8 +364,7 @@
 	return t.machine.Upstream == "" || s.unused() || s.current && slices.Contains(s.load.GetVacant(), t.machine.Upstream)
 }
 
-// _listLag is how long after the confirmation of an order the list of hosts may
-// still lack its effect.
+// _listLag is how old the state of a host in the list may be.
 const _listLag = time.Second
 
 // sendOrder emits the order for a vacant host, unless credit is lacking or too many
@@ -388,8 +397,8 @@
 }
 
 // _maxClockSkew is the largest difference expected between the clocks of two
-// entries.
-const _maxClockSkew = 300 * time.Millisecond
+// entries. A clock may be set by several seconds.
+const _maxClockSkew = 6 * time.Second
 
 // candidates returns the hosts accepted by keep that are up and have neither a task
 // nor a pending order of a previous planner, in order of increasing cost: hosts of
--- a/entry/hostplan/script_test.go
+++ b/entry/hostplan/script_test.go
@@ -24,7 +24,7 @@
 //	host NAME POOL [STATE] [upstream=U]   adds or replaces a listed host
 //	unlist NAME                           removes a host from the list
 //	pool NAME [standby] [demand=N] [backlog=N] [lasting=N] [spread=N]
-//	    [runs=U:N:LASTING,...] [doubtful=U:MACHINE,...] [vacant=U,...]
+//	    [runs=U:N:LASTING[:START[:KNOWNMS]],...] [doubtful=U:MACHINE[:START[:KNOWNMS]],...] [vacant=U,...]
 //	                                      sets the load that its owner reports
 //	unresponsive NAME                     the pool's owner doesn't answer
 //	wave N MS MAXDOWN HOST,...            adds a wave that is due after MS
@@ -124,7 +124,7 @@
 		q := p.planner.LoadRequest(p.now, f[1])
 		var gone []string
 		for _, g := range q.GetGone() {
-			gone = append(gone, fmt.Sprintf("%s@%d", g.GetUpstream(), g.GetAtUnixMs()-_startTime.UnixMilli()))
+			gone = append(gone, fmt.Sprintf("%s@%d", g.GetUpstream(), g.GetStartUnixMs()))
 		}
 		fmt.Fprintf(&p.out, "  vacate %v gone %v arrivals %d\n", q.GetVacate(), gone, len(q.GetArrivals()))
 	default:
@@ -178,14 +178,14 @@
 		case "runs":
 			for _, x := range strings.Split(s, ",") {
 				g := strings.Split(x, ":")
-				v.Load.Hosts = append(v.Load.Hosts, &link.HostLoad{
-					Upstream: g[0], Machine: g[0][1:], Runs: int32(p.number(g[1])), Lasting: int32(p.number(g[2])),
-				})
+				h := p.incarnation(g[0], g[0][1:], g[3:])
+				h.Runs, h.Lasting = int32(p.number(g[1])), int32(p.number(g[2]))
+				v.Load.Hosts = append(v.Load.Hosts, h)
 			}
 		case "doubtful":
 			for _, x := range strings.Split(s, ",") {
-				u, m, _ := strings.Cut(x, ":")
-				v.Load.Doubtful = append(v.Load.Doubtful, &link.HostLoad{Upstream: u, Machine: m})
+				g := strings.Split(x, ":")
+				v.Load.Doubtful = append(v.Load.Doubtful, p.incarnation(g[0], g[1], g[2:]))
 			}
 		}
 	}
@@ -198,6 +198,22 @@
 	p.view.Pools = append(p.view.Pools, v)
 }
 
+// incarnation decodes an incarnation that an owner reports. It began at the Unix time in the
+// first of the words, in milliseconds, and is known for the time in the second one; by
+// default, 0 and _knownMs.
+func (p *scriptRunner) incarnation(upstream, machine string, words []string) *link.HostLoad {
+	h := &link.HostLoad{Upstream: upstream, Machine: machine, KnownMs: _knownMs}
+	if len(words) > 0 {
+		h.StartUnixMs = p.number(words[0])
+	}
+	if len(words) > 1 {
+		h.KnownMs = p.number(words[1])
+	}
+	return h
+}
+
+const _knownMs = 10_000
+
 func (p *scriptRunner) step() {
 	for _, op := range p.planner.Step(p.now, p.view) {
 		switch op := op.(type) {
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -52,6 +52,16 @@
 	return func(d *Duty[M]) { d.box.interval, d.box.tick = interval, m }
 }
 
+// WithUrgent delivers the messages for which urgent returns true before all others. They
+// wait in a ring of their own, of the same size and policy.
+func WithUrgent[M any](urgent func(M) bool) Option[M] {
+	return func(d *Duty[M]) {
+		d.box.isUrgent = urgent
+		d.box.urgent = newRing[M](len(d.box.ring.slots))
+		d.box.urgent.wake = d.box.ring.wake
+	}
+}
+
 // WithClock replaces time.Now as the source of the time passed to the handler.
 func WithClock[M any](now func() time.Time) Option[M] {
 	return func(d *Duty[M]) { d.now = now }
@@ -94,25 +104,25 @@
 
 // Post sends m to the duty and never blocks. It returns ErrFull if the policy
 // is Refuse and the ring is full, and ErrStopped after Stop.
-func (d *Duty[M]) Post(m M) error { return d.box.ring.push(m, d.box.policy) }
+func (d *Duty[M]) Post(m M) error { return d.box.push(m) }
 
 // Stop refuses further messages, and returns once the handler has handled those
 // already posted. The handler must not call it, since Stop would wait for itself.
 func (d *Duty[M]) Stop() {
-	d.box.ring.close()
+	d.box.close()
 	<-d.box.done
 }
 
 // Waiting returns the number of messages in the ring.
 func (d *Duty[M]) Waiting() int {
-	n, _ := d.box.ring.counts()
+	n, _ := d.box.counts()
 	return n
 }
 
 // Lost returns the number of messages refused or dropped because the ring was
 // full.
 func (d *Duty[M]) Lost() uint64 {
-	_, n := d.box.ring.counts()
+	_, n := d.box.counts()
 	return n
 }
 
--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -48,6 +48,32 @@
 	return d, seen, release
 }
 
+// TestUrgentFirst posts messages while the handler is busy. Those of at least 10 are urgent.
+func TestUrgentFirst(t *testing.T) {
+	var seen []event
+	entered, release := make(chan struct{}), make(chan struct{})
+	urgent := func(m event) bool { return m.(number) >= 10 }
+	d, err := duty.Spawn(duty.System(nil), "test", 3, duty.Refuse, func(_ time.Time, m event) {
+		if len(seen) == 0 {
+			close(entered)
+			<-release
+		}
+		seen = append(seen, m)
+	}, duty.WithUrgent(urgent))
+	assert.NilError(t, err)
+	assert.NilError(t, d.Post(number(0)))
+	<-entered
+	for _, n := range []number{1, 10, 2, 11, 3, 12} {
+		assert.NilError(t, d.Post(n))
+	}
+	assert.ErrorIs(t, d.Post(number(13)), duty.ErrFull)
+	assert.Equal(t, d.Waiting(), 6)
+	close(release)
+	d.Stop()
+	assert.DeepEqual(t, seen, []event{number(0), number(10), number(11), number(12), number(1), number(2), number(3)})
+	assert.ErrorIs(t, d.Post(number(14)), duty.ErrStopped)
+}
+
 func TestFullRingRefuses(t *testing.T) {
 	d, seen, release := spawnBlocked(t, 2, duty.Refuse)
 	assert.NilError(t, d.Post(number(1)))
--- a/entry/internal/duty/mailbox.go
+++ b/entry/internal/duty/mailbox.go
@@ -9,7 +9,11 @@
 // mailbox delivers messages from a ring to the library's actor, on one goroutine
 // that runs until the duty stops.
 type mailbox[M any] struct {
-	ring     *ring[M]
+	ring *ring[M]
+	// urgent holds the messages for which isUrgent returns true; both are nil without
+	// WithUrgent.
+	urgent   *ring[M]
+	isUrgent func(M) bool
 	policy   Policy
 	interval time.Duration
 	tick     M
@@ -21,7 +25,7 @@
 // than the duty's. The policy says what happens when the ring is full.
 func (b *mailbox[M]) PostUserMessage(message any) {
 	if m, ok := message.(M); ok {
-		_ = b.ring.push(m, b.policy)
+		_ = b.push(m)
 	}
 }
 
@@ -30,10 +34,45 @@
 // or are delivered by run.
 func (b *mailbox[M]) PostSystemMessage(message any) {
 	if _, ok := message.(*actor.Stop); ok {
-		b.ring.close()
+		b.close()
 	}
 }
 
+func (b *mailbox[M]) push(m M) error {
+	if b.isUrgent != nil && b.isUrgent(m) {
+		return b.urgent.push(m, b.policy)
+	}
+	return b.ring.push(m, b.policy)
+}
+
+// pop removes and returns the next message, an urgent one if there is any. ok is false if
+// there is none; ended is true if there will be none either.
+func (b *mailbox[M]) pop() (m M, ok, ended bool) {
+	if b.urgent != nil {
+		if m, ok, _ := b.urgent.pop(); ok {
+			return m, true, false
+		}
+	}
+	return b.ring.pop()
+}
+
+func (b *mailbox[M]) close() {
+	if b.urgent != nil {
+		b.urgent.close()
+	}
+	b.ring.close()
+}
+
+// counts returns the number of messages waiting, and of those refused or dropped so far.
+func (b *mailbox[M]) counts() (waiting int, lost uint64) {
+	waiting, lost = b.ring.counts()
+	if b.urgent != nil {
+		n, l := b.urgent.counts()
+		waiting, lost = waiting+n, lost+l
+	}
+	return waiting, lost
+}
+
 // RegisterHandlers implements actor.Mailbox. It ignores the dispatcher, which
 // would start a goroutine for each burst of messages.
 func (b *mailbox[M]) RegisterHandlers(invoker actor.MessageInvoker, _ actor.Dispatcher) {
@@ -45,7 +84,7 @@
 
 // UserMessageCount implements actor.Mailbox.
 func (b *mailbox[M]) UserMessageCount() int {
-	n, _ := b.ring.counts()
+	n, _ := b.counts()
 	return n
 }
 
@@ -56,7 +95,7 @@
 	defer stop()
 	for {
 		b.deliverDueTick(ticks)
-		m, ok, ended := b.ring.pop()
+		m, ok, ended := b.pop()
 		switch {
 		case ok:
 			b.invoker.InvokeUserMessage(m)
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -11,6 +11,7 @@
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/member"
 	"fescuelanding/entry/scheduler"
+	"fescuelanding/fleet/permit"
 	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
@@ -158,12 +159,11 @@
 }
 
 // recentlyConfirmed reports whether the store confirmed the held partitions within
-// member.MaxConfirmationAge. It uses the wall clock, since the monotonic clock stops
-// while the process is suspended.
+// member.MaxConfirmationAge. A time in which the process was suspended counts.
 func (p *pools) recentlyConfirmed(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Round(0).Sub(p.held.ConfirmedAt().Round(0)) < member.MaxConfirmationAge
+	return permit.Elapsed(p.held.ConfirmedAt(), now) < member.MaxConfirmationAge
 }
 
 // losePlanner gives up _plannerPartition if it is held under token. It is called when
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -22,18 +22,13 @@
 	"fescuelanding/entry/internal/logging"
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/scheduler"
+	"fescuelanding/fleet/permit"
 	"fescuelanding/platform"
 )
 
 const (
 	// _maxEvents is the capacity of the scheduler's event queue.
 	_maxEvents = 8192
-	// _orderTimeout limits a call that starts a run on an upstream, stops it, or sets
-	// its pace (the share at which it may work). Responses take milliseconds, and a lost
-	// packet is retransmitted within a quarter of a second.
-	_orderTimeout = 500 * time.Millisecond
-	// _holdSlack is the time allowed for the response of a long poll beyond its wait.
-	_holdSlack = 600 * time.Millisecond
 	// _adviceTimeout limits a call to the advice service. The service decides about one
 	// pool at a time, so a response includes the wait for other pools' decisions.
 	_adviceTimeout = 1500 * time.Millisecond
@@ -55,9 +50,11 @@
 	log     *logging.Log
 	ctx     context.Context
 	cancel  context.CancelFunc
-	// duty is the actor that runs step. Only step uses sched and wakeAt.
+	// duty is the actor that runs step. Only step uses sched, steppedAt and wakeAt.
 	duty  *duty.Duty[scheduler.Event]
 	sched *scheduler.Scheduler
+	// steppedAt is the time of the last event.
+	steppedAt time.Time
 	// appends has capacity for the one batch that may be in progress.
 	appends chan scheduler.Append
 	// timer posts scheduler.Woken at wakeAt, when the scheduler must run next.
@@ -81,7 +78,7 @@
 		pending: make(map[scheduler.Ref]chan *link.Answer),
 	}
 	name := fmt.Sprintf("owner.%s.%d", set.Pool, set.Token)
-	d, err := duty.Spawn(sys, name, _maxEvents, duty.Refuse, o.step)
+	d, err := duty.Spawn(sys, name, _maxEvents, duty.Refuse, o.step, duty.WithUrgent(isUrgent))
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("start owner: %w", err)
@@ -94,6 +91,17 @@
 	return o, nil
 }
 
+// isUrgent reports whether an event is handled before those of upstreams, of which there are
+// thousands per second in a turn: callers and the planner wait for an answer, and without the
+// store's confirmation the owner may not order.
+func isUrgent(e scheduler.Event) bool {
+	switch e.(type) {
+	case scheduler.Polled, scheduler.Ordered, scheduler.Advised, scheduler.Listed, scheduler.Woken:
+		return false
+	}
+	return true
+}
+
 // Stop ends scheduling. Pending calls return OUTCOME_UNKNOWN. It may be called more
 // than once.
 func (o *Owner) Stop() {
@@ -124,8 +132,9 @@
 }
 
 // Call passes a call to the scheduler and waits for its answer. It returns
-// OUTCOME_NOT_OWNER after Stop, OUTCOME_UNAVAILABLE if the call is of unknown kind or
-// the event queue is full, and OUTCOME_UNKNOWN if ctx ends first.
+// OUTCOME_NOT_OWNER after Stop, OUTCOME_UNAVAILABLE if the call is of unknown kind, and
+// OUTCOME_UNKNOWN if the event queue is full or ctx ends first: a job that the call submits
+// may have been accepted by an earlier call.
 func (o *Owner) Call(ctx context.Context, q *link.Call) *link.Answer {
 	w := make(chan *link.Answer, 1)
 	o.mu.Lock()
@@ -144,7 +153,7 @@
 	}
 	if err := o.duty.Post(e); err != nil {
 		o.dropPending(r)
-		return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: 1000}
+		return &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN}
 	}
 	select {
 	case a := <-w:
@@ -183,9 +192,12 @@
 
 // step processes one event; it runs on the actor.
 func (o *Owner) step(now time.Time, e scheduler.Event) {
-	for _, op := range o.sched.Step(now, e) {
-		o.execute(op)
+	if d := permit.Suspended(o.steppedAt, now); !o.steppedAt.IsZero() && d > _minSuspension {
+		o.log.Warn("Process was suspended, or its time of day was set forward.", "pool", o.pool, "forMs", d.Milliseconds())
+		o.run(now, scheduler.Suspended{For: d})
 	}
+	o.steppedAt = now
+	o.run(now, e)
 	if o.sched.Lost() {
 		// Another owner has fenced this one off.
 		o.cancel()
@@ -199,6 +211,17 @@
 	o.timer.Reset(max(next.Sub(now), time.Millisecond))
 }
 
+// _minSuspension is the time from which a difference between the clocks counts as a
+// suspension. Below, it may be due to the wall clock's slewing.
+const _minSuspension = 50 * time.Millisecond
+
+// run passes an event to the scheduler and executes the operations that it returns.
+func (o *Owner) run(now time.Time, e scheduler.Event) {
+	for _, op := range o.sched.Step(now, e) {
+		o.execute(op)
+	}
+}
+
 // Token returns the fencing token under which the pool is owned.
 func (o *Owner) Token() int64 { return o.token }
 
@@ -270,24 +293,24 @@
 // pollHost extends the leases on an upstream and reads its state, with a long poll of up
 // to l.Hold.Wait.
 func (o *Owner) pollHost(l scheduler.Poll, sent time.Time) {
-	v := platform.Sending{Permit: l.Permit, Timeout: l.Hold.Wait + _holdSlack}
+	v := platform.Sending{Permit: l.Permit, Timeout: l.Timeout}
 	a, err := o.clients.Upstreams.Hold(o.ctx, v, l.Target, l.Hold)
-	o.Post(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Sent: sent, Result: a, Err: err})
+	o.Post(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Wait: l.Hold.Wait, Sent: sent, Result: a, Err: err})
 }
 
 func (o *Owner) start(s scheduler.Start) {
-	ms, err := o.clients.Upstreams.Start(o.ctx, platform.Sending{Permit: s.Permit, Timeout: _orderTimeout}, s.Target, s.Order)
+	ms, err := o.clients.Upstreams.Start(o.ctx, platform.Sending{Permit: s.Permit, Timeout: s.Timeout}, s.Target, s.Order)
 	o.Post(scheduler.Ordered{Op: s, ClockMs: ms, Err: err})
 }
 
 func (o *Owner) stop(s scheduler.Stop) {
-	v := platform.Sending{Permit: s.Permit, Timeout: _orderTimeout}
+	v := platform.Sending{Permit: s.Permit, Timeout: s.Timeout}
 	err := o.clients.Upstreams.Stop(o.ctx, v, s.Target, s.Task, s.Run, s.Token)
 	o.Post(scheduler.Ordered{Op: s, Err: err})
 }
 
 func (o *Owner) pace(p scheduler.Pace) {
-	v := platform.Sending{Permit: p.Permit, Timeout: _orderTimeout}
+	v := platform.Sending{Permit: p.Permit, Timeout: p.Timeout}
 	err := o.clients.Upstreams.Pace(o.ctx, v, p.Target, p.Task, p.Run, p.Token, p.Percent)
 	o.Post(scheduler.Ordered{Op: p, Err: err})
 }
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -49,6 +49,7 @@
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
+	wait = max(wait, s.flow.wait(now, b.starts))
 	// A retried job is measured from its first attempt.
 	late := now.Sub(j.arrived)
 	p := wait + s.criticalPath(j)
@@ -94,6 +95,8 @@
 	// work that is, both in millicore-seconds.
 	waiting float64
 	running float64
+	// starts is the number of tasks that could be placed now.
+	starts int
 }
 
 // wait predicts how long a job with the given work waits before it runs, counting
@@ -170,6 +173,9 @@
 		b.capacity -= cpu * float64(st.def.GetCount())
 		return
 	}
+	if st.waiting() {
+		b.starts += st.left - st.running
+	}
 	d := s.expectedDuration(st)
 	b.waiting += float64(max(0, st.left-st.running)) * cpu * d.Seconds()
 	for i := range st.tasks {
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -113,15 +113,13 @@
 		id := h.up.ID
 		_, unpolled := s.unpolled[id]
 		if !h.gone && (unpolled || h.failedPolls > 0 && (!h.listed || len(h.runs) > 0)) {
-			l.Doubtful = append(l.Doubtful, &link.HostLoad{Upstream: id, Machine: h.up.Machine})
+			l.Doubtful = append(l.Doubtful, h.load(now))
 		}
 		if h.gone || !h.listed || h.up.Draining {
 			continue
 		}
 		l.Capacity += h.up.Capacity.MilliCPU
-		l.Hosts = append(l.Hosts, &link.HostLoad{
-			Upstream: id, Machine: h.up.Machine, Runs: int32(len(h.runs)), Lasting: int32(h.longRunning()),
-		})
+		l.Hosts = append(l.Hosts, h.load(now))
 	}
 	for _, j := range s.active {
 		for _, d := range j.def.GetSteps() {
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -83,6 +83,8 @@
 	Host string
 	// Concurrent is copied from the Poll.
 	Concurrent bool
+	// Wait is how long the Poll was to wait for a run to end.
+	Wait time.Duration
 	// Sent is when the Poll was sent. The answer shows nothing about runs that
 	// were started or stopped later.
 	Sent   time.Time
@@ -123,6 +125,10 @@
 // the pool.
 type OwnershipConfirmed struct{ At time.Time }
 
+// Suspended reports that the process was suspended for some time that the steady clock
+// doesn't count. It is sent before any other event after that.
+type Suspended struct{ For time.Duration }
+
 // Woken reports only that time has passed. It is sent at the time that Next
 // returns.
 type Woken struct{}
@@ -140,6 +146,7 @@
 func (Appended) event()           {}
 func (Advised) event()            {}
 func (OwnershipConfirmed) event() {}
+func (Suspended) event()          {}
 func (Woken) event()              {}
 
 // Op is an action that the scheduler's owner has to carry out.
@@ -155,16 +162,19 @@
 	Target platform.Target
 	Order  platform.Start
 	Permit permit.Permit
+	// Timeout is how long the answer may take, here and in the other ops.
+	Timeout time.Duration
 }
 
 // Stop stops a run.
 type Stop struct {
-	Host   string
-	Target platform.Target
-	Task   string
-	Run    int64
-	Token  int64
-	Permit permit.Permit
+	Host    string
+	Target  platform.Target
+	Task    string
+	Run     int64
+	Token   int64
+	Permit  permit.Permit
+	Timeout time.Duration
 }
 
 // Pace sets the speed limit of a run, in percent of its full speed.
@@ -176,6 +186,7 @@
 	Token   int64
 	Percent int
 	Permit  permit.Permit
+	Timeout time.Duration
 }
 
 // Poll renews the leases of an upstream's runs and lists its running and ended
@@ -188,6 +199,8 @@
 	Target     platform.Target
 	Hold       platform.Hold
 	Permit     permit.Permit
+	// Timeout includes the time that the Hold waits.
+	Timeout time.Duration
 }
 
 // Append adds records to the pool's journal. Batches are sent one at a time, each
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
 
@@ -24,8 +25,9 @@
 	// token, which fences off former owners.
 	fenced bool
 	// born is when the incarnation began, in Unix milliseconds. It identifies the
-	// incarnation.
-	born int64
+	// incarnation, which this owner has known since knownSince.
+	born       int64
+	knownSince time.Time
 	// The upstream's clock had reached at least clockMs at clockReadAt.
 	clockMs     int64
 	clockReadAt time.Time
@@ -62,8 +64,12 @@
 
 	used platform.Capacity
 	runs []*run
-	// states counts the runs by their state.
+	// states counts the runs by their state, total those of all upstreams.
 	states [_runStates]int
+	total  *[_runStates]int
+	// awaitingSince is when the upstream last answered a start, or the first of the starts
+	// without an answer was sent.
+	awaitingSince time.Time
 	// unknownRuns counts runs of jobs that this owner doesn't have. How much room
 	// they take is unknown until they have been stopped.
 	unknownRuns int
@@ -102,6 +108,8 @@
 	byID   map[string]*host
 	order  []*host
 	agenda agenda
+	// states counts the runs of all upstreams by their state.
+	states [_runStates]int
 }
 
 // get returns an upstream, or nil. The caller may change it.
@@ -122,7 +130,7 @@
 		s.byID = make(map[string]*host)
 	}
 	s.byID[h.up.ID] = h
-	h.agenda = &s.agenda
+	h.agenda, h.total = &s.agenda, &s.states
 	h.touch()
 	i, _ := slices.BinarySearchFunc(s.order, h, func(a, b *host) int { return strings.Compare(a.up.ID, b.up.ID) })
 	s.order = slices.Insert(s.order, i, h)
@@ -138,7 +146,7 @@
 }
 
 func newHost(u platform.Upstream, now time.Time) *host {
-	h := &host{pollDue: now}
+	h := &host{pollDue: now, knownSince: now}
 	h.update(u, now)
 	return h
 }
@@ -153,7 +161,7 @@
 	h.target = platform.Target{Address: u.Address, ID: u.ID}
 	h.rack = u.Rack()
 	if h.born == 0 {
-		h.born = u.StartUnixMs
+		h.setBorn(now, u.StartUnixMs)
 	}
 	if u.StartUnixMs > h.born {
 		return // The clock is that of an incarnation that wasn't polled yet.
@@ -163,6 +171,21 @@
 	}
 }
 
+// setBorn sets the start of the incarnation.
+func (h *host) setBorn(now time.Time, ms int64) {
+	if h.born != ms {
+		h.born, h.knownSince = ms, now
+	}
+}
+
+// load returns what the planner is told of the upstream.
+func (h *host) load(now time.Time) *link.HostLoad {
+	return &link.HostLoad{
+		Upstream: h.up.ID, Machine: h.up.Machine, Runs: int32(len(h.runs)), Lasting: int32(h.longRunning()),
+		StartUnixMs: h.born, KnownMs: now.Sub(h.knownSince).Milliseconds(),
+	}
+}
+
 // clockNow returns a lower bound of the upstream's clock, in milliseconds.
 func (h *host) clockNow(now time.Time) int64 {
 	if h.clockReadAt.IsZero() {
@@ -246,6 +269,16 @@
 	return ended(h.health.ejectedUntil) || ended(h.drainedUntil)
 }
 
+// unresponsive reports whether starts have been without an answer for longer than an answer
+// takes. Further ones would only wait behind them.
+func (h *host) unresponsive(now time.Time, usual time.Duration) bool {
+	return h.states[runOrdered] > 0 && now.Sub(h.awaitingSince) > _startPatience+usual
+}
+
+// _startPatience is how long an upstream may leave a start without an answer before it gets
+// no further ones.
+const _startPatience = 150 * time.Millisecond
+
 func (h *host) free() platform.Capacity {
 	c := h.up.Capacity
 	return platform.Capacity{
@@ -258,8 +291,8 @@
 func (h *host) add(r *run) {
 	h.touch()
 	h.runs = append(h.runs, r)
-	h.states[r.state]++
 	r.host = h
+	h.count(r.state, 1)
 	h.charge(r.task.step, 1)
 }
 
@@ -270,10 +303,16 @@
 	}
 	h.touch()
 	h.runs = slices.Delete(h.runs, i, i+1)
-	h.states[r.state]--
+	h.count(r.state, -1)
 	h.charge(r.task.step, -1)
 }
 
+// count adds to the number of runs in a state.
+func (h *host) count(v runState, n int) {
+	h.states[v] += n
+	h.total[v] += n
+}
+
 // cloneRuns returns a copy of the runs, so that they may end during iteration.
 func (h *host) cloneRuns() []*run { return slices.Clone(h.runs) }
 
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -295,9 +295,9 @@
 // setState changes the state of a run.
 func (r *run) setState(v runState) {
 	r.host.touch()
-	r.host.states[r.state]--
+	r.host.count(r.state, -1)
 	r.state = v
-	r.host.states[v]++
+	r.host.count(v, 1)
 }
 
 // run is one start of a task.
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -88,7 +88,8 @@
 			"run", r.number, "upstream", h.up.ID, "why", "upstream restarted")
 		s.release(now, r)
 	}
-	h.born, h.fenced, h.gone = l.StartUnixMs, false, false
+	h.setBorn(now, l.StartUnixMs)
+	h.fenced, h.gone = false, false
 	h.clockMs, h.clockReadAt, h.deadlineMs, h.pollClockMs = 0, time.Time{}, 0, 0
 	if len(h.runs) > 0 {
 		// The deadlines refer to the former incarnation's clock, so the new one
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -66,7 +66,7 @@
 		hold.DeadlineMs = h.extendLease(now, s.leaseTime())
 		p = s.ownerPermit(now, _orderLife)
 	}
-	l := Poll{Host: h.up.ID, Concurrent: h.polling, Target: h.target, Hold: hold, Permit: p}
+	l := Poll{Host: h.up.ID, Concurrent: h.polling, Target: h.target, Hold: hold, Permit: p, Timeout: hold.Wait + s.flow.timeout(_pollTimeout)}
 	if l.Concurrent {
 		h.concurrentPoll = true
 	}
@@ -195,6 +195,9 @@
 		s.pollFailed(now, h, e)
 		return
 	}
+	if e.Wait == 0 {
+		s.flow.answered(now, now.Sub(e.Sent), false)
+	}
 	if e.Result.StartUnixMs != 0 && h.born != 0 && e.Result.StartUnixMs != h.born {
 		if e.Result.StartUnixMs < h.born {
 			return
@@ -205,7 +208,7 @@
 		return // The answer was sent before the incarnation ended.
 	}
 	if h.born == 0 {
-		h.born = e.Result.StartUnixMs
+		h.setBorn(now, e.Result.StartUnixMs)
 	}
 	if e.Result.ClockMs < h.pollClockMs {
 		// A later poll was answered first. Only the ends in the older answer are
@@ -231,7 +234,7 @@
 	s.recordEnds(now, h, e.Result.Ended)
 	s.reconcileRuns(now, h, e)
 	s.pace(now, h)
-	h.pollDue = now
+	h.pollDue = now.Add(s.flow.pollGap())
 	if s.pollWait(h) == 0 {
 		h.pollDue = now.Add(_noWaitPollDelay)
 	}
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -23,6 +23,9 @@
 	t.lastRun = n
 	t.runs = append(t.runs, r)
 	st.running++
+	if h.states[runOrdered] == 0 {
+		h.awaitingSince = now
+	}
 	h.add(r)
 	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
 	s.emitStart(now, r)
@@ -37,7 +40,10 @@
 	if t.step.tickets.byHost != nil {
 		o.Ticket = t.step.tickets.byHost[h.up.ID]
 	}
-	s.emit(Start{Host: h.up.ID, Target: h.target, Order: o, Permit: s.ownerPermit(now, _orderLife)})
+	s.emit(Start{
+		Host: h.up.ID, Target: h.target, Order: o,
+		Permit: s.ownerPermit(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
+	})
 }
 
 // ownerPermit returns a permit for an order that only the owner of the pool may give.
@@ -84,7 +90,7 @@
 	r.host.touch()
 	s.emit(Stop{
 		Host: r.host.up.ID, Target: r.host.target, Task: r.task.name, Run: r.number, Token: s.set.Token,
-		Permit: permit.New(now, _orderLife),
+		Permit: permit.New(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
 	})
 }
 
@@ -135,8 +141,15 @@
 
 // startAnswered handles the answer to a start.
 func (s *Scheduler) startAnswered(now time.Time, r *run, err error) {
+	if err == nil || platform.Status(err) > 0 || errors.Is(err, platform.ErrExpired) {
+		s.flow.answered(now, now.Sub(r.ordered), true)
+	}
+	if s.flow.limited(now) {
+		s.replan = true
+	}
 	if err == nil {
 		r.host.unansweredStarts = 0
+		r.host.awaitingSince = now
 		if r.state == runOrdered {
 			r.setState(runRunning)
 			r.started, r.progressedAt = now, now
--- a/entry/scheduler/pace.go
+++ b/entry/scheduler/pace.go
@@ -68,7 +68,7 @@
 			r.pace = percent
 			s.emit(Pace{
 				Host: h.up.ID, Target: h.target, Task: r.task.name, Run: r.number, Token: s.set.Token, Percent: percent,
-				Permit: permit.New(now, _orderLife),
+				Permit: permit.New(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
 			})
 		}
 	}
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -111,7 +111,7 @@
 	s.placedAt = now
 	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
 	for _, h := range s.hosts.order {
-		if h.usable(now) {
+		if h.usable(now) && !h.unresponsive(now, s.flow.delay) {
 			p.hosts = append(p.hosts, h)
 		}
 	}
@@ -123,14 +123,23 @@
 	slices.SortStableFunc(all, func(a, b ranked) int { return a.rank.compare(b.rank) })
 	for _, r := range all {
 		for _, st := range r.occ.steps {
-			if st.waiting() {
-				p.placeStep(st)
-				s.logStarts(now, st)
+			if !st.waiting() {
+				continue
 			}
+			if !p.windowOpen() {
+				return
+			}
+			p.placeStep(st)
+			s.logStarts(now, st)
 		}
 	}
 }
 
+// windowOpen reports whether another start may be sent.
+func (p *pass) windowOpen() bool {
+	return p.s.flow.open(p.now, p.s.hosts.states[runOrdered])
+}
+
 // waiting returns the occurrences with tasks to be placed. Jobs of a former owner
 // are left out until all of that owner's upstreams have answered a poll or their
 // leases have lapsed, because the tasks may still be running there.
@@ -239,6 +248,9 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
+		if !p.windowOpen() {
+			return
+		}
 		h := p.pick(t, "")
 		if h != nil {
 			p.start(t, h)
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -33,6 +33,10 @@
 	}
 }
 
+// _orderLost is the age from which a start without any outcome counts as unanswered. It is
+// above the permit and the longest timeout of an order.
+const _orderLost = 4 * time.Second
+
 // _maxListedEnds is the largest number of ends that an upstream lists at once.
 const _maxListedEnds = 500
 
@@ -44,7 +48,8 @@
 	t := s.findTask(n.Task)
 	if t == nil {
 		s.emit(Stop{
-			Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token, Permit: permit.New(now, _orderLife),
+			Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token,
+			Permit: permit.New(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
 		})
 		return nil
 	}
@@ -121,6 +126,10 @@
 			s.stop(now, r)
 		}
 	case runOrdered:
-		// The start may still be on its way.
+		// The start may still be on its way. Its answer is an event of its own, which may be
+		// lost if the entry is overloaded.
+		if sent.Sub(r.ordered) > _orderLost {
+			r.setState(runUnconfirmed)
+		}
 	}
 }
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -45,6 +45,7 @@
 	// arrivals is the capacity that the planner has announced.
 	arrivals []arrival
 	demand   demand
+	flow     flow
 	// firstAttempts holds when jobs were first submitted.
 	firstAttempts firstSeen
 	// answerLostAt is when a call to an upstream last had no answer.
@@ -123,6 +124,8 @@
 		s.adviceAnswered(now, e)
 	case OwnershipConfirmed:
 		s.ownershipConfirmedAt = e.At
+	case Suspended:
+		s.ownershipConfirmedAt = s.ownershipConfirmedAt.Add(-e.For)
 	case Woken:
 		s.replan = true
 	default:
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -43,15 +43,17 @@
 //	          [,antiAffinity=N][,requires=L][,affinity=R][,checkpointing][,target=MS]
 //	          [,bestEffort][,speculative]
 //	state REF JOB | pending REF QUEUE | cancel REF JOB
-//	measure REF [vacate=ID,...] [due=ID,...] [gone=ID,...] [token=N] [sequence=N]    a request of the planner
+//	measure REF [vacate=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]    a request of the planner;
+//	    the incarnation that is gone is by default the one that the scheduler knows
 //	appended [STATUS [REASON]]    the answer to the append in flight
-//	polled ID [concurrent] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
+//	polled ID [concurrent] [atOnce] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	pollFailed ID [STATUS REASON] | pollFailed ID lost sent=MS
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
 //	    STATUS: an HTTP status, or lost, expired or notSent
 //	advised STEP ID=TICKET ... | adviceFailed STEP
 //	paceFailed STATUS             the last change of pace failed
 //	storeOutage                   the store no longer confirms ownership of the pool
+//	suspended MS                  the process was suspended, which its clock doesn't count
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	assert.NilError(t, err)
@@ -328,8 +330,8 @@
 			e.Due = strings.Split(v, ",")
 		}
 		if v := m["gone"]; v != "" {
-			for _, id := range strings.Split(v, ",") {
-				e.Gone = append(e.Gone, &link.Gone{Upstream: id, AtUnixMs: p.now.UnixMilli()})
+			for _, x := range strings.Split(v, ",") {
+				e.Gone = append(e.Gone, p.goneOf(x))
 			}
 		}
 		p.step(e)
@@ -358,6 +360,8 @@
 		p.step(Advised{Step: f[1], Err: &platform.Error{Call: "advise"}})
 	case "paceFailed":
 		p.step(Ordered{Op: p.pace, Err: failure("pace", f[1:])})
+	case "suspended":
+		p.step(Suspended{For: time.Duration(p.number(f[1])) * time.Millisecond})
 	case "storeOutage":
 		p.storeOutage = true
 	default:
@@ -365,6 +369,19 @@
 	}
 }
 
+// goneOf decodes the report of an ended incarnation.
+func (p *player) goneOf(text string) *link.Gone {
+	id, born, ok := strings.Cut(text, "@")
+	g := &link.Gone{Upstream: id}
+	if h := p.s.hosts.byID[id]; h != nil {
+		g.StartUnixMs = h.born
+	}
+	if ok {
+		g.StartUnixMs = p.number(born)
+	}
+	return g
+}
+
 // failure decodes the status and the reason of a failed call, which may be
 // absent. The status "lost" means that there was no answer, "expired" that the call's permit
 // had expired before it was sent, and "notSent" that there was no connection.
@@ -560,7 +577,7 @@
 
 func (p *player) polled(id string, words []string) {
 	l := platform.UpstreamStatus{StartUnixMs: 1, ClockMs: p.now.Sub(_startTime).Milliseconds()}
-	sent := p.now
+	sent, wait := p.now, time.Second
 	concurrent := false
 	for _, w := range words {
 		k, v, _ := strings.Cut(w, "=")
@@ -574,6 +591,8 @@
 			sent = _startTime.Add(time.Duration(p.number(v)) * time.Millisecond)
 		case "concurrent":
 			concurrent = true
+		case "atOnce":
+			wait = 0
 		case "gauge":
 			l.Running[len(l.Running)-1].Gauge = p.number(v)
 		case "run":
@@ -590,5 +609,5 @@
 			l.Ended = append(l.Ended, e)
 		}
 	}
-	p.step(Polled{Host: id, Concurrent: concurrent, Sent: sent, Result: l})
+	p.step(Polled{Host: id, Wait: wait, Concurrent: concurrent, Sent: sent, Result: l})
 }
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -45,6 +45,11 @@
 	// _orderLife is how old an order or a poll may be when it is sent. Later, tasks may have
 	// ended or become unavailable, and the decision is made anew.
 	_orderLife = 300 * time.Millisecond
+	// _orderTimeout is how long an order may be without an answer. Answers take milliseconds,
+	// and a lost packet is retransmitted within a quarter of a second. _pollTimeout is the
+	// same for a poll, beyond the time that it waits for a run to end.
+	_orderTimeout = 500 * time.Millisecond
+	_pollTimeout  = 600 * time.Millisecond
 	// _pollRetryDelay is the pause after a failed poll. It grows linearly with
 	// each failure in a row, up to _maxPollRetryDelay.
 	_pollRetryDelay    = 150 * time.Millisecond
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -48,7 +48,8 @@
 		h := s.hosts.get(u.ID)
 		if u.StartUnixMs > h.born {
 			// The list still has a former incarnation, whose clock is unrelated.
-			h.born, h.clockMs, h.clockReadAt = u.StartUnixMs, 0, time.Time{}
+			h.setBorn(now, u.StartUnixMs)
+			h.clockMs, h.clockReadAt = 0, time.Time{}
 		}
 		h.recordQueued, h.recordDurable = true, true
 		if u.StartUnixMs != 0 && u.StartUnixMs < h.born {
@@ -143,6 +144,7 @@
 	j.predicted = v.predicted
 	if !j.longRunning() && !j.recurring() {
 		s.summed.waiting += s.jobWork(j)
+		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
 	s.active = append(s.active, j)
@@ -253,16 +255,11 @@
 	return vacant
 }
 
-// _incarnationMargin is the shortest time from the start of an incarnation to its
-// reported end. A report closer to the start is taken to be about the former
-// incarnation: clocks differ, and a host may come back under the same ID.
-const _incarnationMargin = 2500 * time.Millisecond
-
 // endIncarnations ends the incarnations that the planner reports as ended.
 func (s *Scheduler) endIncarnations(now time.Time, gone []*link.Gone) {
 	for _, g := range gone {
 		h := s.hosts.get(g.GetUpstream())
-		if h == nil || h.gone || h.born > g.GetAtUnixMs()-_incarnationMargin.Milliseconds() {
+		if h == nil || h.gone || h.born != g.GetStartUnixMs() {
 			continue
 		}
 		s.endIncarnation(now, h, "planner reported its end")
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -32,6 +32,21 @@
 	}
 }
 
+// TestFormerFailures plays the seeds of testdata/seeds.txt.
+func TestFormerFailures(t *testing.T) {
+	text, err := os.ReadFile("testdata/seeds.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(text)) {
+		var seed uint64
+		if _, err := fmt.Sscan(line, &seed); err != nil {
+			continue // a comment
+		}
+		for _, v := range emulator.New(emulator.Settings{Seed: seed}).Run() {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
 // TestOneHistory plays some seeds three times each and checks that the histories are
 // the same. In 90, 97 and 98 an owner loses the pool while several callers wait.
 func TestOneHistory(t *testing.T) {
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -13,10 +13,7 @@
 
 const (
 	_pool = "pool"
-	// _orderTimeout bounds an owner's orders and _appendTimeout its appends. The time-out of
-	// a poll is the time that it may wait at the upstream, plus _pollSlack.
-	_orderTimeout     = 500 * time.Millisecond
-	_pollSlack        = 600 * time.Millisecond
+	// _appendTimeout bounds an owner's appends.
 	_appendTimeout    = 900 * time.Millisecond
 	_appendRetryDelay = 100 * time.Millisecond
 	_topic            = "keyed.jobs"
@@ -30,6 +27,8 @@
 	sched *scheduler.Scheduler
 	// ended is set if a later owner fenced this one off before it could load the records.
 	ended bool
+	// missed is how long the entry's steady clock had stood still at the last event.
+	missed time.Duration
 	// nextWake is when the scheduler is woken next; zero for never.
 	nextWake time.Time
 	// pastWakes counts consecutive wakes that the scheduler requested for a time in the
@@ -46,7 +45,7 @@
 
 // takeOwnership makes the entry the owner of a pool.
 func takeOwnership(e *entry, pool string, token int64) {
-	o := &owner{entry: e, pool: pool, token: token, waiting: make(map[scheduler.Ref]func(*link.Answer))}
+	o := &owner{entry: e, pool: pool, token: token, missed: e.missed, waiting: make(map[scheduler.Ref]func(*link.Answer))}
 	o.sched = scheduler.New(scheduler.Settings{
 		Pool: pool, Token: token, MaxLease: _maxLease, StatusRetention: _statusRetention, RemoteFactor: 1, StopTimeout: _stopTime,
 	})
@@ -82,9 +81,11 @@
 		return
 	}
 	now := o.entry.time()
-	for _, op := range o.sched.Step(now, ev) {
-		o.do(op)
+	if d := o.entry.missed - o.missed; d > 0 {
+		o.missed = o.entry.missed
+		o.step(now, scheduler.Suspended{For: d})
 	}
+	o.step(now, ev)
 	next := o.sched.Next(now)
 	if next.IsZero() || next.Equal(o.nextWake) && o.nextWake.After(now) {
 		return
@@ -104,6 +105,12 @@
 	})
 }
 
+func (o *owner) step(now time.Time, ev scheduler.Event) {
+	for _, op := range o.sched.Step(now, ev) {
+		o.do(op)
+	}
+}
+
 func (o *owner) do(op scheduler.Op) {
 	switch op := op.(type) {
 	case scheduler.Reply:
@@ -116,9 +123,9 @@
 	case scheduler.Poll:
 		o.poll(op)
 	case scheduler.Start:
-		o.sendOrder(op, op.Target, func(u *upstream) error { return u.start(op.Target, op.Order, o.entry.name) })
+		o.sendOrder(op, op.Target, op.Timeout, func(u *upstream) error { return u.start(op.Target, op.Order, o.entry.name) })
 	case scheduler.Stop:
-		o.sendOrder(op, op.Target, func(u *upstream) error { return u.stop(op.Target, op.Task, op.Run, op.Token) })
+		o.sendOrder(op, op.Target, op.Timeout, func(u *upstream) error { return u.stop(op.Target, op.Task, op.Run, op.Token) })
 	case scheduler.Note:
 		if o.entry.world.trace != nil {
 			o.entry.world.tracef("%s: %s %s %v", o.entry.name, op.What, op.Job, fmt.Sprint(op.Pairs...))
@@ -128,7 +135,7 @@
 
 func (o *owner) poll(l scheduler.Poll) {
 	sent := o.entry.time()
-	call(o.entry, l.Target.Address, l.Hold.Wait+_pollSlack, func(answer func(platform.UpstreamStatus, error)) {
+	call(o.entry, l.Target.Address, l.Timeout, func(answer func(platform.UpstreamStatus, error)) {
 		u := o.entry.world.at(l.Target.Address)
 		u.serve(false, func(answered bool) {
 			u.hold(l.Target, l.Hold, func(a platform.UpstreamStatus, err error) {
@@ -138,13 +145,13 @@
 			})
 		})
 	}, func(a platform.UpstreamStatus, err error) {
-		o.post(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Sent: sent, Result: a, Err: err})
+		o.post(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Wait: l.Hold.Wait, Sent: sent, Result: a, Err: err})
 	})
 }
 
 // sendOrder sends an order to an upstream, which executes f, and posts the result.
-func (o *owner) sendOrder(op scheduler.Op, t platform.Target, f func(*upstream) error) {
-	call(o.entry, t.Address, _orderTimeout, func(answer func(int64, error)) {
+func (o *owner) sendOrder(op scheduler.Op, t platform.Target, timeout time.Duration, f func(*upstream) error) {
+	call(o.entry, t.Address, timeout, func(answer func(int64, error)) {
 		u := o.entry.world.at(t.Address)
 		u.serve(true, func(answered bool) {
 			err := f(u)
