hostplan, scheduler: hosts follow what accepted and expected jobs will use; orders have enough connections

Work that is in progress is no backlog, and a few large jobs are no slope: a queue with jobs of 4 s took 997 of 1,100 hosts where it could use 480, and the next queue's turn began with none.

Change: the owner predicts the CPU that its jobs use when a host ordered now would serve (demand.expected): accepted jobs spread over their durations, and later ones by rate and slope, without the part of the slope that chance explains. It adds the standard deviation, since a pool with few large jobs needs more room in proportion. Need is 1.1 times that with 2.5 deviations, or what runs and waits now. The cloud client has connections by the interface's rate, and one of its own for lists.

--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// _headroom is the ratio of planned capacity to demand; it exceeds 1 because
+	// _packing is the ratio of planned capacity to expected CPU; it exceeds 1 because
 	// tasks don't pack into hosts without gaps.
-	_headroom = 1.25
+	_packing = 1.1
+	// _deviations is how many standard deviations are added to the expected CPU. A pool with
+	// few large jobs needs more room in proportion.
+	_deviations = 2.5
+	// _cycleHeadroom is the ratio of planned capacity to the demand of a former period.
+	_cycleHeadroom = 1.25
 	// _minHosts stay in a pool without demand so that it can serve the start of a
 	// peak.
 	_minHosts = 2
@@ -23,9 +28,8 @@
 	// _giveDelay is the corresponding time for a move to a pool that is short of
 	// hosts.
 	_giveDelay = 700 * time.Millisecond
-	// _backlogTargetS is the time within which the backlog should be done, in
-	// seconds.
-	_backlogTargetS = 1.5
+	// _waitingTargetS is the time within which waiting tasks should be done, in seconds.
+	_waitingTargetS = 1.0
 )
 
 // poolState is the planner's state of one pool.
@@ -56,11 +60,6 @@
 	// recentNeeds are the values of need within _standbyDelay.
 	recentNeeds []needSample
 	cycle       demandCycle
-	// meanDemand is a moving average as of meanDemandAt.
-	meanDemand   float64
-	meanDemandAt time.Time
-	// recentDemands are the samples within _slopeWindow.
-	recentDemands []demandSample
 }
 
 // runs returns the number of runs on an upstream, and of the long-running ones among
@@ -136,10 +135,11 @@
 		s.need = 0
 		return
 	}
-	rate := max(s.extrapolate(now, float64(s.load.GetDemand()), move), s.cycle.forecast(now, move+_forecastLead))
-	backlog := float64(s.load.GetBacklog()) / _backlogTargetS
+	expected := float64(s.load.GetExpected())*_packing + float64(s.load.GetDeviation())*_deviations
+	expected = max(expected, s.cycle.forecast(now, move+_forecastLead)*_cycleHeadroom)
+	present := float64(s.load.GetBusy()) + float64(s.load.GetWaiting())/_waitingTargetS
 	longRunning := float64(s.load.GetLasting())
-	s.need = int(math.Ceil((longRunning + max(rate, backlog)*_headroom) / s.hostCPU))
+	s.need = int(math.Ceil((longRunning + max(expected, present)) / s.hostCPU))
 	longRunningHosts := 0
 	for _, h := range s.load.GetHosts() {
 		if h.GetLasting() > 0 {
@@ -174,50 +174,9 @@
 	return n
 }
 
-const (
-	// _meanDemandWindow is the time constant of the moving average of demand. A peak
-	// rises faster.
-	_meanDemandWindow = 2 * time.Second
-	// _slopeWindow is the time over which the slope of demand is measured.
-	_slopeWindow = 700 * time.Millisecond
-	// _serveDelay is the time that an order takes to have an effect, in addition to
-	// the move itself. It consists of the planner's interval, the update of the list
-	// of upstreams, and half of the window over which demand is measured.
-	_serveDelay = 900 * time.Millisecond
-	// _maxIncrease limits the extrapolated increase, as a multiple of the demand.
-	_maxIncrease = 2.0
-)
-
-// extrapolate returns the demand expected when a host that is ordered now begins to
-// serve. During a peak, it assumes that demand continues to rise at its recent
-// slope. The increase counts in full once demand is three times its mean, and not
-// at all while demand is at or below its mean.
-func (s *poolState) extrapolate(now time.Time, demand float64, move time.Duration) float64 {
-	d := now.Sub(s.meanDemandAt)
-	s.meanDemandAt = now
-	s.meanDemand += (demand - s.meanDemand) * min(1, max(0, d.Seconds()/_meanDemandWindow.Seconds()))
-	s.recentDemands = append(s.recentDemands, demandSample{now, demand})
-	for now.Sub(s.recentDemands[0].at) > _slopeWindow {
-		s.recentDemands = s.recentDemands[1:]
-	}
-	if s.meanDemand <= 0 {
-		return demand
-	}
-	first := s.recentDemands[0]
-	span := now.Sub(first.at).Seconds()
-	if span <= 0 {
-		return demand
-	}
-	increase := (demand - first.demand) / span * (move + _serveDelay).Seconds()
-	weight := min(1, max(0, (demand/s.meanDemand-1)/2))
-	return demand + weight*min(max(0, increase), _maxIncrease*demand)
-}
-
-// demandSample is the demand at a time, in thousandths of a core.
-type demandSample struct {
-	at     time.Time
-	demand float64
-}
+// _serveDelay is the time that an order takes to have an effect, in addition to the move
+// itself. It consists of the planner's interval and the update of the list of upstreams.
+const _serveDelay = 700 * time.Millisecond
 
 // _forecastLead is how long before a forecast peak a pool should have its hosts.
 const _forecastLead = 700 * time.Millisecond
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -181,7 +181,9 @@
 // pool's owner of the upstreams to vacate, those that have ended, those due for
 // upkeep, and the capacity that will arrive. The caller sets its token and sequence.
 func (p *Planner) LoadRequest(now time.Time, pool string) *link.Load {
-	l := &link.Load{Arrivals: p.arrivals(now, pool), Gone: p.ended[pool]}
+	l := &link.Load{
+		Arrivals: p.arrivals(now, pool), Gone: p.ended[pool], AheadMs: (p.settings.MoveTime + _serveDelay).Milliseconds(),
+	}
 	for _, name := range sortedKeys(p.tasks) {
 		t := p.tasks[name]
 		// An upstream stays in Vacate after the order, as the list of hosts shows the
@@ -305,7 +307,8 @@
 		s := p.pools[name]
 		p.emit(LogLine{"Pool state.", []any{
 			"pool", name, "hosts", s.hosts, "away", s.unavailable, "need", s.need, "base", s.minNeed,
-			"demand", s.load.GetDemand(), "backlog", s.load.GetBacklog(), "lasting", s.load.GetLasting(),
+			"demand", s.load.GetDemand(), "expected", s.load.GetExpected(), "backlog", s.load.GetBacklog(),
+			"waiting", s.load.GetWaiting(), "busy", s.load.GetBusy(), "lasting", s.load.GetLasting(),
 			"capacity", s.load.GetCapacity(), "errands", len(p.tasks),
 		}})
 	}
--- a/entry/hostplan/script_test.go
+++ b/entry/hostplan/script_test.go
@@ -23,7 +23,7 @@
 //
 //	host NAME POOL [STATE] [upstream=U]   adds or replaces a listed host
 //	unlist NAME                           removes a host from the list
-//	pool NAME [standby] [demand=N] [backlog=N] [lasting=N] [spread=N]
+//	pool NAME [standby] [demand=N] [expected=N] [waiting=N] [busy=N] [lasting=N] [spread=N]
 //	    [runs=U:N:LASTING[:START[:KNOWNMS]],...] [doubtful=U:MACHINE[:START[:KNOWNMS]],...] [vacant=U,...]
 //	                                      sets the load that its owner reports
 //	unresponsive NAME                     the pool's owner doesn't answer
@@ -166,9 +166,13 @@
 		case "standby":
 			v.Standby, v.Load = true, nil
 		case "demand":
-			v.Load.Demand = p.number(s)
-		case "backlog":
-			v.Load.Backlog = p.number(s)
+			v.Load.Demand, v.Load.Expected = p.number(s), p.number(s)
+		case "expected":
+			v.Load.Expected = p.number(s)
+		case "waiting":
+			v.Load.Waiting = p.number(s)
+		case "busy":
+			v.Load.Busy = p.number(s)
 		case "lasting":
 			v.Load.Lasting = p.number(s)
 		case "spread":
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -84,7 +84,7 @@
 	if w.node.boot.Cloud.Address == "" {
 		return
 	}
-	w.cloud = platform.NewCloud(w.node.boot.Cloud.Address)
+	w.cloud = platform.NewCloud(w.node.boot.Cloud)
 	for ctx.Err() == nil {
 		token := w.node.pools.plannerToken()
 		if token > 0 && w.node.config.Load() != nil {
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -184,6 +184,7 @@
 	case *link.Call_Load:
 		return scheduler.LoadRequested{
 			Ref: r, Token: b.Load.GetToken(), Sequence: b.Load.GetSequence(), Arrivals: b.Load.GetArrivals(),
+			Ahead:  time.Duration(b.Load.GetAheadMs()) * time.Millisecond,
 			Vacate: b.Load.GetVacate(), Due: b.Load.GetDue(), Gone: b.Load.GetGone(),
 		}
 	}
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -95,8 +95,10 @@
 	// work that is, both in millicore-seconds.
 	waiting float64
 	running float64
-	// starts is the number of tasks that could be placed now.
-	starts int
+	// starts is the number of tasks that could be placed now, ready their work, and busy the
+	// CPU of the tasks that run, in millicores. Long-running tasks don't count.
+	starts      int
+	ready, busy float64
 }
 
 // wait predicts how long a job with the given work waits before it runs, counting
@@ -173,10 +175,12 @@
 		b.capacity -= cpu * float64(st.def.GetCount())
 		return
 	}
+	d := s.expectedDuration(st)
 	if st.waiting() {
 		b.starts += st.left - st.running
+		b.ready += float64(st.left-st.running) * cpu * d.Seconds()
 	}
-	d := s.expectedDuration(st)
+	b.busy += float64(st.running) * cpu
 	b.waiting += float64(max(0, st.left-st.running)) * cpu * d.Seconds()
 	for i := range st.tasks {
 		for _, r := range st.tasks[i].runs {
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -8,9 +9,17 @@
 )
 
 const (
-	// _demandSpan is the period over which demand is measured. It covers several
+	// _demandSpan is the period over which the current demand is measured. It covers several
 	// jobs, but is much shorter than a load peak of a queue, which lasts seconds.
 	_demandSpan = 600 * time.Millisecond
+	// _trendSpan is the period over which the slope of demand is measured.
+	_trendSpan = 1500 * time.Millisecond
+	// _steadyJobs is the number of jobs from which a rate is steady enough to plan with.
+	_steadyJobs = 25
+	// _maxChain limits the duration of a job that the forecast counts with.
+	_maxChain = 10 * time.Second
+	// _maxRise limits the forecast, as a multiple of the current demand.
+	_maxRise = 4.0
 	// _firstSeenRetention is how long the time of a job's first attempt is kept.
 	// It is longer than callers retry a refused job.
 	_firstSeenRetention = 30 * time.Second
@@ -19,33 +28,122 @@
 // demand is the work submitted recently.
 type demand struct{ samples []demandSample }
 
+// demandSample is a submitted job.
 type demandSample struct {
-	at   time.Time
+	at time.Time
+	// work is in millicore-seconds.
 	work float64
+	// chain is how long the job takes if nothing delays it.
+	chain time.Duration
+	// fresh is set at the job's first attempt, accepted once it was accepted.
+	fresh, accepted bool
 }
 
-// add records submitted work in millicore-seconds.
-func (d *demand) add(now time.Time, work float64) {
+// add records a submitted job.
+func (d *demand) add(now time.Time, x demandSample) {
 	d.trim(now)
-	d.samples = append(d.samples, demandSample{now, work})
+	x.at, x.chain = now, min(max(x.chain, _demandSpan/2), _maxChain)
+	d.samples = append(d.samples, x)
 }
 
 func (d *demand) trim(now time.Time) {
-	for len(d.samples) > 0 && now.Sub(d.samples[0].at) > _demandSpan {
+	for len(d.samples) > 0 && now.Sub(d.samples[0].at) > _maxChain {
 		d.samples = d.samples[1:]
 	}
 }
 
 // rate returns the submitted work per second, in millicores.
 func (d *demand) rate(now time.Time) float64 {
-	d.trim(now)
 	w := 0.0
-	for _, a := range d.samples {
-		w += a.work
+	for _, x := range d.recent(now, _demandSpan) {
+		if x.fresh {
+			w += x.work
+		}
 	}
 	return w / _demandSpan.Seconds()
 }
 
+// recent returns the samples of the last period.
+func (d *demand) recent(now time.Time, span time.Duration) []demandSample {
+	n := len(d.samples)
+	for n > 0 && now.Sub(d.samples[n-1].at) <= span {
+		n--
+	}
+	return d.samples[n:]
+}
+
+// trend returns the slope of demand, in millicores per second. The part of it that the
+// random times and sizes of jobs would explain is left out.
+func (d *demand) trend(now time.Time) float64 {
+	t := _trendSpan.Seconds()
+	moment, variance := 0.0, 0.0
+	for _, x := range d.recent(now, _trendSpan) {
+		if x.fresh {
+			m := t/2 - now.Sub(x.at).Seconds()
+			moment += x.work * m
+			variance += x.work * x.work * m * m
+		}
+	}
+	if moment == 0 {
+		return 0
+	}
+	slope := 12 * moment / (t * t * t)
+	return slope * moment * moment / (moment*moment + variance)
+}
+
+// forecast is the CPU that jobs are expected to use, and its standard deviation, both in
+// millicores.
+type forecast struct{ cpu, deviation float64 }
+
+// expected predicts the CPU that jobs will use after a period if nothing delays them: that
+// of the jobs accepted by then, each spread evenly over its duration, and that of jobs yet to
+// come, which arrive independently of one another.
+func (d *demand) expected(now time.Time, ahead time.Duration) forecast {
+	cpu, work, squares, chained := 0.0, 0.0, 0.0, 0.0
+	for _, x := range d.samples {
+		if age := now.Sub(x.at); x.accepted && age+ahead < x.chain {
+			cpu += x.work / x.chain.Seconds()
+		}
+	}
+	for _, x := range d.recent(now, _trendSpan) {
+		work += x.work
+		squares += x.work * x.work
+		chained += x.work * x.chain.Seconds()
+	}
+	if work == 0 {
+		return forecast{cpu: cpu}
+	}
+	chain := chained / work
+	// Jobs that arrive from now on use CPU after the period if they last until then.
+	from := max(0, ahead.Seconds()-chain)
+	to := ahead.Seconds()
+	rate, span := d.steadyRate(now)
+	mean := rate + d.trend(now)*((from+to)/2+span.Seconds()/2)
+	mean = min(max(0, mean), _maxRise*rate)
+	later := mean * (to - from) / chain
+	// A job of the mean size, weighted by size, uses squares/work/chain of CPU.
+	return forecast{cpu + later, math.Sqrt(later * squares / work / chain)}
+}
+
+// steadyRate returns the submitted work per second, in millicores, measured over the shortest
+// period with _steadyJobs jobs of equal size or as many of different sizes as vary no more. The
+// period is between _demandSpan and _trendSpan.
+func (d *demand) steadyRate(now time.Time) (rate float64, span time.Duration) {
+	work, squares := 0.0, 0.0
+	l := d.recent(now, _trendSpan)
+	for i := len(l) - 1; i >= 0; i-- {
+		x := l[i]
+		if span = now.Sub(x.at); span >= _demandSpan && work*work >= _steadyJobs*squares {
+			return work / span.Seconds(), span
+		}
+		if x.fresh {
+			work += x.work
+			squares += x.work * x.work
+		}
+	}
+	return work / _trendSpan.Seconds(), _trendSpan
+}
+
 // firstSeen stores when jobs were first submitted. A refused job may be submitted
 // again, and its caller measures latency from the first attempt.
 type firstSeen struct {
@@ -90,7 +188,7 @@
 	for _, h := range s.hosts.order {
 		h.waveDue = slices.Contains(e.Due, h.up.ID)
 	}
-	l := s.poolLoad(now)
+	l := s.poolLoad(now, e.Ahead)
 	l.Vacant = s.vacate(now, e.Vacate)
 	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: l})
 }
@@ -104,11 +202,15 @@
 	}
 }
 
-// poolLoad returns the capacity, demand and hosts of the pool for the planner.
-func (s *Scheduler) poolLoad(now time.Time) *link.PoolLoad {
-	l := &link.PoolLoad{Demand: int64(s.demand.rate(now))}
+// poolLoad returns the capacity, demand and hosts of the pool for the planner. ahead is how
+// long it takes until an ordered host serves.
+func (s *Scheduler) poolLoad(now time.Time, ahead time.Duration) *link.PoolLoad {
 	b := s.backlog(now)
-	l.Backlog = int64(b.waiting + b.running)
+	f := s.demand.expected(now, ahead)
+	l := &link.PoolLoad{
+		Demand: int64(s.demand.rate(now)), Expected: int64(f.cpu), Deviation: int64(f.deviation),
+		Backlog: int64(b.waiting + b.running), Waiting: int64(b.ready), Busy: int64(b.busy),
+	}
 	for _, h := range s.hosts.order {
 		id := h.up.ID
 		_, unpolled := s.unpolled[id]
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -68,6 +68,8 @@
 	// Sequence increases with each request of a planner. Reordered requests are
 	// rejected.
 	Sequence int64
+	// Ahead is how long it takes until a host that is ordered now serves the pool.
+	Ahead time.Duration
 	// Arrivals is the capacity that will join the pool.
 	Arrivals []*link.Arrival
 	// Vacate lists the upstreams to drain. All others may be used.
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -128,10 +128,10 @@
 	j.def.AcceptedUnixMs = first.UnixMilli()
 	j.arrived = first
 	j.objective = s.objective(j)
-	if fresh {
-		s.demand.add(now, s.jobWork(j))
-	}
 	v := s.admit(now, j)
+	if ok := v.outcome == link.Outcome_OUTCOME_OK; fresh || ok {
+		s.demand.add(now, demandSample{work: s.jobWork(j), chain: s.criticalPath(j), fresh: fresh, accepted: ok})
+	}
 	if v.outcome != link.Outcome_OUTCOME_OK {
 		s.logNote("Job refused.", id, "queue", j.def.GetQueue(), "why", v.reason,
 			"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
--- a/standin/emulator/load.go
+++ b/standin/emulator/load.go
@@ -17,9 +17,11 @@
 type Load struct {
 	pools   []loadPool
 	standby int
-	jobs    []loadJob
-	faults  []loadFault
-	bounds  []Bound
+	// orders is how many orders for hosts the cloud interface accepts per second.
+	orders float64
+	jobs   []loadJob
+	faults []loadFault
+	bounds []Bound
 }
 
 // Bound is a bound that a load's file sets for a figure of its result, summed over some
@@ -81,6 +83,7 @@
 //
 //	pool NAME hosts N cpu MILLICORES stretch F target MS
 //	standby N                          hosts in the standby pool
+//	orders N                           orders for hosts that are accepted per second
 //	fault KIND from MS to MS share F   lateCalls, storeDown, crash, wave
 //	atLeast FIGURE N, atMost FIGURE N  bounds for a figure that Result.Figures names
 //	job MS POOL STEP ...               each step after the one before
@@ -106,6 +109,8 @@
 			})
 		case "standby":
 			l.standby = p.int()
+		case "orders":
+			l.orders = p.float()
 		case "fault":
 			l.faults = append(l.faults, loadFault{
 				kind: p.word(), from: p.namedMs("from"), to: p.namedMs("to"), share: p.namedFloat("share"),
--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -23,6 +23,9 @@
 	_planInterval = 200 * time.Millisecond
 	_cloudTimeout = time.Second
 	_loadTimeout  = 150 * time.Millisecond
+	// _ordersPerS is how many orders for hosts the cloud interface accepts per second, where
+	// a load doesn't set it.
+	_ordersPerS = 64.0
 	// _cloudLease is how long the cloud interface may still execute an order after a former
 	// planner recorded it.
 	_cloudLease     = 3 * time.Second
@@ -50,9 +53,13 @@
 
 // startPlanner starts the host planner at an entry that has gained its partition.
 func startPlanner(e *entry, token int64) {
+	orders := _ordersPerS
+	if l := e.world.load; l != nil && l.orders > 0 {
+		orders = l.orders
+	}
 	p := &planner{
 		entry: e, token: token, numbering: hostplan.NewAppendNumbering(token), maintained: make(map[int64][]string),
-		plan: hostplan.New(hostplan.Settings{MoveTime: _moveTime, UpkeepTime: _upkeepTime, OrdersPerS: 64, Lease: _cloudLease}),
+		plan: hostplan.New(hostplan.Settings{MoveTime: _moveTime, UpkeepTime: _upkeepTime, OrdersPerS: orders, Lease: _cloudLease}),
 	}
 	e.planner = p
 	e.world.tracef("%s starts the host planner, token %d", e.name, token)
@@ -191,6 +198,7 @@
 			o.submit(func(r scheduler.Ref) scheduler.Event {
 				return scheduler.LoadRequested{
 					Ref: r, Token: p.token, Sequence: n, Arrivals: q.GetArrivals(),
+					Ahead:  time.Duration(q.GetAheadMs()) * time.Millisecond,
 					Vacate: q.GetVacate(), Due: q.GetDue(), Gone: q.GetGone(),
 				}
 			}, func(a *link.Answer) { answer(a.GetLoad(), nil) })
@@ -215,6 +223,10 @@
 		case hostplan.Upkeep:
 			orders = append(orders, op)
 			records = append(records, orderRecord(op.Machine, op.Upstream, at))
+		case hostplan.LogLine:
+			if p.entry.world.trace != nil {
+				p.entry.world.tracef("%s: %s %v", p.entry.name, op.Message, op.Args)
+			}
 		}
 	}
 	if len(orders) == 0 {
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -14,6 +14,8 @@
 	// expires after _missedHeartbeats intervals.
 	_heartbeatInterval = 1500 * time.Millisecond
 	_missedHeartbeats  = 3
+	// _firstReport is the time from the start of an incarnation to its first report.
+	_firstReport = 50 * time.Millisecond
 	// _stopTime is how long a run takes to stop.
 	_stopTime = 400 * time.Millisecond
 	// _maxLease is the longest lease.
@@ -89,6 +91,11 @@
 	u.runs, u.highestFinished, u.ended, u.waiting = make(map[string]*run), make(map[string]int64), nil, nil
 	u.token, u.lastEndNumber, u.deadline, u.startedAt, u.down = 0, 0, 0, u.world.now, false
 	u.report.ID, u.report.StartUnixMs = id, u.world.unixMs()
+	u.world.after(_firstReport, func() {
+		if u.report.ID == id {
+			u.world.report(u)
+		}
+	})
 	u.world.tracef("%s begins a new incarnation as %s", u.machine, id)
 	for _, g := range gangs {
 		g.abort()
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -279,12 +279,17 @@
 
 // heartbeat writes an upstream's report to the list periodically.
 func (w *World) heartbeat(u *upstream) {
+	w.report(u)
+	w.after(_heartbeatInterval, func() { w.heartbeat(u) })
+}
+
+// report writes an upstream's report to the list.
+func (w *World) report(u *upstream) {
 	if !u.down && u.report.ID != "" && w.net.open(u.machine, _store, w.now) && (w.fault.only != nil || w.fault.downUntil <= w.now) {
 		r := u.report
 		r.ClockMs = u.clockMs()
 		w.listing[r.ID] = listEntry{r, w.now}
 	}
-	w.after(_heartbeatInterval, func() { w.heartbeat(u) })
 }
 
 // listUpstreams returns the unexpired reports and drops the others.
