platform, link, work: workspaces, keys and limits on the wire

Keys of callers, weights and limits of workspaces weren't decoded; a job didn't name its workspace. This commit only adds the fields that the parts of docs/design agree on; nothing decides by them yet.

--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -67,7 +67,7 @@
 	p.reconcile()
 	c := p.node.config.Load()
 	for name, o := range p.all() {
-		o.Post(scheduler.Configured{Queues: queues(c, name)})
+		o.Post(scheduler.Configured{Queues: queues(c, name), Workspaces: c.Workspaces})
 	}
 }
 
@@ -126,7 +126,7 @@
 	}
 	p.node.log.Info("Pool gained.", "pool", name, "token", token)
 	o.Post(scheduler.OwnershipConfirmed{At: p.held.ConfirmedAt()})
-	o.Post(scheduler.Configured{Queues: queues(c, name)})
+	o.Post(scheduler.Configured{Queues: queues(c, name), Workspaces: c.Workspaces})
 	if l := p.node.upstreams.inPool(name); l != nil {
 		o.Post(scheduler.Listed{Upstreams: l})
 	}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -176,16 +176,16 @@
 	case *link.Call_Submit:
 		return scheduler.Submitted{Ref: r, Job: b.Submit.GetJob()}
 	case *link.Call_State:
-		return scheduler.StateRequested{Ref: r, ID: b.State.GetId()}
+		return scheduler.StateRequested{Ref: r, ID: b.State.GetId(), Workspace: b.State.GetWorkspace()}
 	case *link.Call_Cancel:
-		return scheduler.CancelRequested{Ref: r, ID: b.Cancel.GetId()}
+		return scheduler.CancelRequested{Ref: r, ID: b.Cancel.GetId(), Workspace: b.Cancel.GetWorkspace()}
 	case *link.Call_Pending:
 		return scheduler.PendingRequested{Ref: r, Queue: b.Pending.GetQueue()}
 	case *link.Call_Load:
 		return scheduler.LoadRequested{
 			Ref: r, Token: b.Load.GetToken(), Sequence: b.Load.GetSequence(), Arrivals: b.Load.GetArrivals(),
 			Ahead:  time.Duration(b.Load.GetAheadMs()) * time.Millisecond,
-			Vacate: b.Load.GetVacate(), Due: b.Load.GetDue(), Gone: b.Load.GetGone(),
+			Vacate: b.Load.GetVacate(), Due: b.Load.GetDue(), Gone: b.Load.GetGone(), Shares: b.Load.GetShares(),
 		}
 	}
 	return nil
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -17,8 +17,12 @@
 // no reply is wanted.
 type Ref uint64
 
-// Configured carries the queues that feed the pool. It replaces the former ones.
-type Configured struct{ Queues []platform.Queue }
+// Configured carries the queues that feed the pool, and all workspaces. They replace the
+// former ones.
+type Configured struct {
+	Queues     []platform.Queue
+	Workspaces []platform.Workspace
+}
 
 // Loaded carries the state that former owners appended to the journal.
 type Loaded struct {
@@ -43,6 +47,8 @@
 type StateRequested struct {
 	Ref Ref
 	ID  string
+	// Workspace is the caller's. A job of another workspace doesn't exist for the caller.
+	Workspace string
 }
 
 // PendingRequested is a caller's request for the number of accepted jobs of a
@@ -56,6 +62,8 @@
 type CancelRequested struct {
 	Ref Ref
 	ID  string
+	// Workspace is the caller's, as in StateRequested.
+	Workspace string
 }
 
 // LoadRequested is the planner's request for the pool's load. It also carries the
@@ -78,6 +86,8 @@
 	Due []string
 	// Gone lists the upstream incarnations that have ended.
 	Gone []*link.Gone
+	// Shares is what the pool may have running of each workspace with a limit.
+	Shares []*link.Share
 }
 
 // Polled is the answer to a Poll.
