--- a/entry/quota/giver.go
+++ b/entry/quota/giver.go
@@ -189,7 +189,9 @@
 			if p.unanswered || u.Waiting == (Amount{}) || fits(Sum(u.Running, u.Waiting), u.Waiting, p.granted[w]) {
 				continue
 			}
-			if more := Sum(Larger(u.Running, p.granted[w]), u.Unit); fits(more, u.Unit, g.targets[n][w].Amount) {
+			// The least that is above the share and of use.
+			k, _ := Times(Less(p.granted[w], u.Running), u.Unit)
+			if fits(Sum(u.Running, Scale(u.Unit, k+1)), u.Unit, g.targets[n][w].Amount) {
 				return true
 			}
 		}
