scheduler, node: a workspace's tasks start within its limit over all pools

Nothing counted what a workspace has running, so a workspace had as much running as its callers sent. The owner of each pool now counts, per workspace, all runs that may be running, asks the share before a start (a gang as a whole) and reports use, what waits and the shares it holds in link.PoolLoad. The planner divides the limits in its exchange of loads, also where hosts can't be listed or no cloud is configured, and only while the store has confirmed it within a second. A task or gang above its workspace's limit is refused at once; the predicted wait and the objective know the limit, and work that a limit keeps from running doesn't delay others.

A new owner counts each inherited task that may be running on an upstream it hasn't polled.

Gauges entry_workspace_{limit,running,waiting,shares} at the planner's entry, and a log line when a workspace is held back, at most every 2 s for each. Golden files of earlier scripts are unchanged.

--- a/entry/internal/node/shift.go
+++ b/entry/internal/node/shift.go
@@ -30,6 +30,8 @@
 	// numbering numbers the appends to _upkeepTopic.
 	numbering hostplan.AppendNumbering
 	view      hostplan.View
+	// limits divides the limits of workspaces among the pools.
+	limits divider
 	// loadSequence numbers the calls of exchangeLoads. It is sent to the owners with the
 	// token, so that they ignore calls that arrive late.
 	loadSequence int64
@@ -125,28 +127,43 @@
 
 // observe refreshes the view of hosts and pools.
 func (s *term) observe(ctx context.Context) {
-	if now := time.Now(); !now.Before(s.nextListAt) {
+	if now := time.Now(); s.cloud != nil && !now.Before(s.nextListAt) {
 		c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 		m, err := s.cloud.Machines(c)
 		cancel()
 		if err != nil {
 			s.node.log.Info("Listing the hosts failed; retrying, and planning with the previous list and loads.", "err", err)
-			return
+			if !s.node.config.Load().hasLimits() {
+				return
+			}
+			// The shares of limits must be renewed whether or not hosts can be moved.
+		} else {
+			s.view.Machines, s.view.ListedAt = m, now
+			s.nextListAt = now.Add(max(_planInterval/2, time.Duration(len(m))*_listPerHost))
 		}
-		s.view.Machines, s.view.ListedAt = m, now
-		s.nextListAt = now.Add(max(_planInterval/2, time.Duration(len(m))*_listPerHost))
 	}
 	s.exchangeLoads(ctx)
+	for range _maxExchanges {
+		if !s.limits.pressing() {
+			break
+		}
+		s.exchangeLoads(ctx)
+	}
+	s.limits.update(s.limits.giver.Statuses())
 }
 
-// exchangeLoads sends each pool's owner the plans for its hosts and receives the
-// pool's load.
+// exchangeLoads sends each pool's owner the plans for its hosts and its shares of the
+// workspaces' limits, and receives the pool's load.
 func (s *term) exchangeLoads(ctx context.Context) {
 	var wg sync.WaitGroup
-	p := s.node.config.Load().Pools
+	c := s.node.config.Load()
+	p := c.Pools
 	s.view.Pools = make([]hostplan.Pool, len(p))
 	now := time.Now()
 	s.loadSequence++
+	s.limits.divide(now, c)
+	// After a pause of the process, another entry may be planning.
+	mayGive := s.node.pools.recentlyConfirmed(now)
 	for i, x := range p {
 		s.view.Pools[i] = hostplan.Pool{Name: x.Name, Standby: x.Standby}
 		if x.Standby {
@@ -154,6 +171,9 @@
 		}
 		w := s.hostPlanner.LoadRequest(now, x.Name)
 		w.Token, w.Sequence = s.token, s.loadSequence
+		if mayGive {
+			s.limits.addShares(w, x.Name)
+		}
 		q := &link.Call{Pool: x.Name, Body: &link.Call_Load{Load: w}}
 		wg.Go(func() {
 			c, cancel := context.WithTimeout(ctx, _loadTimeout)
@@ -169,6 +189,11 @@
 		})
 	}
 	wg.Wait()
+	for i, x := range p {
+		if !x.Standby {
+			s.limits.reported(now, x.Name, s.view.Pools[i].Load)
+		}
+	}
 }
 
 // step runs hostPlanner once and executes the operations that it returns.
--- a/entry/internal/node/waves.go
+++ b/entry/internal/node/waves.go
@@ -78,16 +78,15 @@
 	}
 }
 
-// run plans whenever this entry holds _plannerPartition. It does nothing if no cloud is
-// configured.
+// run plans whenever this entry holds _plannerPartition. If no cloud is configured, it only
+// divides the limits of workspaces, where there are any.
 func (w *planner) run(ctx context.Context) {
-	if w.node.boot.Cloud.Address == "" {
-		return
+	if w.node.boot.Cloud.Address != "" {
+		w.cloud = platform.NewCloud(w.node.boot.Cloud)
 	}
-	w.cloud = platform.NewCloud(w.node.boot.Cloud)
 	for ctx.Err() == nil {
 		token := w.node.pools.plannerToken()
-		if token > 0 && w.node.config.Load() != nil {
+		if c := w.node.config.Load(); token > 0 && c != nil && (w.cloud != nil || c.hasLimits()) {
 			w.runTerm(ctx, token)
 		}
 		wait.For(ctx, _planInterval)
@@ -109,6 +108,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer s.limits.close()
 	s.records, s.statuses = newRecorder(_upkeepTopic, s.appendNumbered), newRecorder(platform.TopicStatus, s.append)
 	go s.records.run(ctx)
 	go s.statuses.run(ctx)
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -41,15 +41,21 @@
 			reason:  "a task is larger than any upstream", retry: _maxRetryAfter,
 		}
 	}
+	if s.overLimit(j) {
+		return decision{
+			outcome: link.Outcome_OUTCOME_OVERLOADED,
+			reason:  "a task or gang requests more than its workspace may have running", retry: _maxRetryAfter,
+		}
+	}
 	if j.longRunning() || j.recurring() {
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.recentBacklog(now)
-	wait, known := b.wait(now, s.jobWork(j), s.arrivals)
+	wait, known := s.withoutExcess(now, b, j.objective).wait(now, s.jobWork(j), s.arrivals)
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
-	wait = max(wait, s.flow.wait(now, b.starts))
+	wait = max(wait, s.flow.wait(now, b.starts), s.limitWait(now, j, b))
 	// A retried job is measured from its first attempt.
 	late := now.Sub(j.arrived)
 	p := wait + s.criticalPath(j)
@@ -99,6 +105,8 @@
 	// CPU of the tasks that run, in millicores. Long-running tasks don't count.
 	starts      int
 	ready, busy float64
+	// limited is the work of the workspaces that have a limit.
+	limited map[string]*limitedWork
 }
 
 // wait predicts how long a job with the given work waits before it runs, counting
@@ -163,6 +171,7 @@
 			b.waiting += s.jobWork(j)
 		}
 	}
+	b.limited = s.limitedBacklog(now)
 	return b
 }
 
@@ -176,7 +185,7 @@
 		return
 	}
 	d := s.expectedDuration(st)
-	if st.waiting() {
+	if st.waiting() && !s.atLimit(now, st) {
 		b.starts += st.left - st.running
 		b.ready += float64(st.left-st.running) * cpu * d.Seconds()
 	}
@@ -214,7 +223,7 @@
 func (s *Scheduler) criticalPath(j *job) time.Duration {
 	q, steps := j.def.GetQueue(), j.def.GetSteps()
 	return longestPath(steps, func(i int) time.Duration {
-		return s.learned.stepDuration(q, steps[i], s.learned.duration(q, steps[i]))
+		return s.waves(j, steps[i]) * s.learned.stepDuration(q, steps[i], s.learned.duration(q, steps[i]))
 	})
 }
 
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -184,6 +184,7 @@
 	}
 	s.plannerToken, s.planSequence = e.Token, e.Sequence
 	s.setArrivals(now, e.Arrivals)
+	s.applyShares(now, e)
 	s.endIncarnations(now, e.Gone)
 	for _, h := range s.hosts.order {
 		h.waveDue = slices.Contains(e.Due, h.up.ID)
@@ -234,6 +235,7 @@
 		}
 	}
 	l.Spread = max(l.Spread, s.gangHosts(l.GetLasting()))
+	s.reportUsage(now, l)
 	return l
 }
 
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -86,8 +86,11 @@
 	Due []string
 	// Gone lists the upstream incarnations that have ended.
 	Gone []*link.Gone
-	// Shares is what the pool may have running of each workspace with a limit.
-	Shares []*link.Share
+	// Shares is what the pool may have running of each workspace with a limit. They are for
+	// the owner with the token SharesOwner and answer its report SharesReport. A SharesOwner
+	// of zero means that the request says nothing about shares.
+	Shares                    []*link.Share
+	SharesOwner, SharesReport int64
 }
 
 // Polled is the answer to a Poll.
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -164,6 +164,7 @@
 // release ends a run, so that its task may be placed again.
 func (s *Scheduler) release(now time.Time, r *run) {
 	r.host.remove(r)
+	s.countRun(r, -1)
 	t := r.task
 	t.drop(r)
 	t.step.running--
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -184,6 +184,9 @@
 	// reserved are the upstreams kept free for tasks that have waited for at least
 	// _reserveAfter, or that are long-running.
 	reserved map[*host]bool
+	// held are the workspaces of which no further tasks start, because one has waited long
+	// for room in the share.
+	held map[string]bool
 }
 
 // findOpen sets the upstreams with enough free CPU.
@@ -236,7 +239,7 @@
 			st.tasks[i].waitingSince = p.now
 		}
 	}
-	if !p.ensureTickets(st) {
+	if !p.withinLimit(st) || !p.ensureTickets(st) {
 		return
 	}
 	if st.def.GetGang() {
@@ -248,7 +251,7 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
-		if !p.windowOpen() {
+		if !p.windowOpen() || !p.withinLimit(st) {
 			return
 		}
 		h := p.pick(t, "")
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -60,6 +60,7 @@
 	t.runs = append(t.runs, r)
 	t.step.running++
 	h.add(r)
+	s.countRun(r, 1)
 	if t.done || t.step.occurrence.job.over() || duplicate {
 		s.stop(now, r)
 	}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -43,9 +43,10 @@
 	plannerToken int64
 	planSequence int64
 	// arrivals is the capacity that the planner has announced.
-	arrivals []arrival
-	demand   demand
-	flow     flow
+	arrivals   []arrival
+	demand     demand
+	workspaces workspaces
+	flow       flow
 	// firstAttempts holds when jobs were first submitted.
 	firstAttempts firstSeen
 	// answerLostAt is when a call to an upstream last had no answer.
@@ -81,6 +82,7 @@
 		endedIncarnations: make(map[string]int64),
 		unpolled:          make(map[string]time.Time),
 		learned:           newLearned(),
+		workspaces:        newWorkspaces(set.Token),
 	}
 }
 
@@ -110,6 +112,7 @@
 	switch e := e.(type) {
 	case Configured:
 		s.configure(e.Queues)
+		s.configureWorkspaces(e.Workspaces)
 	case Loaded:
 		s.load(now, e)
 	case Listed:
@@ -202,6 +205,7 @@
 	}
 	s.workedAt = now
 	s.startOccurrences(now)
+	s.sumUnknownRuns(now)
 	if t := s.adviceRetry.time; !t.IsZero() && !now.Before(t) {
 		s.adviceRetry, s.replan = earliest{}, true
 	}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/golden"
 
 	"fescuelanding/entry/link"
+	"fescuelanding/entry/quota"
 	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
@@ -30,6 +31,7 @@
 //	at MS                         advance the clock, waking the scheduler when due
 //	late MS                       advance the clock without waking the scheduler
 //	queue NAME attempts=N stretch=F target=MS priority=N advice=MS
+//	workspace NAME [cpu=N] [memory=N] [gpu=N]    a workspace with its limit
 //	host ID cpu=N rack=R label=L born=N clock=MS draining    set an upstream of the list
 //	unlist ID                     remove an upstream from the list
 //	list                          deliver the list
@@ -38,12 +40,14 @@
 //	loaded                        deliver the journal's content
 //	takeover [listed]             replace the scheduler by that of a new owner, which reads
 //	                              what this one has appended, if listed after the list
-//	submit REF JOB queue=Q [times=N first=MS every=MS] STEP ...
+//	submit REF JOB queue=Q [workspace=W] [times=N first=MS every=MS] STEP ...
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,sameRack][,longRunning][,mayMiss=N]
 //	          [,antiAffinity=N][,requires=L][,affinity=R][,checkpointing][,target=MS]
 //	          [,bestEffort][,speculative]
 //	state REF JOB | pending REF QUEUE | cancel REF JOB
-//	measure REF [vacate=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]    a request of the planner;
+//	measure REF [vacate=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]
+//	    [shares=W:CPU[:REACH],... | shares=none] [owner=N] [report=N]    a request of the planner;
+//	    shares answer the owner's last report unless told otherwise;
 //	    the incarnation that is gone is by default the one that the scheduler knows
 //	appended [STATUS [REASON]]    the answer to the append in flight
 //	polled ID [concurrent] [atOnce] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
@@ -90,6 +94,9 @@
 	now    time.Time
 	out    strings.Builder
 	queues []platform.Queue
+	// workspaces are those of the configuration, report the number of the last report.
+	workspaces []platform.Workspace
+	report     int64
 	list   []platform.Upstream
 	loaded Loaded
 	starts map[string]Start
@@ -129,7 +136,7 @@
 // delivered before the journal's content.
 func (p *player) takeOver(listed bool) {
 	p.startOwner(p.s.set.Token + 1)
-	p.step(Configured{Queues: p.queues})
+	p.step(p.configured())
 	if listed {
 		p.do([]string{"list"})
 	}
@@ -213,6 +220,9 @@
 		w("advise %s %s", op.Step, strings.Join(op.Hosts, " "))
 	case Reply:
 		w("reply %d %s", op.Ref, answerText(op.Answer))
+		if l := op.Answer.GetLoad(); l != nil {
+			p.report = l.GetReport()
+		}
 	case Pace:
 		p.pace = op
 		w("pace %s on %s %d", runName(op.Task, op.Run), op.Host, op.Percent)
@@ -239,6 +249,9 @@
 	if l := a.GetLoad(); l != nil {
 		o += fmt.Sprintf(" capacity=%d longRunning=%d doubtful=%v vacant=%v", l.GetCapacity(), l.GetLasting(),
 			names(l.GetDoubtful()), l.GetVacant())
+		for _, u := range l.GetUsage() {
+			o += fmt.Sprintf(" %s=%d+%d/%d", u.GetWorkspace(), u.GetMilliCpu(), u.GetWaitingMilliCpu(), u.GetUnitMilliCpu())
+		}
 		if n := l.GetSpread(); n > 0 {
 			o += fmt.Sprintf(" spread=%d", n)
 		}
@@ -293,6 +306,8 @@
 		p.now = _startTime.Add(time.Duration(p.number(f[1])) * time.Millisecond)
 	case "queue":
 		p.queue(f[1], m)
+	case "workspace":
+		p.workspace(f[1], m)
 	case "host":
 		p.host(f[1], m, rest)
 	case "unlist":
@@ -334,6 +349,7 @@
 				e.Gone = append(e.Gone, p.goneOf(x))
 			}
 		}
+		p.addShares(&e, m)
 		p.step(e)
 	case "appended":
 		p.appended(failure("append", f[1:]))
@@ -436,7 +452,49 @@
 	q.Priority = int(p.number(m["priority"]))
 	q.Advice.Valid = time.Duration(p.number(m["advice"])) * time.Millisecond
 	p.queues = append(p.queues, q)
-	p.step(Configured{Queues: p.queues})
+	p.step(p.configured())
+}
+
+func (p *player) configured() Configured {
+	return Configured{Queues: p.queues, Workspaces: slices.Clone(p.workspaces)}
+}
+
+// workspace sets the limit of a workspace.
+func (p *player) workspace(name string, m map[string]string) {
+	p.workspaces = slices.DeleteFunc(p.workspaces, func(w platform.Workspace) bool { return w.Name == name })
+	p.workspaces = append(p.workspaces, platform.Workspace{Name: name, Limit: platform.Capacity{
+		MilliCPU: p.number(m["cpu"]), MemoryMB: p.number(m["memory"]), GPUs: p.number(m["gpu"]),
+	}})
+	p.step(p.configured())
+}
+
+// addShares adds the shares of a planner's request.
+func (p *player) addShares(e *LoadRequested, m map[string]string) {
+	if m["shares"] == "" {
+		return
+	}
+	e.SharesOwner, e.SharesReport = p.s.set.Token, p.report
+	if v := m["owner"]; v != "" {
+		e.SharesOwner = p.number(v)
+	}
+	if v := m["report"]; v != "" {
+		e.SharesReport = p.number(v)
+	}
+	if m["shares"] == "none" {
+		return
+	}
+	for _, x := range strings.Split(m["shares"], ",") {
+		f := strings.Split(x, ":")
+		cpu := p.number(f[1])
+		reach := cpu
+		if len(f) > 2 {
+			reach = p.number(f[2])
+		}
+		e.Shares = append(e.Shares, &link.Share{
+			Workspace: f[0], MilliCpu: cpu, MemoryMb: quota.Unlimited, Gpus: quota.Unlimited,
+			ReachMilliCpu: reach, ReachMemoryMb: quota.Unlimited, ReachGpus: quota.Unlimited,
+		})
+	}
 }
 
 func (p *player) host(id string, m map[string]string, rest []string) {
@@ -518,6 +576,8 @@
 		switch k, v, _ := strings.Cut(w, "="); k {
 		case "queue":
 			j.Queue = v
+		case "workspace":
+			j.Workspace = v
 		case "times":
 			j.Occurrences = int32(p.number(v))
 		case "first":
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -144,6 +144,9 @@
 	j.predicted = v.predicted
 	if !j.longRunning() && !j.recurring() {
 		s.summed.waiting += s.jobWork(j)
+		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
+			s.addJob(v, j)
+		}
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
