access, front, node: calls need a key; a withdrawn key stops within its bound on every entry

Change: package access decides from the newest configuration and from the time at which the store confirmed it, as of the sending of the read; the job's workspace is durable with it; the owner's entry checks the key again under a newer configuration; the health check fails before the bound.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -16,11 +16,14 @@
 )
 
 const (
-	// _readWait is how long the store holds a long poll open. With _replySlack it limits
-	// a read, and thereby how long a dead connection goes unnoticed.
+	// _readWait is how long the store holds a long poll open, unless Wait says otherwise. With
+	// _replySlack it limits a read, and thereby how long a dead connection goes unnoticed.
 	_readWait = 1500 * time.Millisecond
 	// _replySlack is the time allowed for a response beyond its wait.
 	_replySlack = 600 * time.Millisecond
+	// _retryTimeout limits a read after a failed one. It asks for the present records without
+	// a wait, and allows for a store that is slow.
+	_retryTimeout = 1200 * time.Millisecond
 	// _pollInterval is the time between reads of a polled topic. The list of upstreams
 	// changes with each heartbeat; the interval bounds how late a drain is noticed.
 	_pollInterval = 200 * time.Millisecond
@@ -38,6 +41,11 @@
 	// newest records of all keys and replace everything received before. It is called
 	// on the goroutine of Run.
 	OnRecords func(records []platform.Record, snapshot bool)
+	// Wait returns how long a long poll waits for a record. It may be nil.
+	Wait func() time.Duration
+	// OnConfirmed is called after OnRecords when all records that the topic had at the given
+	// time have been received. It may be nil.
+	OnConfirmed func(at time.Time)
 	// OnStoreStatus is called with an error when reads begin to fail, and with nil
 	// when they succeed again. It may be nil.
 	OnStoreStatus func(error)
@@ -85,6 +93,7 @@
 }
 
 func (t *Follower) readSnapshot(ctx context.Context) error {
+	at := time.Now()
 	c, cancel := context.WithTimeout(ctx, _readWait+_replySlack)
 	defer cancel()
 	b, err := t.Store.Newest(c, t.Name, 0)
@@ -93,15 +102,24 @@
 	}
 	t.next = b.Next
 	t.OnRecords(b.Records, true)
+	t.confirm(at)
 	return nil
 }
 
 func (t *Follower) readNew(ctx context.Context) error {
 	wait := _readWait
-	if t.Poll {
-		wait = 0
+	if t.Wait != nil {
+		wait = t.Wait()
 	}
-	c, cancel := context.WithTimeout(ctx, wait+_replySlack)
+	timeout := wait + _replySlack
+	switch {
+	case t.Poll:
+		wait, timeout = 0, _replySlack
+	case t.failing:
+		wait, timeout = 0, _retryTimeout
+	}
+	at := time.Now()
+	c, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	b, err := t.Store.Read(c, t.Name, 0, t.next, wait)
 	if err != nil {
@@ -116,5 +134,14 @@
 	if len(b.Records) > 0 {
 		t.OnRecords(b.Records, false)
 	}
+	if b.Next >= b.End {
+		t.confirm(at)
+	}
 	return nil
 }
+
+func (t *Follower) confirm(at time.Time) {
+	if t.OnConfirmed != nil {
+		t.OnConfirmed(at)
+	}
+}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"time"
 
+	"fescuelanding/entry/access"
 	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
@@ -38,6 +39,9 @@
 	// FindQueue returns the queue for a host and path. configured is false until the
 	// first configuration arrives.
 	FindQueue func(host, path string) (q platform.Queue, found, configured bool)
+	// Authorize decides about a call, given the hash of its key if it has one. The credential
+	// goes to the pool's owner with the call.
+	Authorize func(now time.Time, q platform.Queue, key platform.KeyHash, given bool) (access.Decision, *link.Credential)
 	// Limits returns the operator's limits on requests.
 	Limits func() platform.Limits
 	// CallOwner sends a call to the owner of its pool.
@@ -54,13 +58,13 @@
 // ServeHTTP implements http.Handler.
 func (f *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start, c := time.Now(), &statusRecorder{ResponseWriter: w, status: http.StatusOK}
-	q := f.serve(c, r)
-	recordRequest(q.Name, r.Method, c.status, time.Since(start))
+	q, workspace := f.serve(start, c, r)
+	recordRequest(q.Name, workspace, r.Method, c.status, time.Since(start))
 }
 
-// serve responds to a request and returns its queue, which is the zero Queue if
-// there is none.
-func (f *Handler) serve(w http.ResponseWriter, r *http.Request) platform.Queue {
+// serve responds to a request and returns its queue, which is the zero Queue if there is
+// none, and the caller's workspace, which is empty if the queue needs no key.
+func (f *Handler) serve(now time.Time, w http.ResponseWriter, r *http.Request) (q platform.Queue, workspace string) {
 	if f.Closing() {
 		w.Header().Set("Connection", "close")
 	}
@@ -72,36 +76,68 @@
 	switch {
 	case !configured:
 		f.writeError(w, r, http.StatusServiceUnavailable, time.Second, "no configuration yet")
-		return q
+		return q, ""
 	case !found:
 		f.writeError(w, r, http.StatusNotFound, 0, "no such queue")
-		return platform.Queue{}
+		return platform.Queue{}, ""
 	}
+	c := call{queue: q}
+	key, given := platform.CallerKey(r.Header)
+	d, v := f.Authorize(now, q, key, given)
+	switch d.Verdict {
+	case access.Admitted:
+	case access.Denied:
+		f.writeError(w, r, http.StatusUnauthorized, 0, "no valid key")
+		return q, ""
+	case access.Unconfirmed:
+		// Another entry may have the newest configuration.
+		w.Header().Set("Connection", "close")
+		f.writeError(w, r, http.StatusServiceUnavailable, time.Second, "configuration may be out of date")
+		return q, ""
+	}
+	c.workspace, c.credential = d.Workspace, v
+	f.serveQueue(w, r, c)
+	return q, c.workspace
+}
+
+// call is an admitted call to a queue.
+type call struct {
+	queue platform.Queue
+	// workspace is the caller's; credential proves it. Both are zero if the queue needs no key.
+	workspace  string
+	credential *link.Credential
+}
+
+// link returns the call to the owner of the queue's pool.
+func (c call) link() *link.Call { return &link.Call{Pool: c.queue.Pool, Credential: c.credential} }
+
+// serveQueue responds to an admitted request.
+func (f *Handler) serveQueue(w http.ResponseWriter, r *http.Request, c call) {
+	q := c.queue
 	b := budget(r, q)
 	ctx, cancel := context.WithTimeout(r.Context(), b)
 	defer cancel()
 	rest := r.URL.Path[len(q.Prefix):]
 	if rest == "" && r.Method == http.MethodGet {
-		f.pending(ctx, w, r, q)
-		return q
+		f.pending(ctx, w, r, c)
+		return
 	}
 	id, ok := platform.ParseJobID(rest)
 	if !ok {
 		f.writeError(w, r, http.StatusNotFound, 0, "not the ID of a job")
-		return q
+		return
 	}
 	switch r.Method {
 	case http.MethodPost:
-		f.submit(ctx, w, r, q, id, b)
+		f.submit(ctx, w, r, c, id, b)
 	case http.MethodGet:
-		f.state(ctx, w, r, q, id)
+		f.state(ctx, w, r, c, id)
 	case http.MethodDelete:
-		f.cancel(ctx, w, r, q, id)
+		f.cancel(ctx, w, r, c, id)
 	default:
 		w.Header().Set("Allow", "GET, POST, DELETE")
 		f.writeError(w, r, http.StatusMethodNotAllowed, 0, "method isn't spoken")
 	}
-	return q
 }
 
 // budget returns the time available for handling the request.
@@ -117,7 +153,7 @@
 }
 
 func (f *Handler) submit(
-	ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue, id string, b time.Duration,
+	ctx context.Context, w http.ResponseWriter, r *http.Request, c call, id string, b time.Duration,
 ) {
 	limit := f.Limits().BodyBytes
 	if limit <= 0 {
@@ -133,7 +169,7 @@
 		f.writeError(w, r, http.StatusBadRequest, 0, "body can't be read")
 		return
 	}
-	j, err := platform.DecodeJob(id, q.Name, q.Pool, body)
+	j, err := platform.DecodeJob(id, c.queue.Name, c.queue.Pool, body)
 	if errors.Is(err, platform.ErrSpec) {
 		f.writeError(w, r, http.StatusRequestEntityTooLarge, 0, err.Error())
 		return
@@ -142,8 +178,10 @@
 		f.writeError(w, r, http.StatusBadRequest, 0, err.Error())
 		return
 	}
-	c := &link.Call{Pool: q.Pool, Body: &link.Call_Submit{Submit: &link.Submit{Job: j, BudgetMs: b.Milliseconds()}}}
-	a := f.CallOwner(ctx, c)
+	j.Workspace = c.workspace
+	m := c.link()
+	m.Body = &link.Call_Submit{Submit: &link.Submit{Job: j, BudgetMs: b.Milliseconds()}}
+	a := f.CallOwner(ctx, m)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		writeJSON(w, []byte("{}"))
 		return
@@ -161,9 +199,10 @@
 	return a
 }
 
-func (f *Handler) state(ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue, id string) {
-	c := &link.Call{Pool: q.Pool, Body: &link.Call_State{State: &link.State{Id: id}}}
-	a := f.callAnyOwner(ctx, c)
+func (f *Handler) state(ctx context.Context, w http.ResponseWriter, r *http.Request, c call, id string) {
+	m := c.link()
+	m.Body = &link.Call_State{State: &link.State{Id: id, Workspace: c.workspace}}
+	a := f.callAnyOwner(ctx, m)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		writeJSON(w, platform.StateBody(_stateNames[a.GetState()]))
 		return
@@ -179,9 +218,10 @@
 	link.JobState_JOB_STATE_CANCELLED: platform.StateCancelled,
 }
 
-func (f *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue, id string) {
-	c := &link.Call{Pool: q.Pool, Body: &link.Call_Cancel{Cancel: &link.Cancel{Id: id}}}
-	a := f.callAnyOwner(ctx, c)
+func (f *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, c call, id string) {
+	m := c.link()
+	m.Body = &link.Call_Cancel{Cancel: &link.Cancel{Id: id, Workspace: c.workspace}}
+	a := f.callAnyOwner(ctx, m)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		writeJSON(w, []byte("{}"))
 		return
@@ -189,8 +229,10 @@
 	f.writeOutcome(w, r, a)
 }
 
-func (f *Handler) pending(ctx context.Context, w http.ResponseWriter, r *http.Request, q platform.Queue) {
-	a := f.CallOwner(ctx, &link.Call{Pool: q.Pool, Body: &link.Call_Pending{Pending: &link.Pending{Queue: q.Name}}})
+func (f *Handler) pending(ctx context.Context, w http.ResponseWriter, r *http.Request, c call) {
+	m := c.link()
+	m.Body = &link.Call_Pending{Pending: &link.Pending{Queue: c.queue.Name}}
+	a := f.CallOwner(ctx, m)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		writeJSON(w, platform.PendingBody(a.GetPending()))
 		return
@@ -204,6 +246,8 @@
 	switch a.GetOutcome() {
 	case link.Outcome_OUTCOME_GONE:
 		f.writeError(w, r, http.StatusGone, 0, "no such job")
+	case link.Outcome_OUTCOME_DENIED:
+		f.writeError(w, r, http.StatusUnauthorized, 0, "no valid key")
 	case link.Outcome_OUTCOME_OVERLOADED:
 		f.writeError(w, r, http.StatusTooManyRequests, retry, "would be late")
 	case link.Outcome_OUTCOME_UNAVAILABLE, link.Outcome_OUTCOME_NOT_OWNER:
--- a/entry/internal/front/metrics_test.go
+++ b/entry/internal/front/metrics_test.go
@@ -7,10 +7,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"fescuelanding/entry/access"
 	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
@@ -22,6 +24,9 @@
 			q, ok := table.Find(host, path)
 			return q, ok, true
 		},
+		Authorize: func(time.Time, platform.Queue, platform.KeyHash, bool) (access.Decision, *link.Credential) {
+			return access.Decision{Workspace: "counted"}, nil
+		},
 		Limits: func() platform.Limits { return platform.Limits{} },
 		CallOwner: func(context.Context, *link.Call) *link.Answer {
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_OVERLOADED, RetryAfterMs: 1500}
@@ -39,4 +44,5 @@
 	metrics.WritePrometheus(&b, false)
 	assert.Assert(t, strings.Contains(b.String(), `entry_requests_total{queue="counted",method="POST",status="429"} 1`))
 	assert.Assert(t, strings.Contains(b.String(), `entry_request_duration_seconds_count{queue="counted",method="POST"} 1`))
+	assert.Assert(t, strings.Contains(b.String(), `entry_workspace_requests_total{workspace="counted",method="POST",status="429"} 1`))
 }
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -16,7 +16,6 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"fescuelanding/entry/internal/duty"
-	"fescuelanding/entry/internal/feed"
 	"fescuelanding/entry/internal/front"
 	"fescuelanding/entry/internal/group"
 	"fescuelanding/entry/internal/logging"
@@ -54,9 +53,14 @@
 	link    link.Client
 	self    string
 
-	bounds  atomic.Pointer[platform.Bounds]
-	config  atomic.Pointer[activeConfig]
-	closing atomic.Bool
+	bounds atomic.Pointer[platform.Bounds]
+	config atomic.Pointer[activeConfig]
+	// confirmedAt is a time at which config was the newest.
+	confirmedAt atomic.Pointer[time.Time]
+	// unreadable is set while the newest configuration can't be decoded. Only the operator's
+	// feed uses it.
+	unreadable bool
+	closing    atomic.Bool
 	// ownerUnknownAt is the Unix time, in milliseconds, at which a request was last
 	// refused because the pool's owner was unknown and the store did not answer.
 	ownerUnknownAt atomic.Int64
@@ -65,14 +69,6 @@
 	planner        planner
 }
 
-// activeConfig is the newest configuration with data derived from it.
-type activeConfig struct {
-	platform.Config
-	table *front.Table
-	// partition maps each pool to its partition.
-	partition map[string]int
-}
-
 // New returns an entry that logs to g. Run starts it.
 func New(b platform.Boot, g *logging.Log) *Node {
 	s := platform.NewStore(b.Store.Address, _storeConns)
@@ -119,7 +115,7 @@
 	go func() { n.logServeError("ready", balancer.Serve(ls.ready)) }()
 
 	joined, leave := context.WithCancel(work)
-	go n.followOperator(work)
+	go n.operatorFeed().Run(work)
 	go n.upstreams.run(work)
 	go n.group.Run(joined)
 	go n.planner.run(joined)
@@ -160,7 +156,7 @@
 		return
 	}
 	ownerUnknown := time.Since(time.UnixMilli(n.ownerUnknownAt.Load())) < _unreadyFor
-	if n.closing.Load() || n.config.Load() == nil || ownerUnknown {
+	if n.closing.Load() || n.config.Load() == nil || ownerUnknown || !n.guard().Fresh(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -183,49 +179,13 @@
 			}
 			return platform.Limits{}
 		},
-		CallOwner: n.callOwner, Locate: n.locate, Log: n.log.Info, Closing: n.closing.Load,
+		Authorize: n.authorize, CallOwner: n.callOwner, Locate: n.locate, Log: n.log.Info, Closing: n.closing.Load,
 	}
 	return &http.Server{
 		Handler: f, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
 	}
 }
 
-// followOperator follows the operator's topic, with the configuration and the waves.
-func (n *Node) followOperator(ctx context.Context) {
-	t := feed.Follower{
-		Store: n.store, Name: platform.TopicOperator,
-		OnRecords: func(l []platform.Record, _ bool) {
-			for _, r := range l {
-				n.applyRecord(r)
-			}
-		},
-		OnStoreStatus: func(err error) { n.logStoreStatus("configuration", err) },
-	}
-	t.Run(ctx)
-}
-
-// applyRecord applies a record of the operator's topic.
-func (n *Node) applyRecord(r platform.Record) {
-	if len(r.Value) == 0 {
-		return
-	}
-	if r.Key != platform.KeyConfig {
-		n.planner.addWave(r)
-		return
-	}
-	c, err := platform.DecodeConfig(r.Value)
-	if err != nil {
-		n.log.Warn("Configuration record is invalid; ignored.", "offset", r.Offset, "err", err)
-		return
-	}
-	if old := n.config.Load(); old != nil && old.Version >= c.Version {
-		return
-	}
-	n.config.Store(&activeConfig{Config: c, table: front.NewTable(c.Queues), partition: n.assignPartitions(c)})
-	n.log.Info("Configuration applied.", "version", c.Version, "queues", len(c.Queues), "pools", len(c.Pools))
-	n.pools.applyConfig()
-}
-
 // _rejoinTimeout limits a request to another member to join again. A failed request is
 // harmless, since every member joins again after member.JoinInterval anyway.
 const _rejoinTimeout = 300 * time.Millisecond
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -204,6 +204,9 @@
 	if o == nil {
 		return &link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER}
 	}
+	if a := n.recheck(q); a != nil {
+		return a
+	}
 	c, cancel := context.WithTimeout(ctx, _callTimeout)
 	defer cancel()
 	return o.Call(c, q)
@@ -235,7 +238,7 @@
 		case link.Outcome_OUTCOME_UNKNOWN:
 			sent = true
 		case link.Outcome_OUTCOME_NOT_OWNER:
-		case link.Outcome_OUTCOME_OVERLOADED, link.Outcome_OUTCOME_UNAVAILABLE:
+		case link.Outcome_OUTCOME_OVERLOADED, link.Outcome_OUTCOME_UNAVAILABLE, link.Outcome_OUTCOME_DENIED:
 			if !sent {
 				return a
 			}
@@ -259,6 +262,9 @@
 }
 
 func (n *Node) callOwnerOnce(ctx context.Context, q *link.Call) *link.Answer {
+	if a := n.recheck(q); a != nil {
+		return a
+	}
 	if o := n.pools.owner(q.GetPool()); o != nil {
 		return o.Call(ctx, q)
 	}
@@ -290,7 +296,7 @@
 		if pool == q.GetPool() {
 			continue
 		}
-		a := n.callOwner(ctx, &link.Call{Pool: pool, Body: q.GetBody()})
+		a := n.callOwner(ctx, &link.Call{Pool: pool, Credential: q.GetCredential(), Body: q.GetBody()})
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_OK:
 			return a
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -38,11 +38,11 @@
 //	loaded                        deliver the journal's content
 //	takeover [listed]             replace the scheduler by that of a new owner, which reads
 //	                              what this one has appended, if listed after the list
-//	submit REF JOB queue=Q [times=N first=MS every=MS] STEP ...
+//	submit REF JOB queue=Q [workspace=W] [times=N first=MS every=MS] STEP ...
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,sameRack][,longRunning][,mayMiss=N]
 //	          [,antiAffinity=N][,requires=L][,affinity=R][,checkpointing][,target=MS]
 //	          [,bestEffort][,speculative]
-//	state REF JOB | pending REF QUEUE | cancel REF JOB
+//	state REF JOB [workspace=W] | pending REF QUEUE | cancel REF JOB [workspace=W]
 //	measure REF [vacate=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]    a request of the planner;
 //	    the incarnation that is gone is by default the one that the scheduler knows
 //	appended [STATUS [REASON]]    the answer to the append in flight
@@ -312,11 +312,11 @@
 	case "submit":
 		p.step(Submitted{Ref: ref(), Job: p.job(f[2], f[3:])})
 	case "state":
-		p.step(StateRequested{Ref: ref(), ID: f[2]})
+		p.step(StateRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"]})
 	case "pending":
 		p.step(PendingRequested{Ref: ref(), Queue: f[2]})
 	case "cancel":
-		p.step(CancelRequested{Ref: ref(), ID: f[2]})
+		p.step(CancelRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"]})
 	case "measure":
 		e := LoadRequested{Ref: ref(), Token: p.number(m["token"]), Sequence: p.number(m["sequence"])}
 		if m["sequence"] == "" {
@@ -518,6 +518,8 @@
 		switch k, v, _ := strings.Cut(w, "="); k {
 		case "queue":
 			j.Queue = v
+		case "workspace":
+			j.Workspace = v
 		case "times":
 			j.Occurrences = int32(p.number(v))
 		case "first":
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -113,6 +113,10 @@
 func (s *Scheduler) submit(now time.Time, e Submitted) {
 	id := e.Job.GetId()
 	if j := s.jobs[id]; j != nil {
+		if j.def.GetWorkspace() != e.Job.GetWorkspace() {
+			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_DENIED})
+			return
+		}
 		if j.durable {
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
@@ -155,7 +159,7 @@
 // replyState replies with the state of a job.
 func (s *Scheduler) replyState(e StateRequested) {
 	j := s.jobs[e.ID]
-	if j == nil {
+	if j == nil || j.def.GetWorkspace() != e.Workspace {
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	}
@@ -170,7 +174,7 @@
 func (s *Scheduler) cancel(now time.Time, e CancelRequested) {
 	j := s.jobs[e.ID]
 	switch {
-	case j == nil:
+	case j == nil || j.def.GetWorkspace() != e.Workspace:
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	case j.durableState != link.JobState_JOB_STATE_UNSPECIFIED:
