--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -44,7 +44,7 @@
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,sameRack][,longRunning][,mayMiss=N]
 //	          [,antiAffinity=N][,requires=L][,affinity=R][,checkpointing][,target=MS]
 //	          [,bestEffort][,speculative]
-//	state REF JOB | pending REF QUEUE | cancel REF JOB
+//	state REF JOB [workspace=W] | pending REF QUEUE | cancel REF JOB [workspace=W]
 //	measure REF [vacate=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]
 //	    [shares=W:CPU[:REACH],... | shares=none] [owner=N] [report=N]    a request of the planner;
 //	    shares answer the owner's last report unless told otherwise;
@@ -97,11 +97,11 @@
 	// workspaces are those of the configuration, report the number of the last report.
 	workspaces []platform.Workspace
 	report     int64
-	list   []platform.Upstream
-	loaded Loaded
-	starts map[string]Start
-	stops  map[string]Stop
-	batch  int64
+	list       []platform.Upstream
+	loaded     Loaded
+	starts     map[string]Start
+	stops      map[string]Stop
+	batch      int64
 	// unanswered are the records of the append in flight, journal those appended so far,
 	// by key.
 	unanswered   []platform.Record
@@ -327,11 +327,11 @@
 	case "submit":
 		p.step(Submitted{Ref: ref(), Job: p.job(f[2], f[3:])})
 	case "state":
-		p.step(StateRequested{Ref: ref(), ID: f[2]})
+		p.step(StateRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"]})
 	case "pending":
 		p.step(PendingRequested{Ref: ref(), Queue: f[2]})
 	case "cancel":
-		p.step(CancelRequested{Ref: ref(), ID: f[2]})
+		p.step(CancelRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"]})
 	case "measure":
 		e := LoadRequested{Ref: ref(), Token: p.number(m["token"]), Sequence: p.number(m["sequence"])}
 		if m["sequence"] == "" {
