--- a/entry/internal/node/quota.go
+++ b/entry/internal/node/quota.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"fescuelanding/entry/internal/logging"
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/quota"
 	"fescuelanding/platform"
@@ -27,6 +28,28 @@
 type divider struct {
 	giver quota.Giver
 	gauges
+	// loggedAt is when it was last logged that a workspace waits for its limit.
+	loggedAt map[string]time.Time
+}
+
+// _waitingLogInterval is the time between two log lines about the use of a workspace's
+// limit over all pools.
+const _waitingLogInterval = 2 * time.Second
+
+// publish updates the metrics, and logs the workspaces whose tasks wait for their limit.
+func (d *divider) publish(now time.Time, g *logging.Log) {
+	l := d.giver.Statuses()
+	d.update(l)
+	if d.loggedAt == nil {
+		d.loggedAt = make(map[string]time.Time)
+	}
+	for _, s := range l {
+		if s.Hungry && now.Sub(d.loggedAt[s.Workspace]) >= _waitingLogInterval {
+			d.loggedAt[s.Workspace] = now
+			g.Info("Tasks of a workspace wait for its limit.", "workspace", s.Workspace,
+				"running", s.Running, "shares", s.Shares, "limit", s.Limit, "waiting", s.Waiting)
+		}
+	}
 }
 
 // divide prepares the grants of an exchange with the owners of the pools.
--- a/entry/internal/node/shift.go
+++ b/entry/internal/node/shift.go
@@ -149,7 +149,9 @@
 		}
 		s.exchangeLoads(ctx)
 	}
-	s.limits.update(s.limits.giver.Statuses())
+	if now := time.Now(); s.node.pools.recentlyConfirmed(now) {
+		s.limits.publish(now, s.node.log)
+	}
 }
 
 // exchangeLoads sends each pool's owner the plans for its hosts and its shares of the
--- a/entry/quota/giver.go
+++ b/entry/quota/giver.go
@@ -207,6 +207,8 @@
 	Running, Waiting Amount
 	// Shares is the sum of the pools' shares, or of what runs where that is more.
 	Shares Amount
+	// Hungry is set if tasks wait in some pool whose share has no room for the largest.
+	Hungry bool
 }
 
 // Statuses returns the state of each workspace with a limit, in the order of their names.
@@ -218,7 +220,9 @@
 			s.Running = Sum(s.Running, p.use[w].Running)
 			s.Waiting = Sum(s.Waiting, p.use[w].Waiting)
 			s.Shares = Sum(s.Shares, p.charge(w))
+			s.Hungry = s.Hungry || p.hungry(w)
 		}
+		s.Shares = open(s.Shares, s.Limit)
 		l = append(l, s)
 	}
 	return l
