quota: shares lapse by suspensions too; the wire's form in one place

A suspension that only the wall clock counts made shares lapse, one that the scheduler was told of (Suspended) didn't. The conversions to link are in quota, for the node and the emulator.

--- a/entry/internal/node/quota.go
+++ b/entry/internal/node/quota.go
@@ -65,16 +65,7 @@
 }
 
 // addShares adds a pool's shares to a request to its owner.
-func (d *divider) addShares(w *link.Load, pool string) {
-	g := d.giver.Grant(pool)
-	w.SharesOwner, w.SharesReport = g.Owner, g.Report
-	for name, s := range g.Shares {
-		w.Shares = append(w.Shares, &link.Share{
-			Workspace: name, MilliCpu: s.Amount.MilliCPU, MemoryMb: s.Amount.MemoryMB, Gpus: s.Amount.GPUs,
-			ReachMilliCpu: s.Reach.MilliCPU, ReachMemoryMb: s.Reach.MemoryMB, ReachGpus: s.Reach.GPUs,
-		})
-	}
-}
+func (d *divider) addShares(w *link.Load, pool string) { d.giver.Grant(pool).Encode(w) }
 
 // reported passes the answer of a pool's owner to the giver. The answer is nil if there was
 // none.
@@ -83,21 +74,7 @@
 		d.giver.Unanswered(pool)
 		return
 	}
-	r := quota.Report{
-		Owner: l.GetOwner(), Number: l.GetReport(),
-		Shares: make(map[string]quota.Amount, len(l.GetShares())), Use: make(map[string]quota.Use, len(l.GetUsage())),
-	}
-	for _, s := range l.GetShares() {
-		r.Shares[s.GetWorkspace()] = quota.Amount{MilliCPU: s.GetMilliCpu(), MemoryMB: s.GetMemoryMb(), GPUs: s.GetGpus()}
-	}
-	for _, u := range l.GetUsage() {
-		r.Use[u.GetWorkspace()] = quota.Use{
-			Running: quota.Amount{MilliCPU: u.GetMilliCpu(), MemoryMB: u.GetMemoryMb(), GPUs: u.GetGpus()},
-			Waiting: quota.Amount{MilliCPU: u.GetWaitingMilliCpu(), MemoryMB: u.GetWaitingMemoryMb(), GPUs: u.GetWaitingGpus()},
-			Unit:    quota.Amount{MilliCPU: u.GetUnitMilliCpu(), MemoryMB: u.GetUnitMemoryMb(), GPUs: u.GetUnitGpus()},
-		}
-	}
-	d.giver.Reported(now, pool, r)
+	d.giver.Reported(now, pool, quota.DecodeReport(l))
 }
 
 // pressing reports whether tasks wait for shares that another exchange would bring nearer.
--- a/entry/quota/holder.go
+++ b/entry/quota/holder.go
@@ -54,9 +54,9 @@
 	owner int64
 	// limits has the workspaces that have a limit by the configuration.
 	limits map[string]Amount
-	// shares may be used while permit hasn't expired.
+	// shares may be used until Validity after since, the time of the report that they answer.
 	shares map[string]Share
-	permit permit.Permit
+	since  time.Time
 	// running is requested by the runs that may be running. unknown is requested by runs of
 	// former owners that may be running without having been found yet.
 	running, unknown map[string]Amount
@@ -135,11 +135,22 @@
 	if g.Owner != h.owner || g.Report <= 0 || g.Report > h.reports || g.Report <= h.reports-_keptReports {
 		return
 	}
-	p := permit.New(h.reported[g.Report%_keptReports], Validity)
-	if p.Expired(now) {
+	since := h.reported[g.Report%_keptReports]
+	if lapsed(now, since) {
 		return
 	}
-	h.shares, h.permit = g.Shares, p
+	h.shares, h.since = g.Shares, since
+}
+
+// lapsed reports whether shares that answer a report of some time may no longer be used.
+func lapsed(now, reported time.Time) bool { return permit.New(reported, Validity).Expired(now) }
+
+// Suspended notes that the process was suspended for a time that the clock doesn't count.
+func (h *Holder) Suspended(d time.Duration) {
+	h.since = h.since.Add(-d)
+	for i := range h.reported {
+		h.reported[i] = h.reported[i].Add(-d)
+	}
 }
 
 // Share returns the share of a workspace that may be used now.
@@ -147,7 +158,7 @@
 	if !h.Limited(workspace) {
 		return Share{bound(Amount{}), bound(Amount{})}
 	}
-	if h.permit.Expired(now) {
+	if lapsed(now, h.since) {
 		return Share{}
 	}
 	return h.shares[workspace]
--- a/entry/scheduler/quota.go
+++ b/entry/scheduler/quota.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -129,14 +128,7 @@
 	if e.SharesOwner == 0 {
 		return
 	}
-	g := quota.Grant{Owner: e.SharesOwner, Report: e.SharesReport, Shares: make(map[string]quota.Share, len(e.Shares))}
-	for _, x := range e.Shares {
-		g.Shares[x.GetWorkspace()] = quota.Share{
-			Amount: quota.Amount{MilliCPU: x.GetMilliCpu(), MemoryMB: x.GetMemoryMb(), GPUs: x.GetGpus()},
-			Reach:  quota.Amount{MilliCPU: x.GetReachMilliCpu(), MemoryMB: x.GetReachMemoryMb(), GPUs: x.GetReachGpus()},
-		}
-	}
-	s.workspaces.Apply(now, g)
+	s.workspaces.Apply(now, quota.DecodeGrant(e.SharesOwner, e.SharesReport, e.Shares))
 	s.replan = true
 }
 
@@ -144,19 +136,11 @@
 func (s *Scheduler) reportUsage(now time.Time, l *link.PoolLoad) {
 	waiting := s.waitingUse(now)
 	r := s.workspaces.Report(now)
-	l.Owner, l.Report = r.Owner, r.Number
-	for _, w := range slices.Sorted(maps.Keys(r.Use)) {
-		a, v := r.Use[w].Running, waiting[w]
-		l.Usage = append(l.Usage, &link.Usage{
-			Workspace: w, MilliCpu: a.MilliCPU, MemoryMb: a.MemoryMB, Gpus: a.GPUs,
-			WaitingMilliCpu: v.Waiting.MilliCPU, WaitingMemoryMb: v.Waiting.MemoryMB, WaitingGpus: v.Waiting.GPUs,
-			UnitMilliCpu: v.Unit.MilliCPU, UnitMemoryMb: v.Unit.MemoryMB, UnitGpus: v.Unit.GPUs,
-		})
-	}
-	for _, w := range slices.Sorted(maps.Keys(r.Shares)) {
-		a := r.Shares[w]
-		l.Shares = append(l.Shares, &link.Share{Workspace: w, MilliCpu: a.MilliCPU, MemoryMb: a.MemoryMB, Gpus: a.GPUs})
+	for w, u := range waiting {
+		u.Running = r.Use[w].Running
+		r.Use[w] = u
 	}
+	r.Encode(l)
 }
 
 // waitingUse returns what the waiting tasks of each workspace with a limit request, as far
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -129,6 +129,7 @@
 		s.ownershipConfirmedAt = e.At
 	case Suspended:
 		s.ownershipConfirmedAt = s.ownershipConfirmedAt.Add(-e.For)
+		s.workspaces.Suspended(e.For)
 	case Woken:
 		s.replan = true
 	default:
