--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -162,7 +162,7 @@
 func (w *World) pollState(j *jobRecord) {
 	id := j.def.GetId()
 	w.callOwner(j.def.GetPool(), func(r scheduler.Ref) scheduler.Event {
-		return scheduler.StateRequested{Ref: r, ID: id}
+		return scheduler.StateRequested{Ref: r, ID: id, Workspace: j.def.GetWorkspace()}
 	}, func(a *link.Answer, sure bool) {
 		switch {
 		case !sure:
@@ -221,7 +221,7 @@
 func (w *World) cancel(j *jobRecord) {
 	j.cancelRequested = true
 	w.callOwner(j.def.GetPool(), func(r scheduler.Ref) scheduler.Event {
-		return scheduler.CancelRequested{Ref: r, ID: j.def.GetId()}
+		return scheduler.CancelRequested{Ref: r, ID: j.def.GetId(), Workspace: j.def.GetWorkspace()}
 	}, func(a *link.Answer, _ bool) {
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_OK:
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -32,6 +32,22 @@
 	}
 }
 
+// TestLimits plays histories in which workspaces have limits over two pools.
+func TestLimits(t *testing.T) {
+	s := emulator.Settings{Limits: true, Jobs: 40, Upstreams: 10}
+	if *_trace {
+		s.Seed, s.Trace = *_from, os.Stdout
+		emulator.New(s).Run()
+		return
+	}
+	for seed := *_from; seed < *_from+*_seeds; seed++ {
+		s.Seed = seed
+		for _, v := range emulator.New(s).Run() {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -47,6 +47,8 @@
 	// owners are the owners that it runs, by pool.
 	owners  map[string]*owner
 	planner *planner
+	// limitsVersion is the version of the limits of workspaces that it has.
+	limitsVersion int
 }
 
 // _settleTime is how long an entry must have been without a fault before the ledger
@@ -104,6 +106,9 @@
 	e.up, e.frozenUntil = true, 0
 	e.partitions, e.handover, e.generation, e.joining = member.Partitions{}, member.Handover{}, 0, false
 	e.owners, e.planner = make(map[string]*owner), nil
+	if l := e.world.limits; l != nil {
+		e.limitsVersion = len(l.versions) - 1
+	}
 	e.world.tracef("%s starts", e.name)
 	e.loop()
 	e.list()
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -38,6 +38,7 @@
 //	AVAIL    orders make no more tasks of a step unavailable than its mayMiss allows
 //	LIMIT    runs don't exceed the capacity of a host, and a wave takes no more hosts
 //	         down at once than it allows
+//	QUOTA    a start doesn't bring what a workspace has running above its limit
 //	WAKE     a scheduler doesn't repeatedly request a wake-up for a time in the past
 //	DECODE   an owner can decode the records of the former owners
 type Violation struct {
@@ -177,6 +178,7 @@
 	if w := l.world; w.killedAt > 0 && w.resumedAt == 0 && w.now > w.killedAt+_maxDelay {
 		w.resumedAt = w.now
 	}
+	l.checkLimit(s)
 	t.runs = append(t.runs, s)
 	l.world.tracef("%s starts %v", t.name, s)
 	return s
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -51,7 +51,7 @@
 	})
 	e.owners[pool] = o
 	o.confirm()
-	o.post(scheduler.Configured{Queues: []platform.Queue{e.world.queueOf(pool)}})
+	o.configure()
 	o.claim()
 }
 
--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -10,6 +10,7 @@
 	"fescuelanding/entry/hostplan"
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/member"
+	"fescuelanding/entry/quota"
 	"fescuelanding/entry/scheduler"
 	"fescuelanding/platform"
 	"fescuelanding/platform/serve"
@@ -46,7 +47,9 @@
 	// maintained lists, by wave, the hosts whose upkeep is done.
 	maintained   map[int64][]string
 	loadSequence int64
-	view         hostplan.View
+	// giver divides the limits of workspaces.
+	giver quota.Giver
+	view  hostplan.View
 	// wave is the number of the declared wave that the planner has.
 	wave int64
 }
@@ -139,10 +142,13 @@
 			if len(p.view.Machines) > 0 {
 				p.step()
 			}
+			if w.limits != nil {
+				p.exchangeLoad(func() {})
+			}
 			return
 		}
 		p.view.Machines, p.view.ListedAt = l, sent
-		p.exchangeLoad(func() {
+		p.exchangeLoads(func() {
 			p.step()
 			// The pool's owner must be informed of a move or upkeep that the plan has just started.
 			if p.plan.TasksStarted() {
@@ -152,6 +158,22 @@
 	})
 }
 
+// exchangeLoads exchanges the loads, at most three times while tasks wait for shares that
+// another exchange would bring nearer.
+func (p *planner) exchangeLoads(then func()) {
+	left := 2
+	var next func()
+	next = func() {
+		p.giver.Divide()
+		if left--; left >= 0 && p.giver.Pressing() {
+			p.exchangeLoad(next)
+			return
+		}
+		then()
+	}
+	p.exchangeLoad(next)
+}
+
 // exchangeLoad requests the load of each pool from its owner and sends the planned
 // changes along. It calls then once, after every owner has answered or failed to, unless
 // the planner has ended meanwhile.
@@ -166,9 +188,15 @@
 		p.view.Pools = append(p.view.Pools, hostplan.Pool{Name: _spare, Standby: true})
 	}
 	answers := p.view.Pools
+	p.divide()
 	for i, name := range w.pools {
 		p.requestLoad(name, func(l *link.PoolLoad) {
 			answers[i].Load = l // nil if the owner did not answer
+			if l != nil {
+				p.giver.Reported(p.entry.time(), name, quota.DecodeReport(l))
+			} else {
+				p.giver.Unanswered(name)
+			}
 			if left--; left == 0 {
 				then()
 			}
@@ -182,6 +210,7 @@
 	w, e := p.entry.world, p.entry
 	p.loadSequence++
 	q := p.plan.LoadRequest(e.time(), pool)
+	p.grant(pool).Encode(q)
 	n := p.loadSequence
 	to := w.holderOf(w.partition(pool))
 	if to == nil {
@@ -200,6 +229,7 @@
 					Ref: r, Token: p.token, Sequence: n, Arrivals: q.GetArrivals(),
 					Ahead:  time.Duration(q.GetAheadMs()) * time.Millisecond,
 					Vacate: q.GetVacate(), Due: q.GetDue(), Gone: q.GetGone(),
+					Shares: q.GetShares(), SharesOwner: q.GetSharesOwner(), SharesReport: q.GetSharesReport(),
 				}
 			}, func(a *link.Answer) { answer(a.GetLoad(), nil) })
 		})
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -27,6 +27,8 @@
 	// FaultFree disables random faults, doubles the hosts' CPU and makes all jobs alike: two
 	// steps of eight tasks.
 	FaultFree bool
+	// Limits adds a second pool, and workspaces whose limits hold over both.
+	Limits bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -94,6 +96,8 @@
 	lateCallsUntil time.Duration
 	hostTime       time.Duration
 	moves          int
+	// limits are the limits of workspaces, or nil.
+	limits *limits
 }
 
 // listEntry is an upstream's report with its time.
@@ -133,6 +137,9 @@
 	for i := range _entries {
 		w.entries = append(w.entries, &entry{world: w, name: fmt.Sprintf("e%d", i)})
 	}
+	if s.Limits {
+		w.planLimits()
+	}
 	return w
 }
 
@@ -155,7 +162,7 @@
 // Run plays the history and returns the guarantees that it broke.
 func (w *World) Run() []Violation {
 	for _, u := range w.upstreams {
-		if u.host.pool == _pool {
+		if u.host.pool != _spare {
 			u.beginIncarnation(u.machine + "-0")
 		}
 		w.heartbeat(u)
@@ -230,6 +237,7 @@
 		d.FirstRunUnixMs = w.unixMs() + w.between(time.Second, w.settings.SubmitPeriod).Milliseconds()
 		d.IntervalMs, d.Occurrences = w.between(time.Second, 3*time.Second).Milliseconds(), 2
 	}
+	w.limitJob(d)
 	w.ledger.jobs[d.GetId()] = j
 	at := w.between(800*time.Millisecond, w.settings.SubmitPeriod)
 	w.after(at, func() { w.submit(j, 1) })
