site, soak: keys of workspaces, entries that lose the store's answers, and withdrawn keys that are tried

The stand-in had no keys. The soak replaces a key again and again and calls entries with the withdrawn ones; its former draws of a seed are unchanged, the new faults come from a stream of their own.

--- /dev/null
+++ b/standin/site/keys.go
@@ -0,0 +1,77 @@
+package site
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+
+	"fescuelanding/platform"
+)
+
+// setKeys publishes a configuration with workspaces, given as NAME=KEY,KEY.
+func (s *Site) setKeys(words []string) {
+	s.mu.Lock()
+	s.keys, s.workspaces = make(map[string][]string), []platform.Workspace{}
+	for _, w := range words {
+		name, keys, _ := strings.Cut(w, "=")
+		s.keys[name] = strings.Split(keys, ",")
+		s.workspaces = append(s.workspaces, platform.Workspace{Name: name, Weight: 1})
+	}
+	s.mu.Unlock()
+	s.publish()
+}
+
+// UseKey makes callers send a key from now on, or none if it is empty.
+func (s *Site) UseKey(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usedKey = key
+}
+
+// authorize adds the key that callers use to a request.
+func (s *Site) authorize(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.usedKey != "" {
+		r.Header.Set("Authorization", "Bearer "+s.usedKey)
+	}
+}
+
+// storeLine is an entry's way to the store. While it is cut, requests go through and their
+// answers get lost.
+type storeLine struct {
+	store http.Handler
+
+	mu    sync.Mutex
+	isCut bool
+}
+
+// ServeHTTP implements http.Handler.
+func (l *storeLine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !l.cut() {
+		l.store.ServeHTTP(w, r)
+		return
+	}
+	l.store.ServeHTTP(discardResponse{}, r)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (l *storeLine) cut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isCut
+}
+
+func (l *storeLine) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isCut = cut
+}
+
+// askOne requests the state of a job from one entry, and returns the status.
+func (s *Site) askOne(entry, queue, job string) string {
+	q := s.Queue(queue)
+	_, text := s.callEntry(entry, http.MethodGet, q.Host, q.Prefix+job, "")
+	return text
+}
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -69,6 +69,12 @@
 //	down STATUS              make the store answer all calls with an HTTP status
 //	up                       end the fault of down
 //	publish                  write a new version of the configuration
+//	keys WORKSPACE=KEY,... ...    write one with workspaces and their keys; calls need one then
+//	as KEY                   callers send a key from now on; none for -
+//	one NAME QUEUE JOB       request the state of a job from one entry
+//	cut NAME                 lose the store's answers to an entry
+//	mend NAME                end the fault of cut
+//	launch NAME              start an entry without waiting until it is ready
 //	wave HOSTS N             declare wave N for hosts, separated by commas
 //	waved N                  wait until wave N has completed
 //	sleep MS                 pause
@@ -112,6 +118,16 @@
 		return s.waitFor(f)
 	case "working":
 		return "", s.awaitWork(f)
+	case "one":
+		return s.askOne(f[1], f[2], f[3]), nil
+	case "launch":
+		return "", s.LaunchEntry(f[1])
+	case "keys":
+		s.setKeys(f[1:])
+		return "", nil
+	case "as":
+		s.UseKey(strings.TrimPrefix(f[1], "-"))
+		return "", nil
 	case "kill", "term", "hup", "owner":
 		return "", s.controlEntry(f)
 	case "sleep":
@@ -156,6 +172,8 @@
 		s.store.Compact()
 	case "publish":
 		s.publish()
+	case "cut", "mend":
+		s.lines[f[1]].setCut(f[0] == "cut")
 	case "wave":
 		s.wave(int64(n), strings.Split(f[1], ","))
 	default:
@@ -401,6 +419,7 @@
 	r.Host = host
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(platform.BudgetHeader, "3000")
+	s.authorize(r)
 	c := http.Client{Timeout: _callTimeout}
 	defer c.CloseIdleConnections()
 	a, err := c.Do(r)
--- a/standin/soak/conn.go
+++ b/standin/soak/conn.go
@@ -36,6 +36,8 @@
 	opened time.Time
 	c      net.Conn
 	r      *bufio.Reader
+	// key is the key that requests carry.
+	key string
 }
 
 // dial opens a connection to an entry.
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", e.name, err)
 	}
-	return &conn{entry: e, opened: time.Now(), c: c, r: bufio.NewReader(c)}, nil
+	return &conn{entry: e, opened: time.Now(), c: c, r: bufio.NewReader(c), key: _steadyKey}, nil
 }
 
 // answer is the answer to a request.
@@ -55,8 +57,8 @@
 	retryAfter time.Duration
 	// last is set if the entry won't answer another request on the connection.
 	last bool
-	// sentAt is when the request had been sent.
-	sentAt time.Time
+	// begunAt is when the sending of the request began, sentAt when it had been sent.
+	begunAt, sentAt time.Time
 }
 
 // send sends a request and reads the answer. An error matches errCut if the connection
@@ -68,6 +70,7 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(platform.BudgetHeader, strconv.FormatInt(_budget.Milliseconds(), 10))
+	r.Header.Set("Authorization", "Bearer "+c.key)
 	begin := time.Now()
 	if err := c.c.SetDeadline(begin.Add(_budget + _answerSlack)); err != nil {
 		return answer{}, fmt.Errorf("set deadline: %w", err)
@@ -75,7 +78,7 @@
 	if err := r.Write(c.c); err != nil {
 		return answer{}, fmt.Errorf("send request: %w", err)
 	}
-	a := answer{entry: c.entry, sentAt: time.Now()}
+	a := answer{entry: c.entry, begunAt: begin, sentAt: time.Now()}
 	w, err := http.ReadResponse(c.r, r)
 	if err != nil {
 		return a, c.judge(err, begin, a.sentAt, false)
--- a/standin/soak/entry.go
+++ b/standin/soak/entry.go
@@ -34,6 +34,8 @@
 	// empty intervals the times at which one was killed. The last one has no end while the
 	// process is stopped.
 	interruptions []interval
+	// cuts holds the intervals in which the entry lost the store's answers, like interruptions.
+	cuts []interval
 	// exits are the times at which processes have exited.
 	exits    []time.Time
 	failures []string
@@ -77,6 +79,17 @@
 		err := e.signal(syscall.SIGCONT)
 		e.endFreeze()
 		return err
+	case "cut", "mend":
+		e.mu.Lock()
+		if n := len(e.cuts); verb == "cut" {
+			e.cuts = append(e.cuts, interval{begin: time.Now()})
+		} else if n > 0 && e.cuts[n-1].end.IsZero() {
+			e.cuts[n-1].end = time.Now()
+		}
+		e.mu.Unlock()
+		if _, err := e.site.Do(verb + " " + e.name); err != nil {
+			return fmt.Errorf("%s: %w", verb, err)
+		}
 	case "hup":
 		e.mu.Lock()
 		left := time.Until(e.current.started.Add(_handlerTime))
@@ -194,10 +207,11 @@
 }
 
 // inTouch reports whether the current process has run for _contact without a signal that
-// interrupts it. Some rules hold only then.
+// interrupts it, and with the store's answers. Some rules hold only then.
 func (e *entry) inTouch(now time.Time) bool {
 	e.mu.Lock()
-	undisturbed := e.current.terminated.IsZero() && now.Sub(e.current.started) >= _contact
+	undisturbed := e.current.terminated.IsZero() && now.Sub(e.current.started) >= _contact &&
+		!slices.ContainsFunc(e.cuts, func(i interval) bool { return i.overlaps(now.Add(-_contact), now) })
 	e.mu.Unlock()
 	return undisturbed && !e.interrupted(now.Add(-_contact), now)
 }
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -72,7 +72,7 @@
 type Event struct {
 	At time.Duration
 	// Command is a line of a session of package site, or one of: term NAME, kill NAME,
-	// freeze NAME, thaw NAME, hup NAME, start NAME.
+	// freeze NAME, thaw NAME, hup NAME, start NAME, cut NAME, mend NAME, rotate.
 	Command string
 }
 
@@ -91,17 +91,21 @@
 		for _, c := range common[i] {
 			l = insert(l, drawSeries(r, c.series, n, c.at))
 		}
-		s = append(s, slices.Concat(l...))
+		s = append(s, flat(l))
 	}
 	for _, p := range _platformSeries {
-		s = append(s, slices.Concat(drawTarget(r, p, "", rest, d)...))
+		s = append(s, flat(drawTarget(r, p, "", rest, d)))
 	}
 	for _, h := range _hosts {
-		s = append(s, slices.Concat(drawTarget(r, _upstreamSeries, h, rest, d)...))
+		s = append(s, flat(drawTarget(r, _upstreamSeries, h, rest, d)))
 	}
-	return append(s, drawWaves(r, d))
+	s = append(s, drawWaves(r, d))
+	return append(s, drawKeys(seed, entries, d)...)
 }
 
+// flat returns the events of some series in their order.
+func flat(l [][]Event) []Event { return slices.Concat(l...) }
+
 // String returns the events of all targets in the order of time, one per line.
 func (s Schedule) String() string {
 	l := slices.Concat(s...)
