soak: a killed process is interrupted until it has exited

The kill was recorded as a moment, so that a request between kill and exit counted as one to a sound process.

The check is as strict as before for each process that wasn't killed.

--- a/standin/soak/entry.go
+++ b/standin/soak/entry.go
@@ -30,9 +30,8 @@
 
 	mu      sync.Mutex
 	current *process
-	// interruptions holds the intervals in which a process was stopped by SIGSTOP, and as
-	// empty intervals the times at which one was killed. The last one has no end while the
-	// process is stopped.
+	// interruptions holds the intervals in which a process was stopped by SIGSTOP, and those
+	// from the kill of one to its exit. The last one has no end while the process is stopped.
 	interruptions []interval
 	// cuts holds the intervals in which the entry lost the store's answers, like interruptions.
 	cuts []interval
@@ -42,7 +41,11 @@
 }
 
 // interval is a time interval. It hasn't ended if its end is zero.
-type interval struct{ begin, end time.Time }
+type interval struct {
+	begin, end time.Time
+	// kill is set for an interval in which a process was killed.
+	kill bool
+}
 
 func (i interval) overlaps(begin, end time.Time) bool {
 	return !i.begin.After(end) && (i.end.IsZero() || !i.end.Before(begin))
@@ -121,11 +124,14 @@
 func (e *entry) kill() {
 	e.endFreeze()
 	e.mu.Lock()
-	now := time.Now()
 	e.current.killed = true
-	e.interruptions = append(e.interruptions, interval{now, now})
+	e.interruptions = append(e.interruptions, interval{begin: time.Now(), kill: true})
+	i := len(e.interruptions) - 1
 	e.mu.Unlock()
 	e.site.Kill(e.name)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.interruptions[i].end = time.Now()
 }
 
 // start starts the next process, after the current one has exited.
@@ -203,7 +209,7 @@
 func (e *entry) frozen(begin, end time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.ContainsFunc(e.interruptions, func(i interval) bool { return !i.begin.Equal(i.end) && i.overlaps(begin, end) })
+	return slices.ContainsFunc(e.interruptions, func(i interval) bool { return !i.kill && i.overlaps(begin, end) })
 }
 
 // inTouch reports whether the current process has run for _contact without a signal that
