--- a/standin/soak/entry.go
+++ b/standin/soak/entry.go
@@ -30,17 +30,22 @@
 
 	mu      sync.Mutex
 	current *process
-	// interruptions holds the intervals in which a process was stopped by SIGSTOP, and as
-	// empty intervals the times at which one was killed. The last one has no end while the
-	// process is stopped.
+	// interruptions holds the intervals in which a process was stopped by SIGSTOP, and those
+	// from the kill of one to its exit. The last one has no end while the process is stopped.
 	interruptions []interval
+	// cuts holds the intervals in which the entry lost the store's answers, like interruptions.
+	cuts []interval
 	// exits are the times at which processes have exited.
 	exits    []time.Time
 	failures []string
 }
 
 // interval is a time interval. It hasn't ended if its end is zero.
-type interval struct{ begin, end time.Time }
+type interval struct {
+	begin, end time.Time
+	// kill is set for an interval in which a process was killed.
+	kill bool
+}
 
 func (i interval) overlaps(begin, end time.Time) bool {
 	return !i.begin.After(end) && (i.end.IsZero() || !i.end.Before(begin))
@@ -77,6 +82,17 @@
 		err := e.signal(syscall.SIGCONT)
 		e.endFreeze()
 		return err
+	case "cut", "mend":
+		e.mu.Lock()
+		if n := len(e.cuts); verb == "cut" {
+			e.cuts = append(e.cuts, interval{begin: time.Now()})
+		} else if n > 0 && e.cuts[n-1].end.IsZero() {
+			e.cuts[n-1].end = time.Now()
+		}
+		e.mu.Unlock()
+		if _, err := e.site.Do(verb + " " + e.name); err != nil {
+			return fmt.Errorf("%s: %w", verb, err)
+		}
 	case "hup":
 		e.mu.Lock()
 		left := time.Until(e.current.started.Add(_handlerTime))
@@ -108,11 +124,14 @@
 func (e *entry) kill() {
 	e.endFreeze()
 	e.mu.Lock()
-	now := time.Now()
 	e.current.killed = true
-	e.interruptions = append(e.interruptions, interval{now, now})
+	e.interruptions = append(e.interruptions, interval{begin: time.Now(), kill: true})
+	i := len(e.interruptions) - 1
 	e.mu.Unlock()
 	e.site.Kill(e.name)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.interruptions[i].end = time.Now()
 }
 
 // start starts the next process, after the current one has exited.
@@ -190,14 +209,15 @@
 func (e *entry) frozen(begin, end time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.ContainsFunc(e.interruptions, func(i interval) bool { return !i.begin.Equal(i.end) && i.overlaps(begin, end) })
+	return slices.ContainsFunc(e.interruptions, func(i interval) bool { return !i.kill && i.overlaps(begin, end) })
 }
 
 // inTouch reports whether the current process has run for _contact without a signal that
-// interrupts it. Some rules hold only then.
+// interrupts it, and with the store's answers. Some rules hold only then.
 func (e *entry) inTouch(now time.Time) bool {
 	e.mu.Lock()
-	undisturbed := e.current.terminated.IsZero() && now.Sub(e.current.started) >= _contact
+	undisturbed := e.current.terminated.IsZero() && now.Sub(e.current.started) >= _contact &&
+		!slices.ContainsFunc(e.cuts, func(i interval) bool { return i.overlaps(now.Add(-_contact), now) })
 	e.mu.Unlock()
 	return undisturbed && !e.interrupted(now.Add(-_contact), now)
 }
