--- a/entry/quota/giver.go
+++ b/entry/quota/giver.go
@@ -178,15 +178,16 @@
 }
 
 // Pressing reports whether tasks wait for a share that another exchange would bring nearer.
+// It is false while a pool doesn't answer, as each exchange waits for it.
 func (g *Giver) Pressing() bool {
-	if !g.Complete() {
+	if !g.Complete() || slices.ContainsFunc(g.names, func(n string) bool { return g.pools[n].unanswered }) {
 		return false
 	}
 	for _, n := range g.names {
 		p := g.pools[n]
 		for w := range g.limits {
 			u := p.use[w]
-			if p.unanswered || u.Waiting == (Amount{}) || fits(Sum(u.Running, u.Waiting), u.Waiting, p.granted[w]) {
+			if u.Waiting == (Amount{}) || fits(Sum(u.Running, u.Waiting), u.Waiting, p.granted[w]) {
 				continue
 			}
 			// The least that is above the share and of use.
