scheduler: a task above a lowered limit doesn't hold up its workspace

A job that was accepted under a higher limit waits until the limit rises. Once it had waited for 300 ms, nothing of its workspace that ranks behind it started in its pool, and the pool asked for a share that it couldn't use.

--- a/entry/scheduler/quota.go
+++ b/entry/scheduler/quota.go
@@ -154,7 +154,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
-				if !st.waiting() || st.def.GetGang() && st.running > 0 {
+				if !st.waiting() || st.def.GetGang() && st.running > 0 || s.neverFits(st.def, w) {
 					continue
 				}
 				u := use[w]
@@ -197,7 +197,7 @@
 		return true
 	}
 	waited := p.now.Sub(st.waitingSince)
-	if waited >= _reserveAfter {
+	if waited >= _reserveAfter && !p.s.neverFits(st.def, w) {
 		if p.held == nil {
 			p.held = make(map[string]bool)
 		}
@@ -220,11 +220,14 @@
 // overLimit reports whether a task of a job, or a gang, requests more than its workspace
 // may have running, so that it could never start.
 func (s *Scheduler) overLimit(j *job) bool {
-	l := s.workspaces.Limit(j.def.GetWorkspace())
-	return slices.ContainsFunc(j.def.GetSteps(), func(d *work.Step) bool {
-		n, limited := quota.Times(l, unit(d))
-		return limited && n == 0
-	})
+	return slices.ContainsFunc(j.def.GetSteps(), func(d *work.Step) bool { return s.neverFits(d, j.def.GetWorkspace()) })
+}
+
+// neverFits reports whether a task of a step, or a gang, requests more than a workspace may
+// have running. A job may have been accepted under a higher limit.
+func (s *Scheduler) neverFits(d *work.Step, workspace string) bool {
+	n, limited := quota.Times(s.workspaces.Limit(workspace), unit(d))
+	return limited && n == 0
 }
 
 // waves returns in how many waves the workspace's limit lets the tasks of a step run.
