hostplan, scheduler: a host due for upkeep is evicted shortly before the time limit of its wave

The wave was late, and said to be completed later still: two duties missed.

Change: from 2.5 s before the limit the planner names the upstreams that were vacated at least 2.5 s ago and still run something, the emptiest first, at most one for 20 hosts of the pool; their owner stops the tasks that would end by themselves, and starts them elsewhere. Gangs are stopped as a whole.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -204,6 +204,7 @@
 		}
 	}
 	l.Due = p.dueUpstreams(pool)
+	l.Evict = p.evicted(now, pool)
 	return l
 }
 
--- a/entry/hostplan/script_test.go
+++ b/entry/hostplan/script_test.go
@@ -127,6 +127,9 @@
 			gone = append(gone, fmt.Sprintf("%s@%d", g.GetUpstream(), g.GetStartUnixMs()))
 		}
 		fmt.Fprintf(&p.out, "  vacate %v gone %v arrivals %d\n", q.GetVacate(), gone, len(q.GetArrivals()))
+		if l := q.GetEvict(); len(l) > 0 {
+			fmt.Fprintf(&p.out, "  evict %v\n", l)
+		}
 	default:
 		p.t.Fatalf("unknown command: %v", f)
 	}
--- a/entry/hostplan/upkeep.go
+++ b/entry/hostplan/upkeep.go
@@ -1,6 +1,8 @@
 package hostplan
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"fescuelanding/platform"
@@ -68,6 +70,44 @@
 // _urgentMargin allows for orders that are lost or late.
 const _urgentMargin = 5 * time.Second
 
+// evicted returns the upstreams of a pool whose hosts can't wait any longer for the tasks that
+// run on them, because their upkeep has to begin within the time limit of a wave. If there are
+// many, those with the fewest runs are chosen: the callers whose tasks are stopped wait longer,
+// and the pool has to do the work again. A host that was vacated lately isn't among them, as
+// most tasks end soon.
+func (p *Planner) evicted(now time.Time, pool string) []string {
+	s := p.pools[pool]
+	var l []string
+	for _, name := range sortedKeys(p.tasks) {
+		t := p.tasks[name]
+		w := p.findWave(t.wave)
+		if s == nil || w == nil || t.machine.Pool != pool || t.machine.Upstream == "" || !t.orderedAt.IsZero() {
+			continue
+		}
+		if now.Sub(t.since) >= _vacateTime && !now.Add(_evictTime).Before(w.due) {
+			l = append(l, t.machine.Upstream)
+		}
+	}
+	if s == nil || len(l) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(l, func(a, b string) int {
+		x, _ := s.runs(a)
+		y, _ := s.runs(b)
+		return cmp.Compare(x, y)
+	})
+	return l[:min(len(l), max(1, s.hosts/_evictDivisor))]
+}
+
+const (
+	// _evictTime is the time from the request to stop the tasks on a host until its upkeep
+	// begins: some rounds of planning, the stop, and an order that is repeated.
+	_evictTime = 2500 * time.Millisecond
+	// _evictDivisor limits the hosts of a pool on which tasks are stopped at a time to one for
+	// so many hosts of the pool. More would cost callers as much as a lost rack.
+	_evictDivisor = 20
+)
+
 // canTakeDown reports whether the candidate's pool can do without it during an
 // upkeep. Even if a wave is urgent, a pool keeps minNeed hosts available, so that its
 // long-running tasks always have a host.
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -82,6 +82,8 @@
 	Arrivals []*link.Arrival
 	// Vacate lists the upstreams to drain. All others may be used.
 	Vacate []string
+	// Evict lists those of Vacate on which also tasks that end by themselves are stopped.
+	Evict []string
 	// Due lists the upstreams whose hosts will be taken down for a wave.
 	Due []string
 	// Gone lists the upstream incarnations that have ended.
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -234,8 +234,8 @@
 // those that are vacant: nothing runs on them, and their results have been
 // appended, as the upstream loses these when it ends. An upstream that hasn't
 // answered this owner isn't vacant, because a former owner may have left tasks
-// there.
-func (s *Scheduler) vacate(now time.Time, ids []string) []string {
+// there. Tasks that end by themselves run to their end, except on the upstreams in evict.
+func (s *Scheduler) vacate(now time.Time, ids, evict []string) []string {
 	var vacant []string
 	for _, h := range s.hosts.all() {
 		if !slices.Contains(ids, h.up.ID) && now.Before(h.drainedUntil) {
@@ -255,6 +255,9 @@
 		}
 		h.drainedUntil = now.Add(_vacateLease)
 		s.evacuate(now, h)
+		if slices.Contains(evict, id) {
+			s.evict(now, h)
+		}
 		if h.fenced && len(h.runs) == 0 && h.lastResult <= h.durableEnd {
 			vacant = append(vacant, id)
 		}
@@ -288,6 +291,26 @@
 	}
 }
 
+// evict stops the tasks on an upstream that would end by themselves, so that they start on
+// others. The members of a gang, which would wait for one another in vain, are all stopped.
+func (s *Scheduler) evict(now time.Time, h *host) {
+	for _, r := range h.cloneRuns() {
+		st := r.task.step
+		if r.state != runRunning || st.def.GetLongRunning() {
+			continue
+		}
+		s.logNote("Task is stopped, because its host is due.", st.occurrence.job.def.GetId(), "task", r.task.name,
+			"run", r.number, "upstream", h.up.ID, "ranMs", now.Sub(r.started).Milliseconds())
+		if !st.def.GetGang() {
+			s.stop(now, r)
+			continue
+		}
+		for i := range st.tasks {
+			s.stopAll(now, &st.tasks[i])
+		}
+	}
+}
+
 // endState returns the final state of a job, or unspecified if it hasn't ended.
 func endState(j *job) link.JobState {
 	switch {
