--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -29,7 +30,8 @@
 const (
 	_group = "entries"
 	_topic = "pools"
-	// _timeout limits a call to the store. A slow store responds within a quarter of a second.
+	// _timeout limits a call to the store, unless the last one took longer than half of it. A
+	// join that takes longer than member.TTL doesn't keep the partitions.
 	_timeout = 600 * time.Millisecond
 	// _refreshInterval is the minimum time between two queries of the owners.
 	_refreshInterval = 120 * time.Millisecond
@@ -80,6 +82,8 @@
 	// storeAnswered is true if the last query of the owners succeeded.
 	storeAnswered bool
 	failing       bool
+	// took is how long the last call to the store took that was answered or timed out.
+	took time.Duration
 	// handover determines, after each join, which members must join again at once.
 	handover member.Handover
 	rejoin   chan struct{}
@@ -144,13 +148,14 @@
 // join joins the group or renews the membership, and returns the time until the next
 // join.
 func (g *Group) join(ctx context.Context) (time.Duration, error) {
-	c, cancel := context.WithTimeout(ctx, _timeout)
-	defer cancel()
 	g.mu.Lock()
 	n := g.generation
 	g.mu.Unlock()
+	c, cancel := context.WithTimeout(ctx, g.callTimeout())
+	defer cancel()
 	sent := time.Now()
 	m, err := g.store.Join(c, _group, g.member, _topic, member.TTL, n)
+	g.noteTime(time.Since(sent), err)
 	if err != nil {
 		return member.RetryInterval, fmt.Errorf("join: %w", err)
 	}
@@ -159,7 +164,8 @@
 	g.generation = m.Generation
 	g.mu.Unlock()
 	if changed {
-		g.Refresh(ctx)
+		// A slow answer to this mustn't delay the next join.
+		go g.Refresh(ctx)
 	}
 	slices.Sort(m.Partitions)
 	g.OnJoined(member.Assignment{Generation: m.Generation, Partitions: m.Partitions, ConfirmedAt: sent})
@@ -172,7 +178,30 @@
 		// this member joins with the new generation.
 		return 0, nil
 	}
-	return member.JoinInterval, nil
+	// Confirmations stay JoinInterval apart while the store is slow.
+	return max(0, member.JoinInterval-time.Since(sent)), nil
+}
+
+func (g *Group) callTimeout() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(max(_timeout, 2*g.took), member.TTL)
+}
+
+// StoreTime returns how long the last call to the store took that was answered or timed out.
+func (g *Group) StoreTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.took
+}
+
+// noteTime notes the time and the outcome of a call to the store.
+func (g *Group) noteTime(took time.Duration, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		g.took = took
+	}
 }
 
 // Leave leaves the group, so that the store reassigns its partitions immediately.
@@ -234,9 +263,11 @@
 	w := make(chan struct{})
 	g.refreshing, g.refreshedAt = w, time.Now()
 	g.mu.Unlock()
-	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), _timeout)
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.callTimeout())
 	defer cancel()
+	sent := time.Now()
 	o, err := g.store.Owners(c, _group)
+	g.noteTime(time.Since(sent), err)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refreshing = nil
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -204,7 +204,7 @@
 	if o == nil {
 		return &link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER}
 	}
-	c, cancel := context.WithTimeout(ctx, _callTimeout)
+	c, cancel := context.WithTimeout(ctx, callLimit(q))
 	defer cancel()
 	return o.Call(c, q)
 }
@@ -230,7 +230,7 @@
 	// sent is true once an attempt may have been executed.
 	sent := false
 	for {
-		a := n.callOwnerOnce(ctx, q)
+		a := n.callOwnerOnce(ctx, withBudget(ctx, time.Now(), q, n.group.StoreTime()))
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_UNKNOWN:
 			sent = true
@@ -271,7 +271,7 @@
 	if !ok || address == n.self {
 		return &link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER}
 	}
-	t, cancel := context.WithTimeout(ctx, _callTimeout)
+	t, cancel := context.WithTimeout(ctx, callLimit(q))
 	defer cancel()
 	a, err := n.link.Call(t, address, q)
 	if err != nil {
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -146,7 +146,7 @@
 	r := o.lastRef
 	o.pending[r] = w
 	o.mu.Unlock()
-	e := decodeCall(r, q)
+	e := decodeCall(time.Now(), r, q)
 	if e == nil {
 		o.dropPending(r)
 		return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE}
@@ -171,10 +171,14 @@
 }
 
 // decodeCall returns the event for a call, and nil if its kind is unknown.
-func decodeCall(r scheduler.Ref, q *link.Call) scheduler.Event {
+func decodeCall(now time.Time, r scheduler.Ref, q *link.Call) scheduler.Event {
 	switch b := q.GetBody().(type) {
 	case *link.Call_Submit:
-		return scheduler.Submitted{Ref: r, Job: b.Submit.GetJob()}
+		e := scheduler.Submitted{Ref: r, Job: b.Submit.GetJob()}
+		if ms := b.Submit.GetBudgetMs(); ms > 0 {
+			e.AnswerBy = now.Add(time.Duration(ms) * time.Millisecond)
+		}
+		return e
 	case *link.Call_State:
 		return scheduler.StateRequested{Ref: r, ID: b.State.GetId(), Workspace: b.State.GetWorkspace()}
 	case *link.Call_Cancel:
@@ -282,11 +286,11 @@
 		case <-o.ctx.Done():
 			return
 		case a := <-o.appends:
-			err := j.Append(o.ctx, a.Records)
+			took, err := j.Append(o.ctx, a.Records)
 			if err != nil {
 				o.log.Warn("Append of a batch to the journal failed; its submissions are not accepted.", "pool", o.pool, "batch", a.Batch, "err", err)
 			}
-			o.Post(scheduler.Appended{Batch: a.Batch, Err: err})
+			o.Post(scheduler.Appended{Batch: a.Batch, Took: took, Err: err})
 		}
 	}
 }
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -29,10 +29,10 @@
 // objective is refused at once: once a queue demands more than the pool can
 // serve, accepting late jobs would only delay those behind them.
 func (s *Scheduler) admit(now time.Time, j *job) decision {
-	if s.journal.inFlight != nil && now.Sub(s.journal.inFlight.sent) >= _journalTimeout || !s.mayOrder(now) {
+	if !s.mayOrder(now) {
 		return decision{
 			outcome: link.Outcome_OUTCOME_UNAVAILABLE,
-			reason:  "journal append unanswered, or ownership unconfirmed by the store", retry: _storeRetryAfter,
+			reason:  "ownership unconfirmed by the store", retry: s.storeRetry(now, j.def.GetId()),
 		}
 	}
 	if !s.fits(j) {
@@ -45,7 +45,7 @@
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.recentBacklog(now)
-	wait, known := b.wait(now, s.jobWork(j), s.arrivals)
+	wait, known := b.after(s.journal.wait(now)).wait(now, s.jobWork(j), s.arrivals)
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
@@ -95,6 +95,8 @@
 	// work that is, both in millicore-seconds.
 	waiting float64
 	running float64
+	// undurable is the part of waiting that the journal hasn't taken yet.
+	undurable float64
 	// starts is the number of tasks that could be placed now, ready their work, and busy the
 	// CPU of the tasks that run, in millicores. Long-running tasks don't count.
 	starts      int
@@ -161,6 +163,9 @@
 		}
 		if len(j.occurrences) == 0 && !j.recurring() && !j.longRunning() {
 			b.waiting += s.jobWork(j)
+			if !j.durable {
+				b.undurable += s.jobWork(j)
+			}
 		}
 	}
 	return b
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -41,6 +41,8 @@
 type Submitted struct {
 	Ref Ref
 	Job *work.Job
+	// AnswerBy is when the request ends without an answer; zero for no limit.
+	AnswerBy time.Time
 }
 
 // StateRequested is a caller's request for the state of a job.
@@ -121,7 +123,9 @@
 // Appended is the answer to an Append.
 type Appended struct {
 	Batch int64
-	Err   error
+	// Took is how long the store took for the attempt that it answered.
+	Took time.Duration
+	Err  error
 }
 
 // Advised is the answer to an Advise.
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -18,6 +18,9 @@
 	// acceptWaiters are answered then.
 	durable       bool
 	acceptWaiters []Ref
+	// answerBy is when the requests in acceptWaiters have to be answered, and waitUntil until
+	// when the job may wait to be put into an append; zero for no limit.
+	answerBy, waitUntil time.Time
 	// cancelWaiters are answered once the cancellation has been appended.
 	cancelWaiters []Ref
 
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -58,6 +58,9 @@
 	hosts []*host
 	// learnedAt is when learned durations were appended last.
 	learnedAt time.Time
+	commits   commits
+	// refuseAt is no later than the first time at which one of accepting is refused.
+	refuseAt earliest
 }
 
 // batch is an append in flight.
@@ -123,10 +126,8 @@
 // flush sends the next batch if it is due and none is in flight.
 func (s *Scheduler) flush(now time.Time) {
 	n := &s.journal
+	s.refuseOverdue(now)
 	if n.inFlight != nil {
-		if now.Sub(n.inFlight.sent) >= _journalTimeout {
-			s.refuseUnsentJobs("append to the journal not answered in time")
-		}
 		return
 	}
 	if n.due.IsZero() || now.Before(n.due) {
@@ -144,6 +145,7 @@
 // collect moves pending records into a batch, up to the size limit.
 func (s *Scheduler) collect(now time.Time) *batch {
 	n := &s.journal
+	s.refuseUnanswerable(now)
 	n.number++
 	b := &batch{number: n.number, sent: now, ends: n.ends}
 	n.ends, n.due = nil, time.Time{}
@@ -173,6 +175,9 @@
 		b.records = append(b.records, record(ProgressKey(s.set.Pool, j.def.GetId()), progress(j)))
 	}
 	n.dirty = nil
+	if n.commits.probe && len(b.records) == 0 {
+		b.records = append(b.records, record(LearnedKey(s.set.Pool), s.learned.record()))
+	}
 	return b
 }
 
@@ -228,6 +233,8 @@
 	}
 	s.journal.inFlight = nil
 	if e.Err == nil {
+		s.journal.commits.answered(e.Took)
+		s.logSlowAppend(now, b, e.Took)
 		s.completeBatch(now, b)
 		return
 	}
@@ -235,14 +242,17 @@
 		s.loseOwnership("journal")
 		return
 	}
-	// Nothing was appended. The jobs that callers wait for are refused, and the
-	// other records go into the next batch.
+	// Nothing was appended. All records go into the next batch, without the jobs that can't
+	// wait for it.
+	s.journal.commits.refused(b.sent)
 	s.journal.others = append(b.others, s.journal.others...)
 	s.journal.hosts = append(b.hosts, s.journal.hosts...)
 	s.journal.accepting = append(b.accepting, s.journal.accepting...)
-	s.refuseUnsentJobs("journal refused the append; nothing was written")
+	for _, j := range b.accepting {
+		s.journal.refuseAt.add(j.waitUntil)
+	}
 	for _, p := range b.progress {
-		s.markDirty(now, p.job, _appendRetryDelay)
+		s.markDirty(now, p.job, _probeInterval)
 	}
 	for h, n := range b.ends {
 		if s.journal.ends == nil {
@@ -250,29 +260,7 @@
 		}
 		s.journal.ends[h] = max(n, s.journal.ends[h])
 	}
-	s.journal.due = now.Add(_appendRetryDelay)
-}
-
-// _appendRetryDelay is the pause after a refused append.
-const _appendRetryDelay = 150 * time.Millisecond
-
-// _storeRetryAfter is the retry delay given to callers after a failure of the
-// store. Outages of the store last seconds.
-const _storeRetryAfter = 2 * time.Second
-
-// refuseUnsentJobs refuses the jobs that aren't part of an append in flight.
-func (s *Scheduler) refuseUnsentJobs(why string) {
-	for _, j := range s.journal.accepting {
-		s.logNote("Job refused.", j.def.GetId(), "why", why)
-		delete(s.jobs, j.def.GetId())
-		s.active = removeJob(s.active, j)
-		for _, r := range append(j.acceptWaiters, j.cancelWaiters...) {
-			s.reply(r, &link.Answer{
-				Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: _storeRetryAfter.Milliseconds(),
-			})
-		}
-	}
-	s.journal.accepting = nil
+	s.journal.due = now.Add(_probeInterval)
 }
 
 func removeJob(l []*job, j *job) []*job {
--- a/entry/scheduler/numbering.go
+++ b/entry/scheduler/numbering.go
@@ -11,9 +11,15 @@
 // repeated one. The zero value is for an owner that has appended nothing.
 type AppendSequence struct {
 	next int64
-	// unanswered is set after an attempt without an answer: the store may have
-	// carried it out, or may still do so.
-	unanswered bool
+	// open is the number of attempts without an answer: the store may have carried them out,
+	// or may still do so.
+	open int
+}
+
+// Send counts an attempt that is about to be sent, and returns its number.
+func (n *AppendSequence) Send() int64 {
+	n.open++
+	return n.next
 }
 
 // Next returns the number of the append in flight, or of the next one if there is
@@ -36,26 +42,29 @@
 	AttemptRefused
 )
 
-// Answered handles the store's answer to an attempt; a nil error means success.
+// Answered handles the store's answer to an attempt; a nil error means success. Other attempts
+// at the same append may still be without an answer.
 func (n *AppendSequence) Answered(err error) Attempt {
 	var e *platform.Error
+	notSent := errors.Is(err, platform.ErrNotSent)
+	if platform.Status(err) != 0 || notSent {
+		n.open--
+	}
 	switch {
 	case err == nil:
-		n.next, n.unanswered = n.next+1, false
+		n.next, n.open = n.next+1, 0
 		return AttemptDone
 	case platform.Reason(err) == "seq" && errors.As(err, &e):
-		done := n.unanswered && e.Expected == n.next+1
+		done := n.open > 0 && e.Expected == n.next+1
 		n.next = e.Expected
 		if done {
-			n.unanswered = false
+			n.open = 0
 			return AttemptDone
 		}
 		return AttemptRenumbered
 	case platform.Status(err) == http.StatusConflict:
 		return AttemptRefused
-	case platform.Status(err) == 0:
-		n.unanswered = true
-	case !n.unanswered:
+	case (platform.Status(err) != 0 || notSent) && n.open == 0:
 		return AttemptRefused
 	}
 	return AttemptRepeat
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -126,6 +126,7 @@
 		s.ownershipConfirmedAt = e.At
 	case Suspended:
 		s.ownershipConfirmedAt = s.ownershipConfirmedAt.Add(-e.For)
+		s.shortenWaits(e.For)
 	case Woken:
 		s.replan = true
 	default:
@@ -246,12 +247,10 @@
 	if s.lost || !s.loaded {
 		return time.Time{}
 	}
-	switch b := s.journal.inFlight; {
-	case b == nil:
+	if s.journal.inFlight == nil {
 		w.add(s.journal.due)
-	case len(s.journal.accepting) > 0:
-		w.add(b.sent.Add(_journalTimeout))
 	}
+	w.add(s.journal.refuseAt.time)
 	for _, t := range s.unpolled {
 		w.add(t)
 	}
@@ -328,6 +327,10 @@
 	}
 	s.lost = true
 	s.logNote("Pool lost to a later owner.", "", "token", s.set.Token, "refusedBy", by)
+	for _, j := range s.journal.accepting {
+		s.dropQueued(j, &link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER})
+	}
+	s.journal.accepting = nil
 	for _, j := range slices.Concat(s.active, s.past) {
 		// It is unknown whether the later owner has the job.
 		for _, r := range slices.Concat(j.acceptWaiters, j.cancelWaiters) {
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -69,9 +69,6 @@
 	_acceptDelay   = 3 * time.Millisecond
 	_endDelay      = 15 * time.Millisecond
 	_deletionDelay = time.Second
-	// _journalTimeout is how long an append may stay unanswered before new jobs
-	// are refused.
-	_journalTimeout = 400 * time.Millisecond
 	// _vacateLease is how long an upstream stays drained after the planner's last
 	// request to vacate it.
 	_vacateLease = 5 * time.Second
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -117,7 +117,7 @@
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
 		}
-		j.acceptWaiters = append(j.acceptWaiters, e.Ref)
+		s.addWaiter(now, j, e)
 		return
 	}
 	j := &job{
@@ -129,6 +129,14 @@
 	j.arrived = first
 	j.objective = s.objective(j)
 	v := s.admit(now, j)
+	if v.outcome == link.Outcome_OUTCOME_OK {
+		j.predicted = v.predicted
+		s.limitWait(now, j, e.AnswerBy)
+		if !s.awaits(now, j) {
+			v.outcome, v.retry = link.Outcome_OUTCOME_UNAVAILABLE, s.storeRetry(now, id)
+			v.reason = "can't wait for the journal"
+		}
+	}
 	if ok := v.outcome == link.Outcome_OUTCOME_OK; fresh || ok {
 		s.demand.add(now, demandSample{work: s.jobWork(j), chain: s.criticalPath(j), fresh: fresh, accepted: ok})
 	}
@@ -137,19 +145,19 @@
 			"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
 			"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
 			"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
-			"retryAfterMs", v.retry.Milliseconds())
+			"retryAfterMs", v.retry.Milliseconds(), "journalMs", s.journal.wait(now).Milliseconds(),
+			"budgetMs", budgetMs(now, e.AnswerBy))
 		s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
 		return
 	}
-	j.predicted = v.predicted
 	if !j.longRunning() && !j.recurring() {
 		s.summed.waiting += s.jobWork(j)
+		s.summed.undurable += s.jobWork(j)
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
 	s.active = append(s.active, j)
-	s.journal.accepting = append(s.journal.accepting, j)
-	s.journal.schedule(now.Add(_acceptDelay))
+	s.queueJob(now, j)
 }
 
 // replyState replies with the state of a job.
