scheduler: a successor sends waiting submissions back in time; a single slow append doesn't count

And one append with a lost packet made the next four expected to be as slow.

Change: waiting submissions are answered "not owner" before their attempt ends, so that the calling entry tries again; the expected time of an append is the second longest of the last four.

Tests: takeoverSlow, cancelRefused; journalSlow now refuses a caller with 600 ms in the append after the first slow one, as a first one isn't believed (the caller is refused before its job is sent, as before).

--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -33,7 +33,7 @@
 // commits tracks how long appends take, and an outage of the store. The zero value expects an
 // answer at once.
 type commits struct {
-	// took is a ring of the times of the last appends that were answered.
+	// took is a ring of the times of the last appends that were carried out.
 	took [4]time.Duration
 	next int
 	// failingSince is when the first append was sent of those that the store has refused since
@@ -71,8 +71,13 @@
 		"jobs", len(b.accepting), "records", len(b.records), "bytes", bytes)
 }
 
-// expected returns how long an append is expected to take.
-func (c *commits) expected() time.Duration { return slices.Max(c.took[:]) }
+// expected returns how long an append is expected to take: the second longest of the last ones, so
+// that a single one with a lost packet doesn't count.
+func (c *commits) expected() time.Duration {
+	l := c.took
+	slices.Sort(l[:])
+	return l[len(l)-2]
+}
 
 // wait predicts when a record that is queued now will be durable. An outage is expected to last
 // as long again as it has lasted.
@@ -126,6 +131,34 @@
 	return answerBy.Sub(now).Milliseconds()
 }
 
+// addPending queues a request that can't be handled yet.
+func (s *Scheduler) addPending(now time.Time, e Event) {
+	p := pendingRequest{event: e}
+	if x, ok := e.(Submitted); ok {
+		p.returnAt = decideBy(now, x.AnswerBy)
+		s.returnAt.add(p.returnAt)
+	}
+	s.pendingRequests = append(s.pendingRequests, p)
+}
+
+// returnPending sends submissions back that wait for the journal or the list, before their attempts
+// end. They were not accepted here, and may be sent again.
+func (s *Scheduler) returnPending(now time.Time) {
+	if t := s.returnAt.time; t.IsZero() || now.Before(t) {
+		return
+	}
+	l := s.pendingRequests
+	s.pendingRequests, s.returnAt = nil, earliest{}
+	for _, p := range l {
+		if !p.returnAt.IsZero() && !now.Before(p.returnAt) {
+			s.refuseNotOwner(p.event)
+			continue
+		}
+		s.pendingRequests = append(s.pendingRequests, p)
+		s.returnAt.add(p.returnAt)
+	}
+}
+
 // limitWait sets until when a new job may wait for its append. A job that would start at once
 // may be late, like at admission.
 func (s *Scheduler) limitWait(now time.Time, j *job, answerBy time.Time) {
