--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -66,8 +66,8 @@
 	pendingRequests []pendingRequest
 	// returnAt is no later than the first time at which one of pendingRequests is sent back.
 	returnAt earliest
-	replan          bool
-	ops             []Op
+	replan   bool
+	ops      []Op
 }
 
 // pendingRequest is a request that waits until the journal and the list are
