--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -131,34 +131,6 @@
 	return answerBy.Sub(now).Milliseconds()
 }
 
-// addPending queues a request that can't be handled yet.
-func (s *Scheduler) addPending(now time.Time, e Event) {
-	p := pendingRequest{event: e}
-	if x, ok := e.(Submitted); ok {
-		p.returnAt = decideBy(now, x.AnswerBy)
-		s.returnAt.add(p.returnAt)
-	}
-	s.pendingRequests = append(s.pendingRequests, p)
-}
-
-// returnPending sends submissions back that wait for the journal or the list, before their attempts
-// end. They were not accepted here, and may be sent again.
-func (s *Scheduler) returnPending(now time.Time) {
-	if t := s.returnAt.time; t.IsZero() || now.Before(t) {
-		return
-	}
-	l := s.pendingRequests
-	s.pendingRequests, s.returnAt = nil, earliest{}
-	for _, p := range l {
-		if !p.returnAt.IsZero() && !now.Before(p.returnAt) {
-			s.refuseNotOwner(p.event)
-			continue
-		}
-		s.pendingRequests = append(s.pendingRequests, p)
-		s.returnAt.add(p.returnAt)
-	}
-}
-
 // limitWait sets until when a new job may wait for its append. A job that would start at once
 // may be late, like at admission.
 func (s *Scheduler) limitWait(now time.Time, j *job, answerBy time.Time) {
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -64,19 +64,13 @@
 	journal         journal
 	learned         learned
 	pendingRequests []pendingRequest
-	// returnAt is no later than the first time at which one of pendingRequests is sent back.
-	returnAt earliest
-	replan   bool
-	ops      []Op
+	replan          bool
+	ops             []Op
 }
 
 // pendingRequest is a request that waits until the journal and the list are
 // known.
-type pendingRequest struct {
-	event Event
-	// returnAt is when the request is sent back if it still waits; zero for never.
-	returnAt time.Time
-}
+type pendingRequest struct{ event Event }
 
 // New returns the scheduler of a pool whose ownership was just acquired.
 func New(set Settings) *Scheduler {
@@ -147,7 +141,7 @@
 		return
 	}
 	q := s.pendingRequests
-	s.pendingRequests, s.returnAt = nil, earliest{}
+	s.pendingRequests = nil
 	for _, x := range q {
 		s.handleRequest(now, x.event)
 	}
@@ -157,7 +151,7 @@
 // the journal and the list are known.
 func (s *Scheduler) handleRequest(now time.Time, e Event) {
 	if !s.loaded || !s.listed {
-		s.addPending(now, e)
+		s.pendingRequests = append(s.pendingRequests, pendingRequest{e})
 		return
 	}
 	switch e := e.(type) {
@@ -194,7 +188,6 @@
 // doDueWork expires leases, places tasks, polls upstreams and sends the next batch
 // to the journal, as far as each is due.
 func (s *Scheduler) doDueWork(now time.Time) {
-	s.returnPending(now)
 	if !s.loaded {
 		return
 	}
@@ -251,13 +244,9 @@
 // nothing is due.
 func (s *Scheduler) Next(now time.Time) time.Time {
 	var w earliest
-	if s.lost {
+	if s.lost || !s.loaded {
 		return time.Time{}
 	}
-	w.add(s.returnAt.time)
-	if !s.loaded {
-		return w.time
-	}
 	if s.journal.inFlight == nil {
 		w.add(s.journal.due)
 	}
