--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -19,7 +19,8 @@
 	// _readWait is how long the store holds a long poll open. With _replySlack it limits
 	// a read, and thereby how long a dead connection goes unnoticed.
 	_readWait = 1500 * time.Millisecond
-	// _replySlack is the time allowed for a response beyond its wait.
+	// _replySlack is the time allowed for a response beyond its wait. A snapshot is allowed
+	// twice as much after each failure, up to that of a long poll, as it may have many pages.
 	_replySlack = 600 * time.Millisecond
 	// _pollInterval is the time between reads of a polled topic. The list of upstreams
 	// changes with each heartbeat; the interval bounds how late a drain is noticed.
@@ -44,6 +45,8 @@
 
 	next    int64
 	failing bool
+	// timeout limits the next read of a snapshot; zero for _replySlack.
+	timeout time.Duration
 }
 
 // Run follows the topic until ctx ends.
@@ -85,12 +88,15 @@
 }
 
 func (t *Follower) readSnapshot(ctx context.Context) error {
-	c, cancel := context.WithTimeout(ctx, _readWait+_replySlack)
+	limit := max(_replySlack, t.timeout)
+	c, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	b, err := t.Store.Newest(c, t.Name, 0)
 	if err != nil {
+		t.timeout = min(2*limit, _readWait+_replySlack)
 		return err
 	}
+	t.timeout = 0
 	t.next = b.Next
 	t.OnRecords(b.Records, true)
 	return nil
