scheduler, node: a successor sends submissions back before their attempts end

Change: the successor answers "not owner" with a time to try again; the attempt has no effect, and an answer to a later one is final. If the caller's time ends first, the outcome is unknown as before, since a former owner may have accepted the job and its answer been lost.

Test: takeoverSlow.

--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -227,14 +227,16 @@
 // callOwner sends a call to the owner of its pool, on this or another entry. While
 // the pool changes owners, it retries until ctx ends.
 func (n *Node) callOwner(ctx context.Context, q *link.Call) *link.Answer {
-	// sent is true once an attempt may have been executed.
-	sent := false
+	// sent is true once an attempt may have been executed, and unread if the owner didn't know
+	// yet which jobs the pool has.
+	sent, unread := false, false
 	for {
 		a := n.callOwnerOnce(ctx, withBudget(ctx, time.Now(), q, n.group.StoreTime()))
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_UNKNOWN:
 			sent = true
 		case link.Outcome_OUTCOME_NOT_OWNER:
+			unread = a.GetRetryAfterMs() > 0
 		case link.Outcome_OUTCOME_OVERLOADED, link.Outcome_OUTCOME_UNAVAILABLE:
 			if !sent {
 				return a
@@ -245,12 +247,12 @@
 			return a
 		}
 		if !wait.For(ctx, _ownerRetryPause) {
-			if sent {
+			if sent || unread {
 				return &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN}
 			}
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: 1000}
 		}
-		if !n.group.Refresh(ctx) && !sent {
+		if !n.group.Refresh(ctx) && !sent && !unread {
 			// The current owner can't be determined here; other entries may know it.
 			n.ownerUnknownAt.Store(time.Now().UnixMilli())
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: _storeLostRetryAfter.Milliseconds()}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -64,14 +64,12 @@
 	journal         journal
 	learned         learned
 	pendingRequests []pendingRequest
-	replan          bool
-	ops             []Op
+	// returnAt is no later than the first time at which one of pendingRequests is sent back.
+	returnAt earliest
+	replan   bool
+	ops      []Op
 }
 
-// pendingRequest is a request that waits until the journal and the list are
-// known.
-type pendingRequest struct{ event Event }
-
 // New returns the scheduler of a pool whose ownership was just acquired.
 func New(set Settings) *Scheduler {
 	return &Scheduler{
@@ -141,7 +139,7 @@
 		return
 	}
 	q := s.pendingRequests
-	s.pendingRequests = nil
+	s.pendingRequests, s.returnAt = nil, earliest{}
 	for _, x := range q {
 		s.handleRequest(now, x.event)
 	}
@@ -151,7 +149,7 @@
 // the journal and the list are known.
 func (s *Scheduler) handleRequest(now time.Time, e Event) {
 	if !s.loaded || !s.listed {
-		s.pendingRequests = append(s.pendingRequests, pendingRequest{e})
+		s.addPending(now, e)
 		return
 	}
 	switch e := e.(type) {
@@ -188,6 +186,7 @@
 // doDueWork expires leases, places tasks, polls upstreams and sends the next batch
 // to the journal, as far as each is due.
 func (s *Scheduler) doDueWork(now time.Time) {
+	s.returnPending(now)
 	if !s.loaded {
 		return
 	}
@@ -244,9 +243,13 @@
 // nothing is due.
 func (s *Scheduler) Next(now time.Time) time.Time {
 	var w earliest
-	if s.lost || !s.loaded {
+	if s.lost {
 		return time.Time{}
 	}
+	w.add(s.returnAt.time)
+	if !s.loaded {
+		return w.time
+	}
 	if s.journal.inFlight == nil {
 		w.add(s.journal.due)
 	}
