--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -65,14 +65,12 @@
 	journal         journal
 	learned         learned
 	pendingRequests []pendingRequest
-	replan          bool
-	ops             []Op
+	// returnAt is no later than the first time at which one of pendingRequests is sent back.
+	returnAt earliest
+	replan   bool
+	ops      []Op
 }
 
-// pendingRequest is a request that waits until the journal and the list are
-// known.
-type pendingRequest struct{ event Event }
-
 // New returns the scheduler of a pool whose ownership was just acquired.
 func New(set Settings) *Scheduler {
 	return &Scheduler{
@@ -130,6 +128,7 @@
 	case Suspended:
 		s.ownershipConfirmedAt = s.ownershipConfirmedAt.Add(-e.For)
 		s.workspaces.Suspended(e.For)
+		s.shortenWaits(e.For)
 	case Woken:
 		s.replan = true
 	default:
@@ -144,7 +143,7 @@
 		return
 	}
 	q := s.pendingRequests
-	s.pendingRequests = nil
+	s.pendingRequests, s.returnAt = nil, earliest{}
 	for _, x := range q {
 		s.handleRequest(now, x.event)
 	}
@@ -154,7 +153,7 @@
 // the journal and the list are known.
 func (s *Scheduler) handleRequest(now time.Time, e Event) {
 	if !s.loaded || !s.listed {
-		s.pendingRequests = append(s.pendingRequests, pendingRequest{e})
+		s.addPending(now, e)
 		return
 	}
 	switch e := e.(type) {
@@ -191,6 +190,7 @@
 // doDueWork expires leases, places tasks, polls upstreams and sends the next batch
 // to the journal, as far as each is due.
 func (s *Scheduler) doDueWork(now time.Time) {
+	s.returnPending(now)
 	if !s.loaded {
 		return
 	}
@@ -248,15 +248,17 @@
 // nothing is due.
 func (s *Scheduler) Next(now time.Time) time.Time {
 	var w earliest
-	if s.lost || !s.loaded {
+	if s.lost {
 		return time.Time{}
 	}
-	switch b := s.journal.inFlight; {
-	case b == nil:
+	w.add(s.returnAt.time)
+	if !s.loaded {
+		return w.time
+	}
+	if s.journal.inFlight == nil {
 		w.add(s.journal.due)
-	case len(s.journal.accepting) > 0:
-		w.add(b.sent.Add(_journalTimeout))
 	}
+	w.add(s.journal.refuseAt.time)
 	for _, t := range s.unpolled {
 		w.add(t)
 	}
@@ -333,6 +335,10 @@
 	}
 	s.lost = true
 	s.logNote("Pool lost to a later owner.", "", "token", s.set.Token, "refusedBy", by)
+	for _, j := range s.journal.accepting {
+		s.dropQueued(j, &link.Answer{Outcome: link.Outcome_OUTCOME_NOT_OWNER})
+	}
+	s.journal.accepting = nil
 	for _, j := range slices.Concat(s.active, s.past) {
 		// It is unknown whether the later owner has the job.
 		for _, r := range slices.Concat(j.acceptWaiters, j.cancelWaiters) {
