--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -131,9 +131,9 @@
 	return answerBy.Sub(now).Milliseconds()
 }
 
-// limitWait sets until when a new job may wait for its append. A job that would start at once
+// boundWait sets until when a new job may wait for its append. A job that would start at once
 // may be late, like at admission.
-func (s *Scheduler) limitWait(now time.Time, j *job, answerBy time.Time) {
+func (s *Scheduler) boundWait(now time.Time, j *job, answerBy time.Time) {
 	j.answerBy = decideBy(now, answerBy)
 	w := earliest{j.answerBy}
 	if !j.longRunning() && !j.recurring() {
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -113,6 +113,10 @@
 func (s *Scheduler) submit(now time.Time, e Submitted) {
 	id := e.Job.GetId()
 	if j := s.jobs[id]; j != nil {
+		if j.def.GetWorkspace() != e.Job.GetWorkspace() {
+			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_DENIED})
+			return
+		}
 		if j.durable {
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
@@ -131,7 +135,7 @@
 	v := s.admit(now, j)
 	if v.outcome == link.Outcome_OUTCOME_OK {
 		j.predicted = v.predicted
-		s.limitWait(now, j, e.AnswerBy)
+		s.boundWait(now, j, e.AnswerBy)
 		if !s.awaits(now, j) {
 			v.outcome, v.retry = link.Outcome_OUTCOME_UNAVAILABLE, s.storeRetry(now, id)
 			v.reason = "can't wait for the journal"
@@ -153,6 +157,9 @@
 	if !j.longRunning() && !j.recurring() {
 		s.summed.waiting += s.jobWork(j)
 		s.summed.undurable += s.jobWork(j)
+		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
+			s.addJob(v, j)
+		}
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
@@ -163,7 +170,7 @@
 // replyState replies with the state of a job.
 func (s *Scheduler) replyState(e StateRequested) {
 	j := s.jobs[e.ID]
-	if j == nil {
+	if j == nil || j.def.GetWorkspace() != e.Workspace {
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	}
@@ -178,7 +185,7 @@
 func (s *Scheduler) cancel(now time.Time, e CancelRequested) {
 	j := s.jobs[e.ID]
 	switch {
-	case j == nil:
+	case j == nil || j.def.GetWorkspace() != e.Workspace:
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	case j.durableState != link.JobState_JOB_STATE_UNSPECIFIED:
