--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -51,8 +51,7 @@
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.recentBacklog(now)
-	ahead := s.withoutExcess(now, b.after(s.journal.wait(now)), j.objective)
-	wait, known := ahead.wait(now, s.jobWork(j), s.arrivals)
+	wait, known := s.withoutExcess(now, b, j.objective).after(s.journal.wait(now)).wait(now, s.jobWork(j), s.arrivals)
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -156,10 +156,10 @@
 	}
 	if !j.longRunning() && !j.recurring() {
 		s.summed.waiting += s.jobWork(j)
+		s.summed.undurable += s.jobWork(j)
 		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
 			s.addJob(v, j)
 		}
-		s.summed.undurable += s.jobWork(j)
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
