--- a/entry/scheduler/quota.go
+++ b/entry/scheduler/quota.go
@@ -134,6 +134,7 @@
 
 // reportUsage adds to the pool's load what each workspace uses.
 func (s *Scheduler) reportUsage(now time.Time, l *link.PoolLoad) {
+	s.sumUnknownRuns(now)
 	waiting := s.waitingUse(now)
 	r := s.workspaces.Report(now)
 	for w, u := range waiting {
