admission: shares by workspace and places for refused callers

Admission was first come, first served: a large sender's surplus made others late, and all refused callers heard the same time. entry/admission decides entitlement (token bucket), what goes before a new job (processor sharing by weight), the order of starts (start-time fair queueing) and the times to come back (virtual queue). Late jobs are taken where workspaces compete, and give way.

--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -248,6 +248,8 @@
 		go o.pace(op)
 	case scheduler.Advise:
 		go o.advise(op)
+	case scheduler.Count:
+		countJob(o.pool, op)
 	case scheduler.Note:
 		o.log.Note(o.pool, op)
 	}
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"fescuelanding/entry/admission"
 	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
@@ -23,6 +24,8 @@
 	predicted time.Duration
 	retry     time.Duration
 	backlog   backlog
+	// deferred is set if the job is accepted although it will be late.
+	deferred bool
 }
 
 // admit decides whether a job is accepted. A job that would miss its latency
@@ -32,7 +35,7 @@
 	if s.journal.inFlight != nil && now.Sub(s.journal.inFlight.sent) >= _journalTimeout || !s.mayOrder(now) {
 		return decision{
 			outcome: link.Outcome_OUTCOME_UNAVAILABLE,
-			reason:  "journal append unanswered, or ownership unconfirmed by the store", retry: _storeRetryAfter,
+			reason:  "journal append unanswered, or ownership unconfirmed by the store", retry: s.returnTime(now, j, _storeRetryAfter),
 		}
 	}
 	if !s.fits(j) {
@@ -45,21 +48,25 @@
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.recentBacklog(now)
-	wait, known := b.wait(now, s.jobWork(j), s.arrivals)
+	late, chain := now.Sub(j.arrived), s.criticalPath(j)
+	wait, known := s.waitOf(now, j, b, admission.StandingOf(j.surplus, false))
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
-	wait = max(wait, s.flow.wait(now, b.starts))
 	// A retried job is measured from its first attempt.
-	late := now.Sub(j.arrived)
-	p := wait + s.criticalPath(j)
-	// A job that can run at once is accepted up to _maxLateness times its
-	// objective.
-	if late+p <= j.objective || wait == 0 && late+p <= _maxLateness*j.objective {
+	p := wait + chain
+	if late+p <= j.objective {
 		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: p}
 	}
-	r := min(max(p-j.objective, _minRetryAfter), _maxRetryAfter)
-	return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "predicted to miss its latency objective", predicted: p, retry: r, backlog: b}
+	if after, ok := s.acceptLate(now, j, b, late, chain); ok {
+		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: after + chain, deferred: s.contest.shares.Active()}
+	}
+	d := decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "predicted to miss its latency objective", predicted: p, backlog: b}
+	if d.retry = s.returnTime(now, j, wait); late+d.retry+chain > _maxLateness*j.objective {
+		s.contest.places.Leave(j.def.GetId())
+		d.reason, d.retry = "can't be served in time", _maxRetryAfter
+	}
+	return d
 }
 
 // _maxLateness is the multiple of its objective that a job may take and still be
@@ -97,8 +104,12 @@
 	running float64
 	// starts is the number of tasks that could be placed now, ready their work, and busy the
 	// CPU of the tasks that run, in millicores. Long-running tasks don't count.
-	starts      int
-	ready, busy float64
+	starts int
+	// yieldingStarts is the part of starts that gives way to jobs that can be on time.
+	yieldingStarts int
+	ready, busy    float64
+	// contenders is the waiting work by standing and workspace, if there are workspaces.
+	contenders admission.Backlog
 }
 
 // wait predicts how long a job with the given work waits before it runs, counting
@@ -148,12 +159,16 @@
 // backlog sums the work of all accepted jobs.
 func (s *Scheduler) backlog(now time.Time) backlog {
 	var b backlog
+	memory := 0.0
 	for _, h := range s.hosts.order {
 		if h.usableSoon(now) {
 			b.capacity += float64(h.up.Capacity.MilliCPU)
+			memory += float64(h.up.Capacity.MemoryMB)
 		}
 	}
+	s.contest.setCapacity(b.capacity, memory)
 	for _, j := range s.active {
+		former := b
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				s.addStepWork(now, st, &b)
@@ -162,6 +177,10 @@
 		if len(j.occurrences) == 0 && !j.recurring() && !j.longRunning() {
 			b.waiting += s.jobWork(j)
 		}
+		s.addContender(&b, j, b.waiting-former.waiting)
+		if j.givesWay() {
+			b.yieldingStarts += b.starts - former.starts
+		}
 	}
 	return b
 }
--- /dev/null
+++ b/entry/scheduler/contest.go
@@ -0,0 +1,204 @@
+package scheduler
+
+import (
+	"time"
+
+	"fescuelanding/entry/admission"
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// contest divides the pool's room between workspaces and refused callers.
+type contest struct {
+	shares admission.Shares
+	places admission.Places
+	// cpuPerMB is the pool's CPU, in millicores, for each MB of its memory.
+	cpuPerMB float64
+}
+
+func (c *contest) setCapacity(cpu, memory float64) {
+	c.cpuPerMB = 0
+	if memory > 0 {
+		c.cpuPerMB = cpu / memory
+	}
+}
+
+// dominance returns how many times more of the pool a task of a step takes than its CPU
+// request says, if memory is what it takes most of.
+func (c *contest) dominance(d *work.Step) float64 {
+	return max(1, float64(d.GetMemoryMb())*c.cpuPerMB/float64(max(1, d.GetMilliCpu())))
+}
+
+// shareBetween applies the configured workspaces.
+func (s *Scheduler) shareBetween(now time.Time, l []platform.Workspace) {
+	var out []admission.Workspace
+	for _, w := range l {
+		out = append(out, admission.Workspace{Name: w.Name, Weight: w.Weight})
+	}
+	s.contest.shares.Configure(now, out)
+}
+
+// addContender adds the waiting work of a job to the backlog by standing and workspace.
+func (s *Scheduler) addContender(b *backlog, j *job, waiting float64) {
+	if waiting > 0 && s.contest.shares.Active() {
+		b.contenders.Add(j.standing(), j.def.GetWorkspace(), waiting)
+	}
+}
+
+// standing returns the job's standing among those that wait for room. A job that was accepted
+// to be on time keeps its standing.
+func (j *job) standing() admission.Standing { return admission.StandingOf(j.surplus, j.deferred) }
+
+// givesWay reports whether the job only takes room that others leave.
+func (j *job) givesWay() bool { return j.surplus || j.deferred }
+
+// leftOver reports whether there is room for a step of a job that gives way: no task that can
+// be on time waits, and what the fresh jobs of this moment need is free besides.
+func (p *pass) leftOver(st *step) bool {
+	if p.contested {
+		return false
+	}
+	capacity, yielding := 0.0, 0.0
+	for _, h := range p.hosts {
+		capacity += float64(h.up.Capacity.MilliCPU)
+		for _, r := range h.runs {
+			if x := r.task.step; x.def.GetLongRunning() || x.occurrence.job.givesWay() {
+				yielding += float64(x.cpuRequest())
+			}
+		}
+	}
+	return p.s.demand.rate(p.now)+yielding+float64(st.cpuRequest()) <= capacity
+}
+
+// noteContested notes that a step that was visited can be on time and still waits.
+func (p *pass) noteContested(r ranked, st *step) {
+	if !r.rank.late && !r.rank.longRunning && !r.rank.surplus && st.waiting() {
+		p.contested = true
+	}
+}
+
+// waitOf predicts how long a new job waits for room at a standing. Room is kept for refused
+// callers with a better claim whose time to return has come.
+func (s *Scheduler) waitOf(now time.Time, j *job, b backlog, v admission.Standing) (time.Duration, bool) {
+	w := s.jobWork(j)
+	if s.contest.shares.Active() {
+		b.waiting = s.contest.shares.Ahead(&b.contenders, v, j.def.GetWorkspace(), w)
+		if v == admission.Entitled {
+			b.starts -= b.yieldingStarts
+		}
+	}
+	d, known := b.wait(now, w+s.contest.places.Kept(now, caller(j, v, w)), s.arrivals)
+	return max(d, s.flow.wait(now, b.starts)), known
+}
+
+func caller(j *job, v admission.Standing, work float64) admission.Caller {
+	return admission.Caller{Job: j.def.GetId(), First: j.arrived, Standing: v, Work: work}
+}
+
+// acceptLate decides whether to accept a job that will be late, and returns its wait: if it
+// runs at once in room that is left over, and where workspaces compete also if it waits
+// behind all that can be on time, as its caller would otherwise return for the same room.
+// Others may take half of the room while it waits.
+func (s *Scheduler) acceptLate(now time.Time, j *job, b backlog, late, chain time.Duration) (time.Duration, bool) {
+	wait, known := s.waitOf(now, j, b, admission.StandingOf(j.surplus, true))
+	if !known || wait > 0 && (j.surplus || !s.contest.shares.Active()) {
+		return 0, false
+	}
+	return wait, late+2*wait+chain <= _maxLateness*j.objective
+}
+
+// returnTime tells a refused caller when to come back: at his place among the refused, once
+// a wait is over. Callers who were refused together return at as much work per second as the
+// pool completes.
+func (s *Scheduler) returnTime(now time.Time, j *job, wait time.Duration) time.Duration {
+	onTime := now.Add(wait + s.criticalPath(j)).Before(j.arrived.Add(j.objective))
+	c := caller(j, admission.StandingOf(j.surplus, !onTime), s.jobWork(j))
+	return min(s.contest.places.Assign(now, c, wait, s.recentBacklog(now).capacity), _maxRetryAfter)
+}
+
+// takeTurns orders waiting occurrences that differ at most in their deadlines so that
+// workspaces start work by weight.
+func (s *Scheduler) takeTurns(all []ranked) {
+	if !s.contest.shares.Active() {
+		return
+	}
+	for len(all) > 0 {
+		n := 1
+		for n < len(all) && all[n].rank.sameButDue(all[0].rank) {
+			n++
+		}
+		if n > 1 && !all[0].rank.longRunning {
+			s.takeTurnsIn(all[:n])
+		}
+		all = all[n:]
+	}
+}
+
+func (s *Scheduler) takeTurnsIn(l []ranked) {
+	waiting := make([]admission.Candidate, len(l))
+	for i, r := range l {
+		waiting[i] = admission.Candidate{Workspace: r.occ.job.def.GetWorkspace(), Work: s.readyWork(r.occ)}
+	}
+	former := append([]ranked(nil), l...)
+	for i, k := range s.contest.shares.Order(waiting) {
+		l[i] = former[k]
+	}
+}
+
+// sameButDue reports whether two ranks differ at most in the deadline.
+func (a rank) sameButDue(b rank) bool {
+	b.due = a.due
+	return a == b
+}
+
+// readyWork returns the work of the tasks of an occurrence that could be placed now.
+func (s *Scheduler) readyWork(o *occurrence) float64 {
+	w := 0.0
+	for _, st := range o.steps {
+		if st.waiting() && !st.def.GetFills() {
+			w += float64(st.left-st.running) * s.taskWork(st)
+		}
+	}
+	return w
+}
+
+// taskWork returns what a task of a step takes of the pool.
+func (s *Scheduler) taskWork(st *step) float64 {
+	return float64(st.def.GetMilliCpu()) * s.contest.dominance(st.def) * s.expectedDuration(st).Seconds()
+}
+
+// chargeStart charges the start of a task to its workspace.
+func (s *Scheduler) chargeStart(st *step) {
+	if s.contest.shares.Active() && !st.def.GetLongRunning() && !st.def.GetFills() {
+		s.contest.shares.Start(st.occurrence.job.def.GetWorkspace(), s.taskWork(st))
+	}
+}
+
+// count counts a decision on a job.
+func (s *Scheduler) count(j *job, what string) {
+	s.emit(Count{Queue: j.queue.Name, Workspace: s.contest.shares.Label(j.def.GetWorkspace()), What: what})
+}
+
+func acceptedAs(j *job) string {
+	switch {
+	case j.surplus:
+		return "acceptedSurplus"
+	case j.deferred:
+		return "acceptedLate"
+	}
+	return "accepted"
+}
+
+func endedAs(now time.Time, j *job) string {
+	switch took := now.Sub(j.arrived); {
+	case j.cancelled:
+		return "cancelled"
+	case j.failed:
+		return "failed"
+	case took <= j.objective || j.longRunning() || j.recurring():
+		return "onTime"
+	case took <= _maxLateness*j.objective:
+		return "late"
+	}
+	return "tooLate"
+}
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -147,26 +147,36 @@
 // firstSeen stores when jobs were first submitted. A refused job may be submitted
 // again, and its caller measures latency from the first attempt.
 type firstSeen struct {
-	at    map[string]time.Time
+	at    map[string]*attempts
 	order []string
 }
 
-// record returns when a job was first submitted, and whether this is its first
-// attempt.
-func (f *firstSeen) record(now time.Time, id string) (first time.Time, fresh bool) {
-	if t, ok := f.at[id]; ok {
-		return t, false
+// attempts is what is known of a job's attempts.
+type attempts struct {
+	first time.Time
+	// tries counts them.
+	tries int
+	// surplus is set if the job exceeded its workspace's entitlement at the first.
+	surplus bool
+}
+
+// record counts an attempt to submit a job.
+func (f *firstSeen) record(now time.Time, id string) *attempts {
+	if a := f.at[id]; a != nil {
+		a.tries++
+		return a
 	}
 	if f.at == nil {
-		f.at = make(map[string]time.Time)
+		f.at = make(map[string]*attempts)
 	}
-	for len(f.order) > 0 && now.Sub(f.at[f.order[0]]) > _firstSeenRetention {
+	for len(f.order) > 0 && now.Sub(f.at[f.order[0]].first) > _firstSeenRetention {
 		delete(f.at, f.order[0])
 		f.order = f.order[1:]
 	}
-	f.at[id] = now
+	a := &attempts{first: now, tries: 1}
+	f.at[id] = a
 	f.order = append(f.order, id)
-	return now, true
+	return a
 }
 
 // arrival is capacity, in millicores, that joins the pool at a known time.
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -246,6 +246,16 @@
 	Pairs []any
 }
 
+// Count adds one to the jobs of a queue and workspace that were decided on in a way.
+type Count struct {
+	Queue string
+	// Workspace is empty if it isn't configured.
+	Workspace string
+	// What is "accepted", "acceptedLate", "acceptedSurplus" or "refused", or how an accepted
+	// job ended: "onTime", "late", "tooLate", "cancelled" or "failed".
+	What string
+}
+
 func (Start) op()  {}
 func (Stop) op()   {}
 func (Pace) op()   {}
@@ -254,3 +264,4 @@
 func (Advise) op() {}
 func (Reply) op()  {}
 func (Note) op()   {}
+func (Count) op()  {}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -41,6 +41,9 @@
 	// predicted is the duration predicted at admission; zero if there was no
 	// prediction.
 	predicted time.Duration
+	// surplus is set if the job exceeds its workspace's entitlement, and deferred if it was
+	// accepted although it will be late.
+	surplus, deferred bool
 }
 
 // over reports whether the job has ended, so that none of its tasks may start.
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -295,8 +295,9 @@
 	for _, j := range b.accepting {
 		j.durable = true
 		s.upcoming = append(s.upcoming, j)
-		s.logNote("Job accepted.", j.def.GetId(), "queue", j.def.GetQueue(),
-			"afterMs", now.Sub(j.arrived).Milliseconds())
+		s.count(j, acceptedAs(j))
+		s.logNote("Job accepted.", j.def.GetId(), "queue", j.def.GetQueue(), "workspace", j.def.GetWorkspace(),
+			"surplus", j.surplus, "deferred", j.deferred, "afterMs", now.Sub(j.arrived).Milliseconds())
 		for _, r := range j.acceptWaiters {
 			s.reply(r, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 		}
@@ -309,6 +310,7 @@
 			continue
 		}
 		if j.durableState != state {
+			s.count(j, endedAs(now, j))
 			s.logNote("Job ended.", j.def.GetId(), "state", state.String(), "afterMs", now.Sub(j.arrived).Milliseconds(),
 				"objectiveMs", j.objective.Milliseconds(), "predictedMs", j.predicted.Milliseconds())
 		}
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -27,6 +27,7 @@
 		h.awaitingSince = now
 	}
 	h.add(r)
+	s.chargeStart(st)
 	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
 	s.emitStart(now, r)
 }
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -28,9 +28,11 @@
 // rank orders jobs. Long-running jobs come first, because they must run however
 // full the pool is. Jobs that can complete on time come before those that would be
 // late even if they ran at once, so that the late jobs don't delay the others. The
-// next criteria are priority and deadline.
+// next criteria are priority and deadline. Jobs that exceed their workspace's
+// entitlement come after all others.
 type rank struct {
 	longRunning bool
+	surplus     bool
 	late        bool
 	priority    int
 	due         time.Time
@@ -39,7 +41,8 @@
 func (s *Scheduler) rank(now time.Time, o *occurrence) rank {
 	j := o.job
 	due := o.due.Add(j.objective)
-	return rank{j.longRunning(), now.Add(s.remaining(o)).After(due), j.queue.Priority, due}
+	late := j.deferred || now.Add(s.remaining(o)).After(due)
+	return rank{j.longRunning(), j.surplus, late, j.queue.Priority, due}
 }
 
 // remaining predicts how long an occurrence takes if all its tasks run at once.
@@ -83,6 +86,9 @@
 	if a.longRunning != b.longRunning {
 		return signOf(b.longRunning)
 	}
+	if a.surplus != b.surplus {
+		return signOf(a.surplus)
+	}
 	if a.late != b.late {
 		return signOf(a.late)
 	}
@@ -121,6 +127,7 @@
 	all := p.waiting()
 	p.findOpen(all)
 	slices.SortStableFunc(all, func(a, b ranked) int { return a.rank.compare(b.rank) })
+	s.takeTurns(all)
 	for _, r := range all {
 		for _, st := range r.occ.steps {
 			if !st.waiting() {
@@ -129,7 +136,11 @@
 			if !p.windowOpen() {
 				return
 			}
+			if r.occ.job.givesWay() && !p.leftOver(st) {
+				return
+			}
 			p.placeStep(st)
+			p.noteContested(r, st)
 			s.logStarts(now, st)
 		}
 	}
@@ -184,6 +195,9 @@
 	// reserved are the upstreams kept free for tasks that have waited for at least
 	// _reserveAfter, or that are long-running.
 	reserved map[*host]bool
+	// contested is set if a task that can be on time has found no room. Then no job that
+	// gives way starts: its tasks may be smaller, and would take up the room for good.
+	contested bool
 }
 
 // findOpen sets the upstreams with enough free CPU.
@@ -260,7 +274,7 @@
 		if p.now.Sub(t.waitingSince) < _reserveAfter && !st.def.GetLongRunning() {
 			return // The other tasks of the step are as large, so they don't fit either.
 		}
-		if len(p.reserved) >= _maxReserved || !p.reserve(t) {
+		if st.occurrence.job.givesWay() || len(p.reserved) >= _maxReserved || !p.reserve(t) {
 			return
 		}
 	}
@@ -419,7 +433,7 @@
 			return
 		}
 	}
-	if p.now.Sub(st.waitingSince) > _reserveAfter && len(p.reserved) < _maxReserved {
+	if !st.occurrence.job.givesWay() && p.now.Sub(st.waitingSince) > _reserveAfter && len(p.reserved) < _maxReserved {
 		p.reserve(&st.tasks[0])
 	}
 }
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -48,6 +48,8 @@
 	flow     flow
 	// firstAttempts holds when jobs were first submitted.
 	firstAttempts firstSeen
+	// contest divides the pool between workspaces and refused callers.
+	contest contest
 	// answerLostAt is when a call to an upstream last had no answer.
 	answerLostAt time.Time
 	// adviceRetry is when failed requests to policies are repeated.
@@ -110,6 +112,7 @@
 	switch e := e.(type) {
 	case Configured:
 		s.configure(e.Queues)
+		s.shareBetween(now, e.Workspaces)
 	case Loaded:
 		s.load(now, e)
 	case Listed:
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -124,7 +124,12 @@
 		def: e.Job, queue: s.queues[e.Job.GetQueue()], arrived: now,
 		acceptWaiters: []Ref{e.Ref},
 	}
-	first, fresh := s.firstAttempts.record(now, id)
+	t := s.firstAttempts.record(now, id)
+	first, fresh := t.first, t.tries == 1
+	if fresh {
+		t.surplus = !s.contest.shares.Entitle(now, j.def.GetWorkspace())
+	}
+	j.surplus = t.surplus
 	j.def.AcceptedUnixMs = first.UnixMilli()
 	j.arrived = first
 	j.objective = s.objective(j)
@@ -133,17 +138,21 @@
 		s.demand.add(now, demandSample{work: s.jobWork(j), chain: s.criticalPath(j), fresh: fresh, accepted: ok})
 	}
 	if v.outcome != link.Outcome_OUTCOME_OK {
+		s.count(j, "refused")
 		s.logNote("Job refused.", id, "queue", j.def.GetQueue(), "why", v.reason,
-			"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
+			"workspace", j.def.GetWorkspace(), "surplus", j.surplus, "try", t.tries, "sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
 			"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
 			"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
 			"retryAfterMs", v.retry.Milliseconds())
 		s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
 		return
 	}
-	j.predicted = v.predicted
+	j.predicted, j.deferred = v.predicted, v.deferred
+	s.contest.places.Leave(id)
 	if !j.longRunning() && !j.recurring() {
-		s.summed.waiting += s.jobWork(j)
+		w := s.jobWork(j)
+		s.summed.waiting += w
+		s.addContender(&s.summed, j, w)
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
