--- a/entry/admission/places.go
+++ b/entry/admission/places.go
@@ -48,21 +48,25 @@
 func (p *Places) Len() int { return len(p.line) }
 
 // Assign gives a caller a place, or moves the one that he has, and returns when he should
-// come back. Room is free for the first of the queue after a wait; the pool then completes
-// the given work per second. The answer is in whole seconds, as callers are told, and at
-// least one.
+// come back: after a wait, in the first second in which those with a better claim leave
+// something of the work that the pool completes in a second. The answer is in whole seconds,
+// as callers are told, and at least one.
 func (p *Places) Assign(now time.Time, c Caller, wait time.Duration, rate float64) time.Duration {
 	p.trim(now)
 	p.Leave(c.Job)
 	i := p.find(c)
-	ahead := 0.0
+	first := max(1, int((wait+time.Second-1)/time.Second))
+	var taken [_maxSeconds]float64
 	for _, x := range p.line[:i] {
-		ahead += x.caller.Work
+		if k := int((x.due.Sub(now)+time.Second-1)/time.Second) - first; k >= 0 && k < _maxSeconds {
+			taken[k] += x.caller.Work
+		}
 	}
-	if rate > 0 {
-		wait += time.Duration(min(ahead/rate, _maxWait.Seconds()) * float64(time.Second))
+	k := 0
+	for k < _maxSeconds-1 && taken[k] > 0 && taken[k] >= rate {
+		k++
 	}
-	after := max(1, (wait+time.Second-1).Truncate(time.Second)/time.Second) * time.Second
+	after := time.Duration(first+k) * time.Second
 	if len(p.line) < _maxPlaces {
 		p.line = slices.Insert(p.line, i, place{c, now.Add(after)})
 		if p.byJob == nil {
@@ -73,8 +77,8 @@
 	return after
 }
 
-// _maxWait limits the time that a place is assigned for. Callers give up long before.
-const _maxWait = time.Minute
+// _maxSeconds limits by how many seconds callers are spread. They give up long before.
+const _maxSeconds = 30
 
 // Leave removes the place of a caller who returned for the last time.
 func (p *Places) Leave(job string) {
--- a/entry/admission/shares.go
+++ b/entry/admission/shares.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // _burst is how much of its rate a workspace may save up: callers send independently of one
 // another, and what a workspace sends in any two seconds is within its entitlement if the
@@ -33,6 +36,19 @@
 	// served is the workspace's virtual time: the work that it has received, divided by its
 	// weight.
 	served float64
+	// recent is the entitled work that was submitted until recentAt, with a weight that
+	// decays over _rateSpan.
+	recent   float64
+	recentAt time.Time
+}
+
+// _rateSpan is the span over which the rate of submitted work is measured: several jobs of a
+// busy workspace, and a part of a turn.
+const _rateSpan = time.Second
+
+// submits returns the rate of the entitled work that the workspace submits.
+func (x *share) submits(now time.Time) float64 {
+	return x.recent * math.Exp(-now.Sub(x.recentAt).Seconds()/_rateSpan.Seconds()) / _rateSpan.Seconds()
 }
 
 // Configure replaces the workspaces. Those that stay keep their state, with the new weight.
@@ -71,7 +87,7 @@
 
 // Entitle counts a new job of a workspace and reports whether it is within the workspace's
 // entitlement. It answers a workspace that sends many times its usual.
-func (s *Shares) Entitle(now time.Time, workspace string) bool {
+func (s *Shares) Entitle(now time.Time, workspace string, work float64) bool {
 	x := s.byName[workspace]
 	if x == nil {
 		return true
@@ -81,6 +97,8 @@
 		return false
 	}
 	x.tokens--
+	x.recent = x.submits(now)*_rateSpan.Seconds() + work
+	x.recentAt = now
 	return true
 }
 
@@ -103,23 +121,47 @@
 	return 1
 }
 
-// Ahead returns how much of the waiting work goes before the end of a new job, beside the
-// job's own: all that has a higher standing, what its workspace has waiting, and what the
-// others receive by weight until then. It answers a turn in which everybody sends more than
-// the pool can serve: a workspace that has little waiting doesn't wait for those that have
-// much.
-func (s *Shares) Ahead(b *Backlog, v Standing, workspace string, work float64) float64 {
+// Ahead returns how much other work goes before the end of a new job, if the pool completes
+// rate of it per second: all that waits with a higher standing, what its workspace has
+// waiting, and what the others receive by weight until then, of what they have waiting and of
+// what they go on submitting. It answers a turn in which everybody sends more than the pool
+// can serve: a workspace that asks for less than its share doesn't wait for those that ask for
+// more, and these aren't promised what it will need.
+func (s *Shares) Ahead(now time.Time, b *Backlog, v Standing, workspace string, work, rate float64) float64 {
 	own := b.waiting[v][workspace]
-	ahead := b.above(v) + own
+	before := own
+	if v > 0 {
+		before += b.Until(v - 1)
+	}
 	served := (own + work) / s.weight(workspace)
-	for name, w := range b.waiting[v] {
-		if name != workspace {
-			ahead += min(w, served*s.weight(name))
+	ahead := before
+	for range _rounds {
+		until := 0.0
+		if rate > 0 && v == Entitled {
+			until = min((ahead+work)/rate, _maxAhead.Seconds())
+		}
+		ahead = before
+		for name, x := range s.byName {
+			if name != workspace {
+				ahead += min(b.waiting[v][name]+x.submits(now)*until, served*x.weight)
+			}
+		}
+		for name, w := range b.waiting[v] {
+			if name != workspace && s.byName[name] == nil {
+				ahead += min(w, served)
+			}
 		}
 	}
 	return ahead
 }
 
+const (
+	// _rounds is how often Ahead corrects its estimate of the time until the job's end.
+	_rounds = 4
+	// _maxAhead limits for how long the present rate of submitted work is expected to last.
+	_maxAhead = 2 * time.Second
+)
+
 // Start charges work that starts to its workspace. A workspace that had nothing waiting
 // can't have saved up room.
 func (s *Shares) Start(workspace string, work float64) {
--- a/entry/admission/standing.go
+++ b/entry/admission/standing.go
@@ -49,10 +49,10 @@
 	b.waiting[v][workspace] += work
 }
 
-// above returns the work of higher standing.
-func (b *Backlog) above(v Standing) float64 {
+// Until returns the waiting work of a standing and all higher ones.
+func (b *Backlog) Until(v Standing) float64 {
 	sum := 0.0
-	for _, m := range b.waiting[:v] {
+	for _, m := range b.waiting[:v+1] {
 		for _, w := range m {
 			sum += w
 		}
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -44,6 +44,9 @@
 
 // Node is an entry.
 type Node struct {
+	// AcceptLate is the scheduler's setting of that name, for all pools. It is set before Run.
+	AcceptLate bool
+
 	boot    platform.Boot
 	log     *logging.Log
 	system  *actor.ActorSystem
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -117,7 +117,7 @@
 	b := p.node.bounds.Load()
 	set := scheduler.Settings{
 		Pool: name, Token: token, MaxLease: b.MaxLease, StatusRetention: b.StatusRetention, StopTimeout: b.StopTimeout,
-		RemoteFactor: b.RemoteFactor,
+		RemoteFactor: b.RemoteFactor, AcceptLate: p.node.AcceptLate,
 	}
 	o, err := owner.Start(p.node.system, set, p.node.boot.Store.Partitions, p.node.clients, p.node.log)
 	if err != nil {
--- a/entry/main.go
+++ b/entry/main.go
@@ -40,6 +40,7 @@
 // command returns the command line of the daemon.
 func command() *cli.Command {
 	f := &cli.StringFlag{Name: "settings", Usage: "INI `FILE` of this entry", Required: true}
+	late := &cli.BoolFlag{Name: "accept-late", Usage: "accept jobs that will be late while others can be on time"}
 	return &cli.Command{
 		Name:  "entry",
 		Usage: "serve callers' requests from the host pools of a fleet",
@@ -47,7 +48,10 @@
 			{Name: "run", Usage: "run the entry until SIGTERM", Flags: []cli.Flag{f}, Action: run},
 			{Name: "check", Usage: "check the settings and exit", Flags: []cli.Flag{f}, Action: check},
 			{Name: "reference", Usage: "print the table of settings", Action: reference},
-			{Name: "platform", Usage: "run the entry on the users' platform, configured by its boot file", Action: runOnPlatform},
+			{
+				Name: "platform", Usage: "run the entry on the users' platform, configured by its boot file",
+				Flags: []cli.Flag{late}, Action: runOnPlatform,
+			},
 		},
 	}
 }
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -16,7 +16,7 @@
 
 // runOnPlatform runs the entry on the users' platform until ctx ends. The
 // platform's boot file has its settings; SIGHUP reloads it.
-func runOnPlatform(ctx context.Context, _ *cli.Command) error {
+func runOnPlatform(ctx context.Context, c *cli.Command) error {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	b, err := platform.ReadBoot()
@@ -26,6 +26,7 @@
 	g := logging.New(os.Stdout, "entry")
 	defer g.Close()
 	n := node.New(b, g)
+	n.AcceptLate = c.Bool("accept-late")
 	go func() {
 		for range reload {
 			n.Reload()
--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -38,9 +38,12 @@
 	s.contest.shares.Configure(now, out)
 }
 
+// contending reports whether jobs differ in standing.
+func (s *Scheduler) contending() bool { return s.contest.shares.Active() || s.set.AcceptLate }
+
 // addContender adds the waiting work of a job to the backlog by standing and workspace.
 func (s *Scheduler) addContender(b *backlog, j *job, waiting float64) {
-	if waiting > 0 && s.contest.shares.Active() {
+	if waiting > 0 && s.contending() {
 		b.contenders.Add(j.standing(), j.def.GetWorkspace(), waiting)
 	}
 }
@@ -52,37 +55,12 @@
 // givesWay reports whether the job only takes room that others leave.
 func (j *job) givesWay() bool { return j.surplus || j.deferred }
 
-// leftOver reports whether there is room for a step of a job that gives way: no task that can
-// be on time waits, and what the fresh jobs of this moment need is free besides.
-func (p *pass) leftOver(st *step) bool {
-	if p.contested {
-		return false
-	}
-	capacity, yielding := 0.0, 0.0
-	for _, h := range p.hosts {
-		capacity += float64(h.up.Capacity.MilliCPU)
-		for _, r := range h.runs {
-			if x := r.task.step; x.def.GetLongRunning() || x.occurrence.job.givesWay() {
-				yielding += float64(x.cpuRequest())
-			}
-		}
-	}
-	return p.s.demand.rate(p.now)+yielding+float64(st.cpuRequest()) <= capacity
-}
-
-// noteContested notes that a step that was visited can be on time and still waits.
-func (p *pass) noteContested(r ranked, st *step) {
-	if !r.rank.late && !r.rank.longRunning && !r.rank.surplus && st.waiting() {
-		p.contested = true
-	}
-}
-
 // waitOf predicts how long a new job waits for room at a standing. Room is kept for refused
 // callers with a better claim whose time to return has come.
 func (s *Scheduler) waitOf(now time.Time, j *job, b backlog, v admission.Standing) (time.Duration, bool) {
 	w := s.jobWork(j)
-	if s.contest.shares.Active() {
-		b.waiting = s.contest.shares.Ahead(&b.contenders, v, j.def.GetWorkspace(), w)
+	if s.contending() {
+		b.waiting = s.contest.shares.Ahead(now, &b.contenders, v, j.def.GetWorkspace(), w, b.capacity)
 		if v == admission.Entitled {
 			b.starts -= b.yieldingStarts
 		}
@@ -96,12 +74,12 @@
 }
 
 // acceptLate decides whether to accept a job that will be late, and returns its wait: if it
-// runs at once in room that is left over, and where workspaces compete also if it waits
-// behind all that can be on time, as its caller would otherwise return for the same room.
-// Others may take half of the room while it waits.
+// runs at once in room that is left over, and with Settings.AcceptLate also if it waits behind
+// all that can be on time, as its caller would otherwise return for the same room. Others may
+// take half of the room while it waits.
 func (s *Scheduler) acceptLate(now time.Time, j *job, b backlog, late, chain time.Duration) (time.Duration, bool) {
 	wait, known := s.waitOf(now, j, b, admission.StandingOf(j.surplus, true))
-	if !known || wait > 0 && (j.surplus || !s.contest.shares.Active()) {
+	if !known || wait > 0 && (j.surplus || !s.set.AcceptLate) {
 		return 0, false
 	}
 	return wait, late+2*wait+chain <= _maxLateness*j.objective
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -29,7 +29,8 @@
 // full the pool is. Jobs that can complete on time come before those that would be
 // late even if they ran at once, so that the late jobs don't delay the others. The
 // next criteria are priority and deadline. Jobs that exceed their workspace's
-// entitlement come after all others.
+// entitlement come after all others. Among jobs that differ in their deadlines only,
+// workspaces take turns (takeTurns).
 type rank struct {
 	longRunning bool
 	surplus     bool
@@ -136,11 +137,7 @@
 			if !p.windowOpen() {
 				return
 			}
-			if r.occ.job.givesWay() && !p.leftOver(st) {
-				return
-			}
 			p.placeStep(st)
-			p.noteContested(r, st)
 			s.logStarts(now, st)
 		}
 	}
@@ -195,9 +192,6 @@
 	// reserved are the upstreams kept free for tasks that have waited for at least
 	// _reserveAfter, or that are long-running.
 	reserved map[*host]bool
-	// contested is set if a task that can be on time has found no room. Then no job that
-	// gives way starts: its tasks may be smaller, and would take up the room for good.
-	contested bool
 }
 
 // findOpen sets the upstreams with enough free CPU.
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -18,6 +18,10 @@
 	// RemoteFactor is how many times longer a task takes on another rack than
 	// that of its data.
 	RemoteFactor float64
+	// AcceptLate accepts jobs that will be late, but within _maxLateness times their
+	// objective, behind all that can be on time. Without it they are accepted only if they can
+	// run at once.
+	AcceptLate bool
 }
 
 const (
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -131,7 +131,7 @@
 	t := s.firstAttempts.record(now, id)
 	first, fresh := t.first, t.tries == 1
 	if fresh {
-		t.surplus = !s.contest.shares.Entitle(now, j.def.GetWorkspace())
+		t.surplus = !s.contest.shares.Entitle(now, j.def.GetWorkspace(), s.jobWork(j))
 	}
 	j.surplus = t.surplus
 	j.def.AcceptedUnixMs = first.UnixMilli()
