--- a/entry/admission/replay_test.go
+++ b/entry/admission/replay_test.go
@@ -20,6 +20,7 @@
 //
 //	pool RATE                      work that the pool completes per second
 //	slack MS                       how long a job may wait and be on time
+//	acceptLate                     by shares, late jobs wait behind those on time
 //	down FROM TO                   in which the store refuses everybody, in milliseconds
 //	workspace NAME WEIGHT          and, for the same load without workspaces, none of them
 //	jobs NAME FROM TO every MS work N
@@ -61,6 +62,7 @@
 type load struct {
 	rate         float64
 	slack        time.Duration
+	acceptLate   bool
 	down         [2]time.Duration
 	of           map[string]*served
 	expect       map[string]float64
@@ -160,16 +162,15 @@
 	case wait == 0 && since <= 3*l.slack:
 		l.accept(&c)
 		return
-	case shared && l.shares.Active() && !c.surplus:
+	case shared:
 		c.late = true
-		if since+2*l.wait(at, c, true) <= 3*l.slack {
+		wait = l.wait(at, c, true)
+		if l.acceptLate && !c.surplus && since+wait <= 3*l.slack {
 			l.accept(&c)
 			return
 		}
 		c.late = false
 		retry = l.places.Assign(at, l.caller(at, now, c), wait, l.rate)
-	case shared:
-		retry = l.places.Assign(at, l.caller(at, now, c), wait, l.rate)
 	default:
 		retry = max(time.Second, (wait-l.slack).Truncate(time.Second)+time.Second)
 	}
@@ -284,6 +285,8 @@
 			l.rate = number(w[1])
 		case "slack":
 			l.slack = ms(w[1])
+		case "acceptLate":
+			l.acceptLate = true
 		case "down":
 			l.down = [2]time.Duration{ms(w[1]), ms(w[2])}
 		case "workspace":
--- a/entry/admission/shares.go
+++ b/entry/admission/shares.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -22,6 +24,9 @@
 // entitled, and nobody goes before another.
 type Shares struct {
 	byName map[string]*share
+	// labels are the names in their order, after an empty one for jobs of no configured
+	// workspace.
+	labels []string
 	// served is the virtual time of the last start: the work that a workspace of weight one
 	// that always waits has received.
 	served float64
@@ -46,8 +51,12 @@
 // busy workspace, and a part of a turn.
 const _rateSpan = time.Second
 
-// submits returns the rate of the entitled work that the workspace submits.
+// submits returns the rate of the entitled work that the workspace submits. It is zero for
+// jobs of no workspace.
 func (x *share) submits(now time.Time) float64 {
+	if x == nil {
+		return 0
+	}
 	return x.recent * math.Exp(-now.Sub(x.recentAt).Seconds()/_rateSpan.Seconds()) / _rateSpan.Seconds()
 }
 
@@ -72,6 +81,7 @@
 		x.tokens = min(x.tokens, x.most())
 		s.byName[w.Name] = x
 	}
+	s.labels = append([]string{""}, slices.Sorted(maps.Keys(s.byName))...)
 }
 
 // Active reports whether there are workspaces to share the pool.
@@ -128,7 +138,8 @@
 // can serve: a workspace that asks for less than its share doesn't wait for those that ask for
 // more, and these aren't promised what it will need.
 func (s *Shares) Ahead(now time.Time, b *Backlog, v Standing, workspace string, work, rate float64) float64 {
-	own := b.waiting[v][workspace]
+	label := s.Label(workspace)
+	own := b.waiting[v][label]
 	before := own
 	if v > 0 {
 		before += b.Until(v - 1)
@@ -136,19 +147,16 @@
 	served := (own + work) / s.weight(workspace)
 	ahead := before
 	for range _rounds {
-		until := 0.0
-		if rate > 0 && v == Entitled {
-			until = min((ahead+work)/rate, _maxAhead.Seconds())
-		}
+		until := time.Duration((ahead + work) / max(rate, 1) * float64(time.Second))
 		ahead = before
-		for name, x := range s.byName {
-			if name != workspace {
-				ahead += min(b.waiting[v][name]+x.submits(now)*until, served*x.weight)
-			}
+		if v > Entitled {
+			ahead += s.submits(now) * min(until, _pressLasts).Seconds()
+			until = 0
 		}
-		for name, w := range b.waiting[v] {
-			if name != workspace && s.byName[name] == nil {
-				ahead += min(w, served)
+		until = min(until, _rateLasts)
+		for _, n := range s.labels {
+			if n != label {
+				ahead += min(b.waiting[v][n]+s.byName[n].submits(now)*until.Seconds(), served*s.weight(n))
 			}
 		}
 	}
@@ -158,10 +166,22 @@
 const (
 	// _rounds is how often Ahead corrects its estimate of the time until the job's end.
 	_rounds = 4
-	// _maxAhead limits for how long the present rate of submitted work is expected to last.
-	_maxAhead = 2 * time.Second
+	// _rateLasts limits for how long the others are expected to submit as they do now, for a
+	// job that can be on time: longer than most such jobs wait.
+	_rateLasts = 2 * time.Second
+	// _pressLasts is the same for a job that gives way to all that is submitted.
+	_pressLasts = time.Second
 )
 
+// submits returns the rate of the entitled work that all workspaces submit.
+func (s *Shares) submits(now time.Time) float64 {
+	sum := 0.0
+	for _, n := range s.labels {
+		sum += s.byName[n].submits(now)
+	}
+	return sum
+}
+
 // Start charges work that starts to its workspace. A workspace that had nothing waiting
 // can't have saved up room.
 func (s *Shares) Start(workspace string, work float64) {
--- a/entry/admission/standing.go
+++ b/entry/admission/standing.go
@@ -39,23 +39,23 @@
 // Backlog is the work that waits for room, by standing and workspace.
 type Backlog struct {
 	waiting [_standings]map[string]float64
+	total   [_standings]float64
 }
 
-// Add adds waiting work of a workspace.
-func (b *Backlog) Add(v Standing, workspace string, work float64) {
+// Add adds waiting work of a workspace, given by its label.
+func (b *Backlog) Add(v Standing, label string, work float64) {
 	if b.waiting[v] == nil {
 		b.waiting[v] = make(map[string]float64)
 	}
-	b.waiting[v][workspace] += work
+	b.waiting[v][label] += work
+	b.total[v] += work
 }
 
 // Until returns the waiting work of a standing and all higher ones.
 func (b *Backlog) Until(v Standing) float64 {
 	sum := 0.0
-	for _, m := range b.waiting[:v+1] {
-		for _, w := range m {
-			sum += w
-		}
+	for _, w := range b.total[:v+1] {
+		sum += w
 	}
 	return sum
 }
--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -58,8 +58,9 @@
 	if late+p <= j.objective {
 		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: p}
 	}
-	if after, ok := s.acceptLate(now, j, b, late, chain); ok {
-		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: after + chain, deferred: s.contending()}
+	wait, ok := s.acceptLate(now, j, b, late, chain)
+	if ok {
+		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: wait + chain, deferred: s.contending()}
 	}
 	d := decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "predicted to miss its latency objective", predicted: p, backlog: b}
 	if d.retry = s.returnTime(now, j, wait); late+d.retry+chain > _maxLateness*j.objective {
--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -44,7 +44,7 @@
 // addContender adds the waiting work of a job to the backlog by standing and workspace.
 func (s *Scheduler) addContender(b *backlog, j *job, waiting float64) {
 	if waiting > 0 && s.contending() {
-		b.contenders.Add(j.standing(), j.def.GetWorkspace(), waiting)
+		b.contenders.Add(j.standing(), s.contest.shares.Label(j.def.GetWorkspace()), waiting)
 	}
 }
 
@@ -75,14 +75,13 @@
 
 // acceptLate decides whether to accept a job that will be late, and returns its wait: if it
 // runs at once in room that is left over, and with Settings.AcceptLate also if it waits behind
-// all that can be on time, as its caller would otherwise return for the same room. Others may
-// take half of the room while it waits.
+// all that can be on time, as its caller would otherwise return for the same room.
 func (s *Scheduler) acceptLate(now time.Time, j *job, b backlog, late, chain time.Duration) (time.Duration, bool) {
 	wait, known := s.waitOf(now, j, b, admission.StandingOf(j.surplus, true))
 	if !known || wait > 0 && (j.surplus || !s.set.AcceptLate) {
-		return 0, false
+		return wait, false
 	}
-	return wait, late+2*wait+chain <= _maxLateness*j.objective
+	return wait, late+wait+chain <= _maxLateness*j.objective
 }
 
 // returnTime tells a refused caller when to come back: at his place among the refused, once
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -30,6 +30,8 @@
 //	at MS                         advance the clock, waking the scheduler when due
 //	late MS                       advance the clock without waking the scheduler
 //	queue NAME attempts=N stretch=F target=MS priority=N advice=MS
+//	workspaces NAME=WEIGHT ...
+//	acceptLate                    accept late jobs behind those that can be on time
 //	host ID cpu=N rack=R label=L born=N clock=MS draining    set an upstream of the list
 //	unlist ID                     remove an upstream from the list
 //	list                          deliver the list
@@ -90,11 +92,13 @@
 	now    time.Time
 	out    strings.Builder
 	queues []platform.Queue
-	list   []platform.Upstream
-	loaded Loaded
-	starts map[string]Start
-	stops  map[string]Stop
-	batch  int64
+	// workspaces are those of the configuration.
+	workspaces []platform.Workspace
+	list       []platform.Upstream
+	loaded     Loaded
+	starts     map[string]Start
+	stops      map[string]Stop
+	batch      int64
 	// unanswered are the records of the append in flight, journal those appended so far,
 	// by key.
 	unanswered   []platform.Record
@@ -129,7 +133,7 @@
 // delivered before the journal's content.
 func (p *player) takeOver(listed bool) {
 	p.startOwner(p.s.set.Token + 1)
-	p.step(Configured{Queues: p.queues})
+	p.step(Configured{Queues: p.queues, Workspaces: p.workspaces})
 	if listed {
 		p.do([]string{"list"})
 	}
@@ -216,6 +220,10 @@
 	case Pace:
 		p.pace = op
 		w("pace %s on %s %d", runName(op.Task, op.Run), op.Host, op.Percent)
+	case Count:
+		if op.Workspace != "" {
+			w("count %s of %s", op.What, op.Workspace)
+		}
 	case Note:
 		if *_verbose {
 			w("note %s %s %v", op.What, op.Job, op.Pairs)
@@ -293,6 +301,15 @@
 		p.now = _startTime.Add(time.Duration(p.number(f[1])) * time.Millisecond)
 	case "queue":
 		p.queue(f[1], m)
+	case "workspaces":
+		p.workspaces = nil
+		for _, w := range f[1:] {
+			name, weight, _ := strings.Cut(w, "=")
+			p.workspaces = append(p.workspaces, platform.Workspace{Name: name, Weight: p.float(weight)})
+		}
+		p.step(Configured{Queues: p.queues, Workspaces: p.workspaces})
+	case "acceptLate":
+		p.s.set.AcceptLate = true
 	case "host":
 		p.host(f[1], m, rest)
 	case "unlist":
@@ -436,7 +453,7 @@
 	q.Priority = int(p.number(m["priority"]))
 	q.Advice.Valid = time.Duration(p.number(m["advice"])) * time.Millisecond
 	p.queues = append(p.queues, q)
-	p.step(Configured{Queues: p.queues})
+	p.step(Configured{Queues: p.queues, Workspaces: p.workspaces})
 }
 
 func (p *player) host(id string, m map[string]string, rest []string) {
