--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -35,7 +35,7 @@
 	if s.journal.inFlight != nil && now.Sub(s.journal.inFlight.sent) >= _journalTimeout || !s.mayOrder(now) {
 		return decision{
 			outcome: link.Outcome_OUTCOME_UNAVAILABLE,
-			reason:  "journal append unanswered, or ownership unconfirmed by the store", retry: s.returnTime(now, j, _storeRetryAfter),
+			reason:  "journal append unanswered, or ownership unconfirmed by the store", retry: s.returnTime(now, j, _storeRetryAfter, _storeRetryAfter),
 		}
 	}
 	if !s.fits(j) {
@@ -63,7 +63,9 @@
 		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: wait + chain, deferred: s.contending()}
 	}
 	d := decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "predicted to miss its latency objective", predicted: p, backlog: b}
-	if d.retry = s.returnTime(now, j, wait); late+d.retry+chain > _maxLateness*j.objective {
+	alone := min(max(p-j.objective, _minRetryAfter), _maxRetryAfter)
+	d.retry = s.returnTime(now, j, wait, alone)
+	if s.contending() && late+d.retry+chain > _maxLateness*j.objective {
 		s.contest.places.Leave(j.def.GetId())
 		d.reason, d.retry = "can't be served in time", _maxRetryAfter
 	}
--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -86,8 +86,11 @@
 
 // returnTime tells a refused caller when to come back: at his place among the refused, once
 // a wait is over. Callers who were refused together return at as much work per second as the
-// pool completes.
-func (s *Scheduler) returnTime(now time.Time, j *job, wait time.Duration) time.Duration {
+// pool completes. Where nobody contends each is told his time alone.
+func (s *Scheduler) returnTime(now time.Time, j *job, wait, alone time.Duration) time.Duration {
+	if !s.contending() {
+		return alone
+	}
 	onTime := now.Add(wait + s.criticalPath(j)).Before(j.arrived.Add(j.objective))
 	c := caller(j, admission.StandingOf(j.surplus, !onTime), s.jobWork(j))
 	return min(s.contest.places.Assign(now, c, wait, s.recentBacklog(now).capacity), _maxRetryAfter)
