--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -44,6 +44,12 @@
 			reason:  "a task is larger than any upstream", retry: _maxRetryAfter,
 		}
 	}
+	if s.overLimit(j) {
+		return decision{
+			outcome: link.Outcome_OUTCOME_OVERLOADED,
+			reason:  "a task or gang requests more than its workspace may have running", retry: _maxRetryAfter,
+		}
+	}
 	if j.longRunning() || j.recurring() {
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
@@ -113,6 +119,8 @@
 	ready, busy    float64
 	// contenders is the waiting work by standing and workspace, if there are workspaces.
 	contenders admission.Backlog
+	// limited is the work of the workspaces that have a limit.
+	limited map[string]*limitedWork
 }
 
 // wait predicts how long a job with the given work waits before it runs, counting
@@ -185,6 +193,7 @@
 			b.yieldingStarts += b.starts - former.starts
 		}
 	}
+	b.limited = s.limitedBacklog(now)
 	return b
 }
 
@@ -198,7 +207,7 @@
 		return
 	}
 	d := s.expectedDuration(st)
-	if st.waiting() {
+	if st.waiting() && !s.atLimit(now, st) {
 		b.starts += st.left - st.running
 		b.ready += float64(st.left-st.running) * cpu * d.Seconds()
 	}
@@ -236,7 +245,7 @@
 func (s *Scheduler) criticalPath(j *job) time.Duration {
 	q, steps := j.def.GetQueue(), j.def.GetSteps()
 	return longestPath(steps, func(i int) time.Duration {
-		return s.learned.stepDuration(q, steps[i], s.learned.duration(q, steps[i]))
+		return s.waves(j, steps[i]) * s.learned.stepDuration(q, steps[i], s.learned.duration(q, steps[i]))
 	})
 }
 
--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -59,14 +59,18 @@
 // callers with a better claim whose time to return has come.
 func (s *Scheduler) waitOf(now time.Time, j *job, b backlog, v admission.Standing) (time.Duration, bool) {
 	w := s.jobWork(j)
+	all := b.waiting
+	b = s.withoutExcess(now, b, j.objective)
 	if s.contending() {
-		b.waiting = s.contest.shares.Ahead(now, &b.contenders, v, j.def.GetWorkspace(), w, b.capacity)
+		excess := all - b.waiting
+		ahead := s.contest.shares.Ahead(now, &b.contenders, v, j.def.GetWorkspace(), w, b.capacity)
+		b.waiting = max(0, ahead-excess)
 		if v == admission.Entitled {
 			b.starts -= b.yieldingStarts
 		}
 	}
 	d, known := b.wait(now, w+s.contest.places.Kept(now, caller(j, v, w)), s.arrivals)
-	return max(d, s.flow.wait(now, b.starts)), known
+	return max(d, s.flow.wait(now, b.starts), s.limitWait(now, j, b)), known
 }
 
 func caller(j *job, v admission.Standing, work float64) admission.Caller {
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -43,9 +43,10 @@
 	plannerToken int64
 	planSequence int64
 	// arrivals is the capacity that the planner has announced.
-	arrivals []arrival
-	demand   demand
-	flow     flow
+	arrivals   []arrival
+	demand     demand
+	workspaces workspaces
+	flow       flow
 	// firstAttempts holds when jobs were first submitted.
 	firstAttempts firstSeen
 	// contest divides the pool between workspaces and refused callers.
@@ -83,6 +84,7 @@
 		endedIncarnations: make(map[string]int64),
 		unpolled:          make(map[string]time.Time),
 		learned:           newLearned(),
+		workspaces:        newWorkspaces(set.Token),
 	}
 }
 
@@ -113,6 +115,7 @@
 	case Configured:
 		s.configure(e.Queues)
 		s.shareBetween(now, e.Workspaces)
+		s.configureWorkspaces(e.Workspaces)
 	case Loaded:
 		s.load(now, e)
 	case Listed:
@@ -129,6 +132,7 @@
 		s.ownershipConfirmedAt = e.At
 	case Suspended:
 		s.ownershipConfirmedAt = s.ownershipConfirmedAt.Add(-e.For)
+		s.workspaces.Suspended(e.For)
 	case Woken:
 		s.replan = true
 	default:
@@ -205,6 +209,7 @@
 	}
 	s.workedAt = now
 	s.startOccurrences(now)
+	s.sumUnknownRuns(now)
 	if t := s.adviceRetry.time; !t.IsZero() && !now.Before(t) {
 		s.adviceRetry, s.replan = earliest{}, true
 	}
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -157,6 +157,9 @@
 		w := s.jobWork(j)
 		s.summed.waiting += w
 		s.addContender(&s.summed, j, w)
+		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
+			s.addJob(v, j)
+		}
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
