--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -107,6 +107,8 @@
 	// capacity is the CPU of the usable upstreams without that of long-running
 	// tasks, in millicores.
 	capacity float64
+	// cpuPerMB is the CPU of these upstreams, in millicores, for each MB of their memory.
+	cpuPerMB float64
 	// waiting is the work that isn't placed yet, and running the remainder of the
 	// work that is, both in millicore-seconds.
 	waiting float64
@@ -177,7 +179,9 @@
 			memory += float64(h.up.Capacity.MemoryMB)
 		}
 	}
-	s.contest.setCapacity(b.capacity, memory)
+	if memory > 0 {
+		b.cpuPerMB = b.capacity / memory
+	}
 	for _, j := range s.active {
 		former := b
 		for _, o := range j.occurrences {
--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"fescuelanding/entry/admission"
-	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
 
@@ -12,21 +11,6 @@
 type contest struct {
 	shares admission.Shares
 	places admission.Places
-	// cpuPerMB is the pool's CPU, in millicores, for each MB of its memory.
-	cpuPerMB float64
-}
-
-func (c *contest) setCapacity(cpu, memory float64) {
-	c.cpuPerMB = 0
-	if memory > 0 {
-		c.cpuPerMB = cpu / memory
-	}
-}
-
-// dominance returns how many times more of the pool a task of a step takes than its CPU
-// request says, if memory is what it takes most of.
-func (c *contest) dominance(d *work.Step) float64 {
-	return max(1, float64(d.GetMemoryMb())*c.cpuPerMB/float64(max(1, d.GetMilliCpu())))
 }
 
 // shareBetween applies the configured workspaces.
@@ -146,9 +130,11 @@
 	return w
 }
 
-// taskWork returns what a task of a step takes of the pool.
+// taskWork returns what a task of a step takes of the pool: of the resource that it takes most
+// of, as CPU.
 func (s *Scheduler) taskWork(st *step) float64 {
-	return float64(st.def.GetMilliCpu()) * s.contest.dominance(st.def) * s.expectedDuration(st).Seconds()
+	cpu := max(float64(st.def.GetMilliCpu()), float64(st.def.GetMemoryMb())*s.summed.cpuPerMB)
+	return cpu * s.expectedDuration(st).Seconds()
 }
 
 // chargeStart charges the start of a task to its workspace.
