--- a/entry/admission/property_test.go
+++ b/entry/admission/property_test.go
@@ -156,3 +156,33 @@
 	assert.Equal(t, p.Len(), 1)
 	assert.Equal(t, len(p.byJob), 1)
 }
+
+// TestNewOwner: after a takeover at any time a workspace gets at most one burst more than the
+// former owner would have given it.
+func TestNewOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.Float64Range(0.1, 20).Draw(t, "weight")
+		var former, successor Shares
+		former.Configure(_epoch, []Workspace{{"w", weight}})
+		now := _epoch
+		pause := func() {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+		}
+		for range rapid.IntRange(0, 100).Draw(t, "before") {
+			pause()
+			former.Entitle(now, "w", 1)
+		}
+		successor.Configure(now, []Workspace{{"w", weight}})
+		more := 0
+		for range rapid.IntRange(1, 100).Draw(t, "after") {
+			pause()
+			if successor.Entitle(now, "w", 1) {
+				more++
+			}
+			if former.Entitle(now, "w", 1) {
+				more--
+			}
+			assert.Assert(t, more >= 0 && float64(more) <= max(1, weight*_burst.Seconds())+1)
+		}
+	})
+}
