scheduler: late jobs take what is left over by today's rule; room is kept for 0.5 s

Callers who don't come back, or come early, held room for 2 s; and a late job was refused with servers free because of what others might submit.

--- a/entry/admission/places.go
+++ b/entry/admission/places.go
@@ -10,7 +10,7 @@
 	// _maxPlaces bounds the memory of a pool that refuses everybody.
 	_maxPlaces = 4096
 	// _placeGrace is how long room is kept for a caller after the time that he was told.
-	_placeGrace = 2 * time.Second
+	_placeGrace = 500 * time.Millisecond
 )
 
 // Caller is a refused caller.
--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -39,20 +39,24 @@
 // givesWay reports whether the job only takes room that others leave.
 func (j *job) givesWay() bool { return j.surplus || j.deferred }
 
-// waitOf predicts how long a new job waits for room at a standing. Room is kept for refused
-// callers with a better claim whose time to return has come.
+// waitOf predicts how long a new job waits for room at a standing.
 func (s *Scheduler) waitOf(now time.Time, j *job, b backlog, v admission.Standing) (time.Duration, bool) {
-	w := s.jobWork(j)
-	all := b.waiting
-	b = s.withoutExcess(now, b, j.objective)
-	if s.contending() {
-		excess := all - b.waiting
-		ahead := s.contest.shares.Ahead(now, &b.contenders, v, j.def.GetWorkspace(), w, b.capacity)
-		b.waiting = max(0, ahead-excess)
-		if v == admission.Entitled {
-			b.starts -= b.yieldingStarts
-		}
+	if !s.contending() {
+		return s.waitBehind(now, j, s.withoutExcess(now, b, j.objective), v)
+	}
+	excess := b.waiting - s.withoutExcess(now, b, j.objective).waiting
+	ahead := s.contest.shares.Ahead(now, &b.contenders, v, j.def.GetWorkspace(), s.jobWork(j), b.capacity)
+	b.waiting = max(0, ahead-excess)
+	if v == admission.Entitled {
+		b.starts -= b.yieldingStarts
 	}
+	return s.waitBehind(now, j, b, v)
+}
+
+// waitBehind predicts how long a new job waits for room behind a backlog. Room is kept for
+// refused callers with a better claim whose time to return has come.
+func (s *Scheduler) waitBehind(now time.Time, j *job, b backlog, v admission.Standing) (time.Duration, bool) {
+	w := s.jobWork(j)
 	d, known := b.wait(now, w+s.contest.places.Kept(now, caller(j, v, w)), s.arrivals)
 	return max(d, s.flow.wait(now, b.starts), s.limitWait(now, j, b)), known
 }
@@ -65,11 +69,12 @@
 // runs at once in room that is left over, and with Settings.AcceptLate also if it waits behind
 // all that can be on time, as its caller would otherwise return for the same room.
 func (s *Scheduler) acceptLate(now time.Time, j *job, b backlog, late, chain time.Duration) (time.Duration, bool) {
-	wait, known := s.waitOf(now, j, b, admission.StandingOf(j.surplus, true))
-	if !known || wait > 0 && (j.surplus || !s.set.AcceptLate) {
-		return wait, false
+	v := admission.StandingOf(j.surplus, true)
+	if wait, known := s.waitBehind(now, j, s.withoutExcess(now, b, j.objective), v); known && wait == 0 {
+		return 0, late+chain <= _maxLateness*j.objective
 	}
-	return wait, late+wait+chain <= _maxLateness*j.objective
+	wait, known := s.waitOf(now, j, b, v)
+	return wait, known && s.set.AcceptLate && !j.surplus && late+wait+chain <= _maxLateness*j.objective
 }
 
 // returnTime tells a refused caller when to come back: at his place among the refused, once
