--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"fescuelanding/entry/admission"
 	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
@@ -23,6 +24,8 @@
 	predicted time.Duration
 	retry     time.Duration
 	backlog   backlog
+	// deferred is set if the job is accepted although it will be late.
+	deferred bool
 }
 
 // admit decides whether a job is accepted. A job that would miss its latency
@@ -30,9 +33,10 @@
 // serve, accepting late jobs would only delay those behind them.
 func (s *Scheduler) admit(now time.Time, j *job) decision {
 	if !s.mayOrder(now) {
+		r := s.storeRetry(now, j.def.GetId())
 		return decision{
 			outcome: link.Outcome_OUTCOME_UNAVAILABLE,
-			reason:  "ownership unconfirmed by the store", retry: s.storeRetry(now, j.def.GetId()),
+			reason:  "ownership unconfirmed by the store", retry: s.returnTime(now, j, r, r),
 		}
 	}
 	if !s.fits(j) {
@@ -51,21 +55,28 @@
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.recentBacklog(now)
-	wait, known := s.withoutExcess(now, b, j.objective).after(s.journal.wait(now)).wait(now, s.jobWork(j), s.arrivals)
+	late, chain := now.Sub(j.arrived), s.criticalPath(j)
+	wait, known := s.waitOf(now, j, b, admission.StandingOf(j.surplus, false))
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
-	wait = max(wait, s.flow.wait(now, b.starts), s.limitWait(now, j, b))
 	// A retried job is measured from its first attempt.
-	late := now.Sub(j.arrived)
-	p := wait + s.criticalPath(j)
-	// A job that can run at once is accepted up to _maxLateness times its
-	// objective.
-	if late+p <= j.objective || wait == 0 && late+p <= _maxLateness*j.objective {
+	p := wait + chain
+	if late+p <= j.objective {
 		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: p}
 	}
-	r := min(max(p-j.objective, _minRetryAfter), _maxRetryAfter)
-	return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "predicted to miss its latency objective", predicted: p, retry: r, backlog: b}
+	wait, ok := s.acceptLate(now, j, b, late, chain)
+	if ok {
+		return decision{outcome: link.Outcome_OUTCOME_OK, predicted: wait + chain, deferred: s.contending()}
+	}
+	d := decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "predicted to miss its latency objective", predicted: p, backlog: b}
+	alone := min(max(p-j.objective, _minRetryAfter), _maxRetryAfter)
+	d.retry = s.returnTime(now, j, wait, alone)
+	if s.contending() && late+d.retry+chain > _maxLateness*j.objective {
+		s.contest.places.Leave(j.def.GetId())
+		d.reason, d.retry = "can't be served in time", _maxRetryAfter
+	}
+	return d
 }
 
 // _maxLateness is the multiple of its objective that a job may take and still be
@@ -97,6 +108,8 @@
 	// capacity is the CPU of the usable upstreams without that of long-running
 	// tasks, in millicores.
 	capacity float64
+	// cpuPerMB is the CPU of these upstreams, in millicores, for each MB of their memory.
+	cpuPerMB float64
 	// waiting is the work that isn't placed yet, and running the remainder of the
 	// work that is, both in millicore-seconds.
 	waiting float64
@@ -105,8 +118,12 @@
 	undurable float64
 	// starts is the number of tasks that could be placed now, ready their work, and busy the
 	// CPU of the tasks that run, in millicores. Long-running tasks don't count.
-	starts      int
-	ready, busy float64
+	starts int
+	// yieldingStarts is the part of starts that gives way to jobs that can be on time.
+	yieldingStarts int
+	ready, busy    float64
+	// contenders is the waiting work by standing and workspace, if there are workspaces.
+	contenders admission.Backlog
 	// limited is the work of the workspaces that have a limit.
 	limited map[string]*limitedWork
 }
@@ -158,12 +175,18 @@
 // backlog sums the work of all accepted jobs.
 func (s *Scheduler) backlog(now time.Time) backlog {
 	var b backlog
+	memory := 0.0
 	for _, h := range s.hosts.order {
 		if h.usableSoon(now) {
 			b.capacity += float64(h.up.Capacity.MilliCPU)
+			memory += float64(h.up.Capacity.MemoryMB)
 		}
 	}
+	if memory > 0 {
+		b.cpuPerMB = b.capacity / memory
+	}
 	for _, j := range s.active {
+		former := b
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				s.addStepWork(now, st, &b)
@@ -175,6 +198,10 @@
 				b.undurable += s.jobWork(j)
 			}
 		}
+		s.addContender(&b, j, b.waiting-former.waiting)
+		if j.givesWay() {
+			b.yieldingStarts += b.starts - former.starts
+		}
 	}
 	b.limited = s.limitedBacklog(now)
 	return b
