--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -145,38 +145,6 @@
 	p.waves = append(p.waves, n)
 }
 
-// priorOrder is an order of a previous planner that may still be carried out.
-type priorOrder struct {
-	at time.Time
-	// upstream is the upstream whose incarnation the order ends.
-	upstream string
-}
-
-// AddPriorOrder records that a previous planner was about to order a host at the
-// given time. Nothing ran on the host's upstream then. The name of the upstream is
-// "" if the host had none.
-func (p *Planner) AddPriorOrder(machine, upstream string, at time.Time) {
-	if p.priorOrders == nil {
-		p.priorOrders = make(map[string]priorOrder)
-	}
-	p.priorOrders[machine] = priorOrder{at, upstream}
-}
-
-// priorOrderPending reports whether a previous planner's order for a host may still
-// be carried out. That is the case until Settings.Lease after this planner's first step, as the
-// previous one sends nothing later. An order that is older by any clock has been carried out.
-func (p *Planner) priorOrderPending(now time.Time, machine string) bool {
-	o, ok := p.priorOrders[machine]
-	return ok && now.Sub(o.at) < p.settings.Lease+_maxClockSkew &&
-		(p.startedAt.IsZero() || now.Sub(p.startedAt) < p.settings.Lease)
-}
-
-// priorOrderUnseen reports whether a previous planner's order for a host may have been
-// carried out without the current list showing it.
-func (p *Planner) priorOrderUnseen(machine string) bool {
-	return p.priorOrderPending(p.view.ListedAt.Add(-_listLag), machine)
-}
-
 // LoadRequest returns the request for the load of a pool. It also informs the
 // pool's owner of the upstreams to vacate, those that have ended, those due for
 // upkeep, and the capacity that will arrive. The caller sets its token and sequence.
@@ -399,10 +367,6 @@
 	longRunning int
 }
 
-// _maxClockSkew is the largest difference expected between the clocks of two
-// entries. A clock may be set by several seconds.
-const _maxClockSkew = 6 * time.Second
-
 // candidates returns the hosts accepted by keep that are up and have neither a task
 // nor a pending order of a previous planner, in order of increasing cost: hosts of
 // standby pools, then those with the fewest long-running runs, then those with the
