hostplan: the age of a host's upstream by its start, not by its clock

Change: known_ms is again how long the owner has known the incarnation. For prior orders the start of the upstream is compared by the host's clock, besides the time in the record, and the time by which this entry's own clock was set forward doesn't count.

--- a/entry/hostplan/prior.go
+++ b/entry/hostplan/prior.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fescuelanding/fleet/permit"
 	"fescuelanding/platform"
 )
 
@@ -25,8 +26,8 @@
 
 // priorOrderPending reports whether a previous planner's order for a host may still
 // be carried out. That is the case until Settings.Lease after this planner's first step, as the
-// previous one sends nothing later. An order that is older by any clock, or whose effect has
-// been known for long enough, has been carried out.
+// previous one sends nothing later. An order that is older by any clock, or has given way to its
+// effect for long enough, has been carried out.
 func (p *Planner) priorOrderPending(now time.Time, machine string) bool {
 	o, ok := p.priorOrders[machine]
 	return ok && now.Sub(o.at) < p.settings.Lease+_maxClockSkew &&
@@ -35,32 +36,35 @@
 }
 
 // carriedOut reports whether a previous planner's order was carried out so long ago that another
-// planner may order the host: the upstream that it was to end has given way to one that has
-// run for Settings.Lease, and _listLag longer, as the previous planner's list may have lacked
-// that one for so long. The time in the record must agree, but isn't enough, as a clock may be
-// set.
+// planner may order the host: the upstream that it was to end has given way to another one, and
+// two clocks, that of the previous planner and that of the host, tell that both the order and the
+// start of that one are older than Settings.Lease. The start must be older by _listLag, as the
+// previous planner's list may have lacked the upstream for so long. By how much this entry's own
+// clock was set forward meanwhile doesn't count.
 func (p *Planner) carriedOut(now time.Time, machine string, o priorOrder) bool {
 	m := p.byName[machine]
-	if m.Upstream == "" || m.Upstream == o.upstream || now.Sub(o.at) < p.settings.Lease+_usualClockSkew {
+	start := p.startOf(m)
+	if m.Upstream == o.upstream || start.IsZero() {
 		return false
 	}
-	since, ok := p.knownSince(m)
-	return ok && now.Sub(since) >= p.settings.Lease+_listLag
+	now = now.Add(-permit.Suspended(p.startedAt, now))
+	age := p.settings.Lease + _usualClockSkew
+	return now.Sub(o.at) >= age && now.Sub(start) >= age+_listLag
 }
 
-// knownSince returns since when the upstream on a host is known to run.
-func (p *Planner) knownSince(m platform.Machine) (time.Time, bool) {
+// startOf returns when the upstream on a host started, by the host's clock. It is zero if no
+// owner knows.
+func (p *Planner) startOf(m platform.Machine) time.Time {
 	s := p.pools[m.Pool]
-	if s == nil {
-		return time.Time{}, false
+	if s == nil || m.Upstream == "" {
+		return time.Time{}
 	}
 	for _, h := range s.load.GetHosts() {
-		if h.GetUpstream() == m.Upstream {
-			since, ok := p.known[incarnation{m.Upstream, h.GetStartUnixMs()}]
-			return since, ok
+		if h.GetUpstream() == m.Upstream && h.GetStartUnixMs() > 0 {
+			return time.UnixMilli(h.GetStartUnixMs())
 		}
 	}
-	return time.Time{}, false
+	return time.Time{}
 }
 
 // priorOrderUnseen reports whether a previous planner's order for a host may have been
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -182,7 +182,7 @@
 func (h *host) load(now time.Time) *link.HostLoad {
 	return &link.HostLoad{
 		Upstream: h.up.ID, Machine: h.up.Machine, Runs: int32(len(h.runs)), Lasting: int32(h.longRunning()),
-		StartUnixMs: h.born, KnownMs: now.Sub(h.aliveSince()).Milliseconds(),
+		StartUnixMs: h.born, KnownMs: now.Sub(h.knownSince).Milliseconds(),
 	}
 }
 
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -214,15 +214,3 @@
 			"upstreams", slices.Sorted(maps.Keys(s.unpolled)))
 	}
 }
-
-// aliveSince returns a time at which the incarnation had certainly started. Its clock starts
-// with it, so that an owner which has just begun knows the age as well.
-func (h *host) aliveSince() time.Time {
-	if h.clockReadAt.IsZero() {
-		return h.knownSince
-	}
-	if t := h.clockReadAt.Add(-time.Duration(h.clockMs) * time.Millisecond); t.Before(h.knownSince) {
-		return t
-	}
-	return h.knownSince
-}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -45,7 +45,6 @@
 //	state REF JOB | pending REF QUEUE | cancel REF JOB
 //	measure REF [vacate=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]    a request of the planner;
 //	    the incarnation that is gone is by default the one that the scheduler knows
-//	ages                          prints how long each upstream has run, as the planner is told
 //	appended [STATUS [REASON]]    the answer to the append in flight
 //	polled ID [concurrent] [atOnce] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	pollFailed ID [STATUS REASON] | pollFailed ID lost sent=MS
@@ -318,11 +317,6 @@
 		p.step(PendingRequested{Ref: ref(), Queue: f[2]})
 	case "cancel":
 		p.step(CancelRequested{Ref: ref(), ID: f[2]})
-	case "ages":
-		for _, h := range p.s.hosts.order {
-			l := h.load(p.now)
-			fmt.Fprintf(&p.out, "  %s born=%d for %d ms\n", l.GetUpstream(), l.GetStartUnixMs(), l.GetKnownMs())
-		}
 	case "measure":
 		e := LoadRequested{Ref: ref(), Token: p.number(m["token"]), Sequence: p.number(m["sequence"])}
 		if m["sequence"] == "" {
