hostplan: an incarnation stays known when its owner changes

Change: the planner remembers for 15 s what an owner reported. An incarnation without a start isn't remembered, since the same ID may then be another one.

Test: endKnownFromFormerOwner fails without it.

--- a/entry/hostplan/lives.go
+++ b/entry/hostplan/lives.go
@@ -1,6 +1,7 @@
 package hostplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,21 +19,35 @@
 	startUnixMs int64
 }
 
-// knownIncarnations returns since when each incarnation that an owner reports is certainly
-// known, by this entry's clock.
-func (p *Planner) knownIncarnations(now time.Time) map[incarnation]time.Time {
-	known := make(map[incarnation]time.Time)
+// knowledge tells since when an incarnation is certainly known, and when an owner last reported
+// it, both by this entry's clock.
+type knowledge struct{ since, reportedAt time.Time }
+
+// _knownMemory is how long an incarnation is remembered that no owner reports. A new owner
+// reports those again that its predecessor had dropped, and places nothing before they have
+// certainly ended.
+const _knownMemory = 15 * time.Second
+
+// updateKnown updates what is known of the incarnations that the owners report.
+func (p *Planner) updateKnown(now time.Time) {
+	if p.known == nil {
+		p.known = make(map[incarnation]knowledge)
+	}
 	for _, s := range p.pools {
 		for _, h := range slices.Concat(s.load.GetDoubtful(), s.load.GetHosts()) {
 			i := incarnation{h.GetUpstream(), h.GetStartUnixMs()}
-			since, ok := p.known[i]
+			k, ok := p.known[i]
 			if !ok {
-				since = now.Add(-time.Duration(h.GetKnownMs()) * time.Millisecond)
+				k.since = now.Add(-time.Duration(h.GetKnownMs()) * time.Millisecond)
 			}
-			known[i] = since
+			k.reportedAt = now
+			p.known[i] = k
 		}
 	}
-	return known
+	maps.DeleteFunc(p.known, func(i incarnation, k knowledge) bool {
+		// Without a start, the same upstream may be another incarnation by now.
+		return i.startUnixMs == 0 && k.reportedAt != now || now.Sub(k.reportedAt) > _knownMemory
+	})
 }
 
 // findEnded collects the upstreams whose incarnations have certainly ended. An
@@ -51,14 +66,14 @@
 // Times of other entries play no part, as clocks differ and may be set.
 func (p *Planner) findEnded(now time.Time) {
 	p.ended = make(map[string][]*link.Gone)
-	p.known = p.knownIncarnations(now)
+	p.updateKnown(now)
 	for _, name := range sortedKeys(p.pools) {
 		l := p.pools[name].load
 		for _, h := range slices.Concat(l.GetDoubtful(), l.GetHosts()) {
 			m, listed := p.byName[h.GetMachine()]
 			ended := p.confirmedMissing(h.GetMachine()) || listed && provesEnd(m, name, h.GetUpstream())
 			i := incarnation{h.GetUpstream(), h.GetStartUnixMs()}
-			if ended && p.view.ListedAt.Sub(p.known[i]) >= _listLag {
+			if ended && p.view.ListedAt.Sub(p.known[i].since) >= _listLag {
 				p.ended[name] = append(p.ended[name], &link.Gone{Upstream: i.upstream, StartUnixMs: i.startUnixMs})
 			}
 		}
--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -93,8 +93,8 @@
 	startedAt time.Time
 	// priorOrders are the last orders of previous planners, by host.
 	priorOrders map[string]priorOrder
-	// known holds since when the incarnations that the owners report are known.
-	known map[incarnation]time.Time
+	// known holds since when incarnations are known that owners report, or reported lately.
+	known map[incarnation]knowledge
 	// ended are the upstreams whose incarnations have ended, by pool.
 	ended map[string][]*link.Gone
 	// tasksStarted is set when the last step started a task.
