--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -82,12 +82,17 @@
 	Arrivals []*link.Arrival
 	// Vacate lists the upstreams to drain. All others may be used.
 	Vacate []string
+	// Evict lists those of Vacate on which also tasks that end by themselves are stopped.
+	Evict []string
 	// Due lists the upstreams whose hosts will be taken down for a wave.
 	Due []string
 	// Gone lists the upstream incarnations that have ended.
 	Gone []*link.Gone
-	// Shares is what the pool may have running of each workspace with a limit.
-	Shares []*link.Share
+	// Shares is what the pool may have running of each workspace with a limit. They are for
+	// the owner with the token SharesOwner and answer its report SharesReport. A SharesOwner
+	// of zero means that the request says nothing about shares.
+	Shares                    []*link.Share
+	SharesOwner, SharesReport int64
 }
 
 // Polled is the answer to a Poll.
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -113,6 +113,10 @@
 func (s *Scheduler) submit(now time.Time, e Submitted) {
 	id := e.Job.GetId()
 	if j := s.jobs[id]; j != nil {
+		if j.def.GetWorkspace() != e.Job.GetWorkspace() {
+			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_DENIED})
+			return
+		}
 		if j.durable {
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
@@ -144,6 +148,9 @@
 	j.predicted = v.predicted
 	if !j.longRunning() && !j.recurring() {
 		s.summed.waiting += s.jobWork(j)
+		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
+			s.addJob(v, j)
+		}
 		s.summed.starts += int(j.def.GetSteps()[0].GetCount())
 	}
 	s.jobs[id] = j
@@ -155,7 +162,7 @@
 // replyState replies with the state of a job.
 func (s *Scheduler) replyState(e StateRequested) {
 	j := s.jobs[e.ID]
-	if j == nil {
+	if j == nil || j.def.GetWorkspace() != e.Workspace {
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	}
@@ -170,7 +177,7 @@
 func (s *Scheduler) cancel(now time.Time, e CancelRequested) {
 	j := s.jobs[e.ID]
 	switch {
-	case j == nil:
+	case j == nil || j.def.GetWorkspace() != e.Workspace:
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	case j.durableState != link.JobState_JOB_STATE_UNSPECIFIED:
@@ -227,8 +234,8 @@
 // those that are vacant: nothing runs on them, and their results have been
 // appended, as the upstream loses these when it ends. An upstream that hasn't
 // answered this owner isn't vacant, because a former owner may have left tasks
-// there.
-func (s *Scheduler) vacate(now time.Time, ids []string) []string {
+// there. Tasks that end by themselves run to their end, except on the upstreams in evict.
+func (s *Scheduler) vacate(now time.Time, ids, evict []string) []string {
 	var vacant []string
 	for _, h := range s.hosts.all() {
 		if !slices.Contains(ids, h.up.ID) && now.Before(h.drainedUntil) {
@@ -248,6 +255,9 @@
 		}
 		h.drainedUntil = now.Add(_vacateLease)
 		s.evacuate(now, h)
+		if slices.Contains(evict, id) {
+			s.evict(now, h)
+		}
 		if h.fenced && len(h.runs) == 0 && h.lastResult <= h.durableEnd {
 			vacant = append(vacant, id)
 		}
@@ -281,6 +291,26 @@
 	}
 }
 
+// evict stops the tasks on an upstream that would end by themselves, so that they start on
+// others. The members of a gang, which would wait for one another in vain, are all stopped.
+func (s *Scheduler) evict(now time.Time, h *host) {
+	for _, r := range h.cloneRuns() {
+		st := r.task.step
+		if r.state != runRunning || st.def.GetLongRunning() {
+			continue
+		}
+		s.logNote("Task is stopped, because its host is due.", st.occurrence.job.def.GetId(), "task", r.task.name,
+			"run", r.number, "upstream", h.up.ID, "ranMs", now.Sub(r.started).Milliseconds())
+		if !st.def.GetGang() {
+			s.stop(now, r)
+			continue
+		}
+		for i := range st.tasks {
+			s.stopAll(now, &st.tasks[i])
+		}
+	}
+}
+
 // endState returns the final state of a job, or unspecified if it hasn't ended.
 func endState(j *job) link.JobState {
 	switch {
