scheduler: running tasks delay new jobs by the room that they take up

Cause: admission summed the remaining work of all runs as mean minus age.

Change: the rest of a run follows from the progress that its upstream reports; what runs delays a job only on usable upstreams and only while it takes room; the work that a busy pool carries is learned from durations (appended with the trends) instead of half a second.

--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -95,6 +95,11 @@
 	// work that is, both in millicore-seconds.
 	waiting float64
 	running float64
+	// occupied is the room taken up by the runs on usable upstreams. What runs on others
+	// delays no new job.
+	occupied occupancy
+	// residual is how long a task on a busy pool still runs on average, in seconds.
+	residual float64
 	// starts is the number of tasks that could be placed now, ready their work, and busy the
 	// CPU of the tasks that run, in millicores. Long-running tasks don't count.
 	starts      int
@@ -103,12 +108,33 @@
 
 // wait predicts how long a job with the given work waits before it runs, counting
 // announced capacity. It returns false if there is no capacity at all.
-func (b backlog) wait(now time.Time, work float64, arrivals []arrival) (time.Duration, bool) {
-	left := b.waiting + b.running + work
+func (b *backlog) wait(now time.Time, work float64, arrivals []arrival) (time.Duration, bool) {
+	// The longer the wait, the more of the running work is in its way, and the more of
+	// that has ended. The shortest wait that is consistent with both is the one predicted.
+	for d := time.Duration(0); ; d += _waitStep + d/_waitSteps {
+		if w, known := b.waitIf(now, d, work, arrivals); !known || w <= d || d >= _longestWait {
+			return w, known
+		}
+	}
+}
+
+const (
+	// _waitStep and _waitSteps bound the error of a predicted wait: a step, and one part in
+	// so many of the wait. Objectives are far longer than the step.
+	_waitStep  = 20 * time.Millisecond
+	_waitSteps = 16
+	// _longestWait is how far waits are predicted in detail.
+	_longestWait = 10 * time.Second
+)
+
+// waitIf predicts how long a job waits before it runs, if the runs that end within d are out of
+// its way then.
+func (b *backlog) waitIf(now time.Time, d time.Duration, work float64, arrivals []arrival) (time.Duration, bool) {
+	left := b.waiting + b.occupied.within(d) + work
 	room, at := b.capacity, now
-	// The work that is normally placed runs in parallel with the new job and
-	// doesn't delay it.
-	left -= max(0, room) * _placedWork.Seconds()
+	// The work that is normally placed runs in parallel with the new job and doesn't delay
+	// it. Where a task runs longer than usual, none is placed.
+	left -= max(0, room-b.occupied.after(d+time.Duration(b.residual*float64(time.Second)))) * b.residual
 	for _, a := range arrivals {
 		d := max(0, a.at.Sub(at))
 		if room > 0 && left <= room*d.Seconds() {
@@ -117,7 +143,7 @@
 		left -= max(0, room) * d.Seconds()
 		at = at.Add(d)
 		room += a.cpu
-		left -= a.cpu * _placedWork.Seconds()
+		left -= a.cpu * b.residual
 	}
 	if left <= 0 {
 		return at.Sub(now), true
@@ -128,10 +154,6 @@
 	return at.Sub(now) + time.Duration(left/room*float64(time.Second)), true
 }
 
-// _placedWork is how long the whole pool normally needs to complete the work that
-// is placed on it at a time.
-const _placedWork = 500 * time.Millisecond
-
 // _backlogAge is how long a crowded pool uses a sum of its backlog. The time to sum it grows
 // with the jobs, and the wait that follows from it changes by no more than its age.
 const _backlogAge = 10 * time.Millisecond
@@ -147,7 +169,7 @@
 
 // backlog sums the work of all accepted jobs.
 func (s *Scheduler) backlog(now time.Time) backlog {
-	var b backlog
+	b := backlog{residual: s.learned.residual.seconds()}
 	for _, h := range s.hosts.order {
 		if h.usableSoon(now) {
 			b.capacity += float64(h.up.Capacity.MilliCPU)
@@ -184,16 +206,29 @@
 	b.waiting += float64(max(0, st.left-st.running)) * cpu * d.Seconds()
 	for i := range st.tasks {
 		for _, r := range st.tasks[i].runs {
-			b.running += cpu * max(0, d-now.Sub(r.ordered)).Seconds()
+			rest := r.rest(now, d)
+			b.running += cpu * rest.Seconds()
+			if r.host.usableSoon(now) {
+				b.occupied.add(cpu, rest)
+			}
 		}
 	}
 }
 
 // expectedDuration predicts how long a task of a step runs. Tasks of a step are
-// alike, so completed ones are the best predictor.
+// alike, so the others are the best predictor: those that completed and, as the shortest
+// complete first, also those that run.
 func (s *Scheduler) expectedDuration(st *step) time.Duration {
-	if st.took.n > 0 {
-		return time.Duration(st.took.mean)
+	sum, n := st.took.mean*float64(st.took.n), st.took.n
+	for i := range st.tasks {
+		for _, r := range st.tasks[i].runs {
+			if d, ok := r.whole(); ok {
+				sum, n = sum+float64(d)/s.remoteFactor(st, r.host), n+1
+			}
+		}
+	}
+	if n > 0 {
+		return time.Duration(sum / float64(n))
 	}
 	return s.learned.duration(st.occurrence.job.def.GetQueue(), st.def)
 }
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -325,6 +325,7 @@
 	// percent is the reported progress; -1 before the first report.
 	percent      int
 	progressedAt time.Time
+	baseline     baseline
 	// gauge is the reported tail latency, in milliseconds.
 	gauge int64
 	// pace is the speed limit in percent, or _paceUnknown.
--- a/entry/scheduler/learn.go
+++ b/entry/scheduler/learn.go
@@ -14,7 +14,8 @@
 	byQueue map[string]*trend
 	// spread is, by queue, the ratio of the longest run time in a step to the
 	// average one.
-	spread map[string]*average
+	spread   map[string]*average
+	residual residual
 }
 
 func newLearned() learned {
@@ -83,6 +84,9 @@
 // add records the average and the longest run time of a step's tasks, in
 // nanoseconds. Both are given as if the tasks had run near their data.
 func (l *learned) add(queue string, d *work.Step, mean, longest float64) {
+	if !d.GetFills() {
+		l.residual.add(float64(int64(d.GetCount())*d.GetMilliCpu()), mean/float64(time.Second))
+	}
 	if d.GetCount() > 1 && mean > 0 {
 		a := l.spread[queue]
 		if a == nil {
@@ -130,17 +134,22 @@
 	return one
 }
 
-// record encodes the trends by queue.
+// record encodes the trends by queue, and the residual.
 func (l *learned) record() *work.Learned {
-	m := &work.Learned{Queues: make(map[string]*work.Trend, len(l.byQueue))}
+	m := &work.Learned{
+		Queues:   make(map[string]*work.Trend, len(l.byQueue)),
+		Residual: &work.Residual{Work: l.residual.work, Square: l.residual.square},
+	}
 	for q, t := range l.byQueue {
 		m.Queues[q] = &work.Trend{N: t.n, X: t.x, Y: t.y, Xx: t.xx, Xy: t.xy}
 	}
 	return m
 }
 
-// restore loads the trends of a former owner.
+// restore loads the trends and the residual of a former owner. Older owners appended no
+// residual.
 func (l *learned) restore(m *work.Learned) {
+	l.residual = residual{m.GetResidual().GetWork(), m.GetResidual().GetSquare()}
 	for q, t := range m.GetQueues() {
 		l.byQueue[q] = &trend{t.GetN(), t.GetX(), t.GetY(), t.GetXx(), t.GetXy()}
 	}
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -81,6 +81,9 @@
 	if n.Checkpoint != "" {
 		s.saveCheckpoint(r.task, n.Checkpoint)
 	}
+	if r.percent < 0 {
+		r.follow(now, n.Percent)
+	}
 	if n.Percent != r.percent {
 		r.percent, r.progressedAt = n.Percent, now
 	}
