--- a/entry/scheduler/quota.go
+++ b/entry/scheduler/quota.go
@@ -337,7 +337,7 @@
 		case r[i] <= 0:
 			return _maxLimitWait
 		default:
-			wait = max(wait, ahead[i]/r[i]-_placedWork.Seconds())
+			wait = max(wait, ahead[i]/r[i]-b.residual)
 		}
 	}
 	return min(time.Duration(wait*float64(time.Second)), _maxLimitWait)
