--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -31,7 +31,8 @@
 //	at MS                         advance the clock, waking the scheduler when due
 //	late MS                       advance the clock without waking the scheduler
 //	queue NAME attempts=N stretch=F target=MS priority=N advice=MS
-//	workspace NAME [cpu=N] [memory=N] [gpu=N]    a workspace with its limit
+//	acceptLate                    accept late jobs behind those that can be on time
+//	workspace NAME [weight=N] [cpu=N] [memory=N] [gpu=N]    a workspace with its limit
 //	host ID cpu=N rack=R label=L born=N clock=MS draining    set an upstream of the list
 //	unlist ID                     remove an upstream from the list
 //	list                          deliver the list
@@ -228,6 +229,10 @@
 	case Pace:
 		p.pace = op
 		w("pace %s on %s %d", runName(op.Task, op.Run), op.Host, op.Percent)
+	case Count:
+		if op.Workspace != "" {
+			w("count %s of %s", op.What, op.Workspace)
+		}
 	case Note:
 		if *_verbose {
 			w("note %s %s %v", op.What, op.Job, op.Pairs)
@@ -308,6 +313,8 @@
 		p.now = _startTime.Add(time.Duration(p.number(f[1])) * time.Millisecond)
 	case "queue":
 		p.queue(f[1], m)
+	case "acceptLate":
+		p.s.set.AcceptLate = true
 	case "workspace":
 		p.workspace(f[1], m)
 	case "host":
@@ -476,7 +483,11 @@
 // workspace sets the limit of a workspace.
 func (p *player) workspace(name string, m map[string]string) {
 	p.workspaces = slices.DeleteFunc(p.workspaces, func(w platform.Workspace) bool { return w.Name == name })
-	p.workspaces = append(p.workspaces, platform.Workspace{Name: name, Limit: platform.Capacity{
+	weight := 0.0
+	if v := m["weight"]; v != "" {
+		weight = p.float(v)
+	}
+	p.workspaces = append(p.workspaces, platform.Workspace{Name: name, Weight: weight, Limit: platform.Capacity{
 		MilliCPU: p.number(m["cpu"]), MemoryMB: p.number(m["memory"]), GPUs: p.number(m["gpu"]),
 	}})
 	p.step(p.configured())
