--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -51,7 +51,8 @@
 		return decision{outcome: link.Outcome_OUTCOME_OK}
 	}
 	b := s.recentBacklog(now)
-	wait, known := s.withoutExcess(now, b, j.objective).after(s.journal.wait(now)).wait(now, s.jobWork(j), s.arrivals)
+	ahead := s.withoutExcess(now, b, j.objective).after(s.journal.wait(now))
+	wait, known := ahead.wait(now, s.jobWork(j), s.arrivals)
 	if !known {
 		return decision{outcome: link.Outcome_OUTCOME_OVERLOADED, reason: "pool has no capacity", retry: _minRetryAfter}
 	}
