--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -253,6 +253,11 @@
 	case link.Outcome_OUTCOME_UNAVAILABLE, link.Outcome_OUTCOME_NOT_OWNER:
 		f.writeError(w, r, http.StatusServiceUnavailable, max(retry, time.Second), "owner can't take it")
 	default:
+		if r.Method == http.MethodGet {
+			// A read has no effect that could be unknown.
+			f.writeError(w, r, http.StatusServiceUnavailable, time.Second, "owner doesn't answer")
+			return
+		}
 		f.writeError(w, r, http.StatusBadGateway, 0, "outcome unknown")
 	}
 }
