node, group: a call isn't sent after its caller's time because the owners were asked for

Cause: a submission that no owner had taken asked the store who owns the pool, and waited for a slow answer beyond its caller's time. It was then sent with no time left, which ended it as unknown (502) though nothing had been sent before, and could mark the entry as one without a store.

Change: nobody waits for that query longer than his own time; the query goes on for others. The loop ends with the caller's time before anything else.

Tests: TestRefreshEndsWithCaller failed before.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -245,25 +245,31 @@
 }
 
 // Refresh queries the store for the owners, at most once per _refreshInterval, and
-// reports whether the last query succeeded. Concurrent callers share one query.
+// reports whether the last query succeeded. Concurrent callers share one query, and none waits
+// for it longer than until its ctx ends.
 func (g *Group) Refresh(ctx context.Context) bool {
 	g.mu.Lock()
-	if w := g.refreshing; w != nil {
-		g.mu.Unlock()
-		select {
-		case <-w:
-		case <-ctx.Done():
+	w := g.refreshing
+	if w == nil {
+		if time.Since(g.refreshedAt) < _refreshInterval {
+			defer g.mu.Unlock()
+			return g.storeAnswered
 		}
-		return g.lastRefreshOK()
-	}
-	if time.Since(g.refreshedAt) < _refreshInterval {
-		defer g.mu.Unlock()
-		return g.storeAnswered
+		w = make(chan struct{})
+		g.refreshing, g.refreshedAt = w, time.Now()
+		go g.query(context.WithoutCancel(ctx), w)
 	}
-	w := make(chan struct{})
-	g.refreshing, g.refreshedAt = w, time.Now()
 	g.mu.Unlock()
-	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.callTimeout())
+	select {
+	case <-w:
+	case <-ctx.Done():
+	}
+	return g.lastRefreshOK()
+}
+
+// query queries the store for the owners, and then closes done.
+func (g *Group) query(ctx context.Context, done chan struct{}) {
+	c, cancel := context.WithTimeout(ctx, g.callTimeout())
 	defer cancel()
 	sent := time.Now()
 	o, err := g.store.Owners(c, _group)
@@ -272,11 +278,10 @@
 	defer g.mu.Unlock()
 	g.refreshing = nil
 	g.storeAnswered = err == nil
-	close(w)
 	if err == nil {
 		g.owners = o
 	}
-	return g.storeAnswered
+	close(done)
 }
 
 func (g *Group) lastRefreshOK() bool {
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -239,7 +239,7 @@
 		case link.Outcome_OUTCOME_UNKNOWN:
 			sent = true
 		case link.Outcome_OUTCOME_NOT_OWNER:
-			unread = a.GetRetryAfterMs() > 0
+			unread = unread || a.GetRetryAfterMs() > 0
 		case link.Outcome_OUTCOME_OVERLOADED, link.Outcome_OUTCOME_UNAVAILABLE, link.Outcome_OUTCOME_DENIED:
 			if !sent {
 				return a
@@ -249,13 +249,13 @@
 		default:
 			return a
 		}
-		if !wait.For(ctx, _ownerRetryPause) {
-			if sent || unread {
-				return &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN}
-			}
+		answered := wait.For(ctx, _ownerRetryPause) && n.group.Refresh(ctx)
+		switch {
+		case ctx.Err() != nil && (sent || unread):
+			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN}
+		case ctx.Err() != nil:
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: 1000}
-		}
-		if !n.group.Refresh(ctx) && !sent && !unread {
+		case !answered && !sent && !unread:
 			// The current owner can't be determined here; other entries may know it.
 			n.ownerUnknownAt.Store(time.Now().UnixMilli())
 			return &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE, RetryAfterMs: _storeLostRetryAfter.Milliseconds()}
