--- a/entry/admission/shares.go
+++ b/entry/admission/shares.go
@@ -147,16 +147,16 @@
 	served := (own + work) / s.weight(workspace)
 	ahead := before
 	for range _rounds {
-		until := time.Duration((ahead + work) / max(rate, 1) * float64(time.Second))
+		until := min((ahead+work)/max(rate, 1), _rateLasts.Seconds())
 		ahead = before
 		if v > Entitled {
-			ahead += s.submits(now) * min(until, _pressLasts).Seconds()
+			// It gives way to all that is submitted, not only to what others submit.
+			ahead += s.submits(now) * until
 			until = 0
 		}
-		until = min(until, _rateLasts)
 		for _, n := range s.labels {
 			if n != label {
-				ahead += min(b.waiting[v][n]+s.byName[n].submits(now)*until.Seconds(), served*s.weight(n))
+				ahead += min(b.waiting[v][n]+s.byName[n].submits(now)*until, served*s.weight(n))
 			}
 		}
 	}
@@ -166,11 +166,9 @@
 const (
 	// _rounds is how often Ahead corrects its estimate of the time until the job's end.
 	_rounds = 4
-	// _rateLasts limits for how long the others are expected to submit as they do now, for a
-	// job that can be on time: longer than most such jobs wait.
-	_rateLasts = 2 * time.Second
-	// _pressLasts is the same for a job that gives way to all that is submitted.
-	_pressLasts = time.Second
+	// _rateLasts limits for how long the others are expected to submit as they do now: about
+	// as long as a job may wait and still be on time.
+	_rateLasts = time.Second
 )
 
 // submits returns the rate of the entitled work that all workspaces submit.
