--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -41,6 +41,8 @@
 type Submitted struct {
 	Ref Ref
 	Job *work.Job
+	// AnswerBy is when the request ends without an answer; zero for no limit.
+	AnswerBy time.Time
 }
 
 // StateRequested is a caller's request for the state of a job.
@@ -82,6 +84,8 @@
 	Arrivals []*link.Arrival
 	// Vacate lists the upstreams to drain. All others may be used.
 	Vacate []string
+	// Evict lists those of Vacate on which also tasks that end by themselves are stopped.
+	Evict []string
 	// Due lists the upstreams whose hosts will be taken down for a wave.
 	Due []string
 	// Gone lists the upstream incarnations that have ended.
@@ -124,7 +128,9 @@
 // Appended is the answer to an Append.
 type Appended struct {
 	Batch int64
-	Err   error
+	// Took is how long the store took for the attempt that it answered.
+	Took time.Duration
+	Err  error
 }
 
 // Advised is the answer to an Advise.
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -121,7 +121,7 @@
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
 		}
-		j.acceptWaiters = append(j.acceptWaiters, e.Ref)
+		s.addWaiter(now, j, e)
 		return
 	}
 	j := &job{
@@ -138,24 +138,41 @@
 	j.arrived = first
 	j.objective = s.objective(j)
 	v := s.admit(now, j)
-	if ok := v.outcome == link.Outcome_OUTCOME_OK; fresh || ok {
+	if v.outcome == link.Outcome_OUTCOME_OK {
+		j.predicted, j.deferred = v.predicted, v.deferred
+		s.boundWait(now, j, e.AnswerBy)
+		if !s.awaits(now, j) {
+			v.outcome, v.retry = link.Outcome_OUTCOME_UNAVAILABLE, s.storeRetry(now, id)
+			v.reason = "can't wait for the journal"
+		}
+	}
+	ok := v.outcome == link.Outcome_OUTCOME_OK
+	if fresh || ok {
 		s.demand.add(now, demandSample{work: s.jobWork(j), chain: s.criticalPath(j), fresh: fresh, accepted: ok})
 	}
-	if v.outcome != link.Outcome_OUTCOME_OK {
-		s.count(j, "refused")
-		s.logNote("Job refused.", id, "queue", j.def.GetQueue(), "why", v.reason,
-			"workspace", j.def.GetWorkspace(), "surplus", j.surplus, "try", t.tries, "sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
-			"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
-			"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
-			"retryAfterMs", v.retry.Milliseconds())
-		s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
+	if ok {
+		s.accept(now, j)
 		return
 	}
-	j.predicted, j.deferred = v.predicted, v.deferred
+	s.count(j, "refused")
+	s.logNote("Job refused.", id, "queue", j.def.GetQueue(), "why", v.reason,
+		"workspace", j.def.GetWorkspace(), "surplus", j.surplus, "try", t.tries,
+		"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
+		"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
+		"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
+		"retryAfterMs", v.retry.Milliseconds(), "journalMs", s.journal.wait(now).Milliseconds(),
+		"budgetMs", budgetMs(now, e.AnswerBy))
+	s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
+}
+
+// accept queues a job for the journal, and counts it in the sum of the backlog.
+func (s *Scheduler) accept(now time.Time, j *job) {
+	id := j.def.GetId()
 	s.contest.places.Leave(id)
 	if !j.longRunning() && !j.recurring() {
 		w := s.jobWork(j)
 		s.summed.waiting += w
+		s.summed.undurable += w
 		s.addContender(&s.summed, j, w)
 		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
 			s.addJob(v, j)
@@ -164,8 +181,7 @@
 	}
 	s.jobs[id] = j
 	s.active = append(s.active, j)
-	s.journal.accepting = append(s.journal.accepting, j)
-	s.journal.schedule(now.Add(_acceptDelay))
+	s.queueJob(now, j)
 }
 
 // replyState replies with the state of a job.
@@ -243,8 +259,8 @@
 // those that are vacant: nothing runs on them, and their results have been
 // appended, as the upstream loses these when it ends. An upstream that hasn't
 // answered this owner isn't vacant, because a former owner may have left tasks
-// there.
-func (s *Scheduler) vacate(now time.Time, ids []string) []string {
+// there. Tasks that end by themselves run to their end, except on the upstreams in evict.
+func (s *Scheduler) vacate(now time.Time, ids, evict []string) []string {
 	var vacant []string
 	for _, h := range s.hosts.all() {
 		if !slices.Contains(ids, h.up.ID) && now.Before(h.drainedUntil) {
@@ -264,6 +280,9 @@
 		}
 		h.drainedUntil = now.Add(_vacateLease)
 		s.evacuate(now, h)
+		if slices.Contains(evict, id) {
+			s.evict(now, h)
+		}
 		if h.fenced && len(h.runs) == 0 && h.lastResult <= h.durableEnd {
 			vacant = append(vacant, id)
 		}
@@ -297,6 +316,26 @@
 	}
 }
 
+// evict stops the tasks on an upstream that would end by themselves, so that they start on
+// others. The members of a gang, which would wait for one another in vain, are all stopped.
+func (s *Scheduler) evict(now time.Time, h *host) {
+	for _, r := range h.cloneRuns() {
+		st := r.task.step
+		if r.state != runRunning || st.def.GetLongRunning() {
+			continue
+		}
+		s.logNote("Task is stopped, because its host is due.", st.occurrence.job.def.GetId(), "task", r.task.name,
+			"run", r.number, "upstream", h.up.ID, "ranMs", now.Sub(r.started).Milliseconds())
+		if !st.def.GetGang() {
+			s.stop(now, r)
+			continue
+		}
+		for i := range st.tasks {
+			s.stopAll(now, &st.tasks[i])
+		}
+	}
+}
+
 // endState returns the final state of a job, or unspecified if it hasn't ended.
 func endState(j *job) link.JobState {
 	switch {
