--- a/entry/scheduler/contest.go
+++ b/entry/scheduler/contest.go
@@ -57,7 +57,8 @@
 // refused callers with a better claim whose time to return has come.
 func (s *Scheduler) waitBehind(now time.Time, j *job, b backlog, v admission.Standing) (time.Duration, bool) {
 	w := s.jobWork(j)
-	d, known := b.after(s.journal.wait(now)).wait(now, w+s.contest.places.Kept(now, caller(j, v, w)), s.arrivals)
+	b = b.after(s.journal.wait(now))
+	d, known := b.wait(now, w+s.contest.places.Kept(now, caller(j, v, w)), s.arrivals)
 	return max(d, s.flow.wait(now, b.starts), s.limitWait(now, j, b)), known
 }
 
--- a/entry/scheduler/doc.go
+++ b/entry/scheduler/doc.go
@@ -38,6 +38,14 @@
 // Only the set of upstreams in use is appended, so that a new owner knows which
 // ones it has to poll before it places jobs accepted by a former owner.
 //
+// # Limits of workspaces
+//
+// A workspace's limit holds over all pools. The planner gives each pool a share of it. A
+// task starts only while the workspace's runs in this pool stay within the share, a gang
+// only as a whole. All runs that may be running count: ordered, unconfirmed, running,
+// stopping, and those that a former owner may have on upstreams that weren't polled yet.
+// What workspaces without a limit have running is bounded by the room on upstreams alone.
+//
 // # At most one run of a task
 //
 // A task is placed again only when its former run can't be running any more: the
