--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -170,10 +170,14 @@
 	delete(o.pending, r)
 }
 
-// decodeCall returns the event for a call, and nil if its kind is unknown.
+// decodeCall returns the event for a call, and nil if its kind is unknown or its job can't be
+// executed.
 func decodeCall(r scheduler.Ref, q *link.Call) scheduler.Event {
 	switch b := q.GetBody().(type) {
 	case *link.Call_Submit:
+		if scheduler.CheckJob(b.Submit.GetJob()) != nil {
+			return nil
+		}
 		return scheduler.Submitted{Ref: r, Job: b.Submit.GetJob()}
 	case *link.Call_State:
 		return scheduler.StateRequested{Ref: r, ID: b.State.GetId(), Workspace: b.State.GetWorkspace()}
--- a/entry/scheduler/decode.go
+++ b/entry/scheduler/decode.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 
@@ -38,6 +39,9 @@
 		if err := proto.Unmarshal(r.Value, m); err != nil {
 			return fmt.Errorf("job %s: %w", id, err)
 		}
+		if err := CheckJob(m); err != nil {
+			return fmt.Errorf("job %s: %w", id, err)
+		}
 		l.Jobs = append(l.Jobs, m)
 	}
 	if id, ok := strings.CutPrefix(r.Key, ProgressKey(pool, "")); ok {
@@ -45,6 +49,9 @@
 		if err := proto.Unmarshal(r.Value, m); err != nil {
 			return fmt.Errorf("progress %s: %w", id, err)
 		}
+		if err := checkProgress(m); err != nil {
+			return fmt.Errorf("progress %s: %w", id, err)
+		}
 		l.Progress[id] = m
 	}
 	if id, ok := strings.CutPrefix(r.Key, HostKey(pool, "")); ok {
@@ -58,3 +65,35 @@
 	}
 	return nil
 }
+
+// ErrMalformed reports a message that can be decoded but makes no sense.
+var ErrMalformed = errors.New("malformed")
+
+// CheckJob reports whether a job from another process can be executed: it has steps, each with
+// tasks, and a step depends only on earlier ones.
+func CheckJob(j *work.Job) error {
+	if len(j.GetSteps()) == 0 {
+		return fmt.Errorf("job without steps: %w", ErrMalformed)
+	}
+	for i, d := range j.GetSteps() {
+		if d.GetCount() < 1 {
+			return fmt.Errorf("step %d without tasks: %w", i, ErrMalformed)
+		}
+		for _, a := range d.GetAfter() {
+			if a < 0 || int(a) >= i {
+				return fmt.Errorf("step %d depends on step %d: %w", i, a, ErrMalformed)
+			}
+		}
+	}
+	return nil
+}
+
+// checkProgress reports whether the progress of a job names occurrences that can exist.
+func checkProgress(p *work.Progress) error {
+	for _, o := range p.GetOccurrences() {
+		if o.GetNumber() < 0 {
+			return fmt.Errorf("occurrence %d: %w", o.GetNumber(), ErrMalformed)
+		}
+	}
+	return nil
+}
