--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -170,10 +170,14 @@
 	delete(o.pending, r)
 }
 
-// decodeCall returns the event for a call, and nil if its kind is unknown.
+// decodeCall returns the event for a call, and nil if its kind is unknown or its job can't be
+// executed.
 func decodeCall(now time.Time, r scheduler.Ref, q *link.Call) scheduler.Event {
 	switch b := q.GetBody().(type) {
 	case *link.Call_Submit:
+		if scheduler.CheckJob(b.Submit.GetJob()) != nil {
+			return nil
+		}
 		e := scheduler.Submitted{Ref: r, Job: b.Submit.GetJob()}
 		if ms := b.Submit.GetBudgetMs(); ms > 0 {
 			e.AnswerBy = now.Add(time.Duration(ms) * time.Millisecond)
