--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -41,6 +41,8 @@
 type Submitted struct {
 	Ref Ref
 	Job *work.Job
+	// AnswerBy is when the request ends without an answer; zero for no limit.
+	AnswerBy time.Time
 }
 
 // StateRequested is a caller's request for the state of a job.
@@ -126,7 +128,9 @@
 // Appended is the answer to an Append.
 type Appended struct {
 	Batch int64
-	Err   error
+	// Took is how long the store took for the attempt that it answered.
+	Took time.Duration
+	Err  error
 }
 
 // Advised is the answer to an Advise.
@@ -251,6 +255,16 @@
 	Pairs []any
 }
 
+// Count adds one to the jobs of a queue and workspace that were decided on in a way.
+type Count struct {
+	Queue string
+	// Workspace is empty if it isn't configured.
+	Workspace string
+	// What is "accepted", "acceptedLate", "acceptedSurplus" or "refused", or how an accepted
+	// job ended: "onTime", "late", "tooLate", "cancelled" or "failed".
+	What string
+}
+
 func (Start) op()  {}
 func (Stop) op()   {}
 func (Pace) op()   {}
@@ -259,3 +273,4 @@
 func (Advise) op() {}
 func (Reply) op()  {}
 func (Note) op()   {}
+func (Count) op()  {}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -31,7 +31,8 @@
 //	at MS                         advance the clock, waking the scheduler when due
 //	late MS                       advance the clock without waking the scheduler
 //	queue NAME attempts=N stretch=F target=MS priority=N advice=MS
-//	workspace NAME [cpu=N] [memory=N] [gpu=N]    a workspace with its limit
+//	acceptLate                    accept late jobs behind those that can be on time
+//	workspace NAME [weight=N] [cpu=N] [memory=N] [gpu=N]    a workspace with its limit
 //	host ID cpu=N rack=R label=L born=N clock=MS draining    set an upstream of the list
 //	unlist ID                     remove an upstream from the list
 //	list                          deliver the list
@@ -40,7 +41,7 @@
 //	loaded                        deliver the journal's content
 //	takeover [listed]             replace the scheduler by that of a new owner, which reads
 //	                              what this one has appended, if listed after the list
-//	submit REF JOB queue=Q [workspace=W] [times=N first=MS every=MS] STEP ...
+//	submit REF JOB queue=Q [workspace=W] [budget=MS] [times=N first=MS every=MS] STEP ...
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,sameRack][,longRunning][,mayMiss=N]
 //	          [,antiAffinity=N][,requires=L][,affinity=R][,checkpointing][,target=MS]
 //	          [,bestEffort][,speculative]
@@ -50,6 +51,7 @@
 //	    shares answer the owner's last report unless told otherwise;
 //	    the incarnation that is gone is by default the one that the scheduler knows
 //	appended [STATUS [REASON]]    the answer to the append in flight
+//	executed                      the append in flight is carried out, without an answer
 //	polled ID [concurrent] [atOnce] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	pollFailed ID [STATUS REASON] | pollFailed ID lost sent=MS
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
@@ -105,6 +107,7 @@
 	// unanswered are the records of the append in flight, journal those appended so far,
 	// by key.
 	unanswered   []platform.Record
+	appendedAt   time.Time
 	journal      map[string]platform.Record
 	lastSequence int64
 	pace         Pace
@@ -157,7 +160,7 @@
 		}
 	}
 	p.unanswered = nil
-	p.step(Appended{Batch: p.batch, Err: err})
+	p.step(Appended{Batch: p.batch, Took: p.now.Sub(p.appendedAt), Err: err})
 }
 
 // step feeds an event to the scheduler and prints the ops.
@@ -206,7 +209,7 @@
 	case Poll:
 		w("poll %s until %d acked %d wait %d", op.Host, op.Hold.DeadlineMs, op.Hold.Acked, op.Hold.Wait.Milliseconds())
 	case Append:
-		p.batch, p.unanswered = op.Batch, op.Records
+		p.batch, p.unanswered, p.appendedAt = op.Batch, op.Records, p.now
 		var keys []string
 		for _, r := range op.Records {
 			k := r.Key
@@ -226,6 +229,10 @@
 	case Pace:
 		p.pace = op
 		w("pace %s on %s %d", runName(op.Task, op.Run), op.Host, op.Percent)
+	case Count:
+		if op.Workspace != "" {
+			w("count %s of %s", op.What, op.Workspace)
+		}
 	case Note:
 		if *_verbose {
 			w("note %s %s %v", op.What, op.Job, op.Pairs)
@@ -306,6 +313,8 @@
 		p.now = _startTime.Add(time.Duration(p.number(f[1])) * time.Millisecond)
 	case "queue":
 		p.queue(f[1], m)
+	case "acceptLate":
+		p.s.set.AcceptLate = true
 	case "workspace":
 		p.workspace(f[1], m)
 	case "host":
@@ -325,7 +334,12 @@
 	case "takeover":
 		p.takeOver(len(f) > 1)
 	case "submit":
-		p.step(Submitted{Ref: ref(), Job: p.job(f[2], f[3:])})
+		e := Submitted{Ref: ref()}
+		if v := m["budget"]; v != "" {
+			e.AnswerBy = p.now.Add(time.Duration(p.number(v)) * time.Millisecond)
+		}
+		e.Job = p.job(f[2], f[3:])
+		p.step(e)
 	case "state":
 		p.step(StateRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"]})
 	case "pending":
@@ -354,6 +368,10 @@
 		}
 		p.addShares(&e, m)
 		p.step(e)
+	case "executed":
+		for _, r := range p.unanswered {
+			p.journal[r.Key] = r
+		}
 	case "appended":
 		p.appended(failure("append", f[1:]))
 	case "polled":
@@ -465,7 +483,11 @@
 // workspace sets the limit of a workspace.
 func (p *player) workspace(name string, m map[string]string) {
 	p.workspaces = slices.DeleteFunc(p.workspaces, func(w platform.Workspace) bool { return w.Name == name })
-	p.workspaces = append(p.workspaces, platform.Workspace{Name: name, Limit: platform.Capacity{
+	weight := 0.0
+	if v := m["weight"]; v != "" {
+		weight = p.float(v)
+	}
+	p.workspaces = append(p.workspaces, platform.Workspace{Name: name, Weight: weight, Limit: platform.Capacity{
 		MilliCPU: p.number(m["cpu"]), MemoryMB: p.number(m["memory"]), GPUs: p.number(m["gpu"]),
 	}})
 	p.step(p.configured())
@@ -587,6 +609,7 @@
 			j.FirstRunUnixMs = _startTime.UnixMilli() + p.number(v)
 		case "every":
 			j.IntervalMs = p.number(v)
+		case "budget":
 		default:
 			j.Steps = append(j.Steps, p.stepOf(w))
 		}
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -18,6 +18,10 @@
 	// RemoteFactor is how many times longer a task takes on another rack than
 	// that of its data.
 	RemoteFactor float64
+	// AcceptLate accepts jobs that will be late, but within _maxLateness times their
+	// objective, behind all that can be on time. Without it they are accepted only if they can
+	// run at once.
+	AcceptLate bool
 }
 
 const (
@@ -69,9 +73,6 @@
 	_acceptDelay   = 3 * time.Millisecond
 	_endDelay      = 15 * time.Millisecond
 	_deletionDelay = time.Second
-	// _journalTimeout is how long an append may stay unanswered before new jobs
-	// are refused.
-	_journalTimeout = 400 * time.Millisecond
 	// _vacateLease is how long an upstream stays drained after the planner's last
 	// request to vacate it.
 	_vacateLease = 5 * time.Second
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -121,33 +121,59 @@
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
 		}
-		j.acceptWaiters = append(j.acceptWaiters, e.Ref)
+		s.addWaiter(now, j, e)
 		return
 	}
 	j := &job{
 		def: e.Job, queue: s.queues[e.Job.GetQueue()], arrived: now,
 		acceptWaiters: []Ref{e.Ref},
 	}
-	first, fresh := s.firstAttempts.record(now, id)
+	t := s.firstAttempts.record(now, id)
+	first, fresh := t.first, t.tries == 1
+	if fresh {
+		t.surplus = !s.contest.shares.Entitle(now, j.def.GetWorkspace(), s.jobWork(j))
+	}
+	j.surplus = t.surplus
 	j.def.AcceptedUnixMs = first.UnixMilli()
 	j.arrived = first
 	j.objective = s.objective(j)
 	v := s.admit(now, j)
-	if ok := v.outcome == link.Outcome_OUTCOME_OK; fresh || ok {
+	if v.outcome == link.Outcome_OUTCOME_OK {
+		j.predicted, j.deferred = v.predicted, v.deferred
+		s.boundWait(now, j, e.AnswerBy)
+		if !s.awaits(now, j) {
+			v.outcome, v.retry = link.Outcome_OUTCOME_UNAVAILABLE, s.storeRetry(now, id)
+			v.reason = "can't wait for the journal"
+		}
+	}
+	ok := v.outcome == link.Outcome_OUTCOME_OK
+	if fresh || ok {
 		s.demand.add(now, demandSample{work: s.jobWork(j), chain: s.criticalPath(j), fresh: fresh, accepted: ok})
 	}
-	if v.outcome != link.Outcome_OUTCOME_OK {
-		s.logNote("Job refused.", id, "queue", j.def.GetQueue(), "why", v.reason,
-			"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
-			"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
-			"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
-			"retryAfterMs", v.retry.Milliseconds())
-		s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
+	if ok {
+		s.accept(now, j)
 		return
 	}
-	j.predicted = v.predicted
+	s.count(j, "refused")
+	s.logNote("Job refused.", id, "queue", j.def.GetQueue(), "why", v.reason,
+		"workspace", j.def.GetWorkspace(), "surplus", j.surplus, "try", t.tries,
+		"sinceMs", now.Sub(first).Milliseconds(), "predictedMs", v.predicted.Milliseconds(),
+		"objectiveMs", j.objective.Milliseconds(), "capacity", int64(v.backlog.capacity),
+		"waiting", int64(v.backlog.waiting), "running", int64(v.backlog.running),
+		"retryAfterMs", v.retry.Milliseconds(), "journalMs", s.journal.wait(now).Milliseconds(),
+		"budgetMs", budgetMs(now, e.AnswerBy))
+	s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
+}
+
+// accept queues a job for the journal, and counts it in the sum of the backlog.
+func (s *Scheduler) accept(now time.Time, j *job) {
+	id := j.def.GetId()
+	s.contest.places.Leave(id)
 	if !j.longRunning() && !j.recurring() {
-		s.summed.waiting += s.jobWork(j)
+		w := s.jobWork(j)
+		s.summed.waiting += w
+		s.summed.undurable += w
+		s.addContender(&s.summed, j, w)
 		if v := s.summed.limited[j.def.GetWorkspace()]; v != nil {
 			s.addJob(v, j)
 		}
@@ -155,8 +181,7 @@
 	}
 	s.jobs[id] = j
 	s.active = append(s.active, j)
-	s.journal.accepting = append(s.journal.accepting, j)
-	s.journal.schedule(now.Add(_acceptDelay))
+	s.queueJob(now, j)
 }
 
 // replyState replies with the state of a job.
