site: the session of a late order begins once all entries hold partitions

The log shows why: the job was accepted by the first entry, which released the pool 90 ms later to one that had just joined. It waits for the assignment to settle now, and checks the same.

--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -48,6 +48,7 @@
 //	working JOB N MS         wait until N tasks of a job are at work. The session fails unless
 //	                         they are within MS of the last start or up
 //	hosts N POOL             wait until at least N hosts are up in a pool
+//	owners N                 wait until N entries hold partitions
 //	recorded N POOL          wait until the journal has N upstreams of a pool as in use
 //	judge JOB                print the numbers of the job's completed and current runs,
 //	                         and the violations of all jobs
@@ -114,7 +115,7 @@
 		return s.call(f, line)
 	case "judge":
 		return s.summary(f[1]), nil
-	case "begun", "heard", "waved", "hosts", "recorded":
+	case "begun", "heard", "waved", "hosts", "owners", "recorded":
 		return s.waitFor(f)
 	case "working":
 		return "", s.awaitWork(f)
@@ -235,6 +236,10 @@
 			if s.hostsUp(f[2]) >= n {
 				return "", nil
 			}
+		case "owners":
+			if s.countOwners() == n {
+				return "", nil
+			}
 		case "recorded":
 			if s.store.countKeys("keyed.jobs", f[2]+"/h/") == n {
 				return "", nil
@@ -271,6 +276,17 @@
 	}
 }
 
+// countOwners counts the entries that hold partitions.
+func (s *Site) countOwners() int {
+	owners := make(map[string]bool)
+	for p := range _partitions {
+		if name := s.Owner(p); name != "" {
+			owners[name] = true
+		}
+	}
+	return len(owners)
+}
+
 func (s *Site) hostsUp(pool string) int {
 	n := 0
 	for _, m := range s.listMachines() {
