--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -241,6 +241,12 @@
 	return s.countUnavailable(t) < int(s.def.GetMayMiss())
 }
 
+// mayMove reports whether a task may be stopped although it could go on for some time. Of a
+// step that doesn't bound the missing tasks, one at a time may, as nothing presses.
+func (s *step) mayMove(t *task) bool {
+	return s.mayStop(t) && (s.def.GetMayMiss() > 0 || s.countUnavailable(t) == 0)
+}
+
 // task is a task of a step.
 type task struct {
 	step  *step
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -327,7 +327,7 @@
 		}
 		for _, r := range h.cloneRuns() {
 			t := r.task
-			if t.step.def.GetLongRunning() && r.state == runRunning && t.step.mayStop(t) && p.roomOffWave(t) {
+			if t.step.def.GetLongRunning() && r.state == runRunning && t.step.mayMove(t) && p.roomOffWave(t) {
 				s.stop(now, r)
 				r.keepable = true
 			}
