scheduler, owner: crashes of upstreams are logged and counted

The logs didn't tell which runs were on an upstream when it crashed, or for how long, nor a crash from an end that was ordered. No logic changes.

--- a/entry/internal/owner/metrics.go
+++ b/entry/internal/owner/metrics.go
@@ -13,3 +13,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(
 		"entry_jobs_total{pool=%q,queue=%q,workspace=%q,what=%q}", pool, c.Queue, c.Workspace, c.What)).Inc()
 }
+
+// countCrash counts a crashed upstream and the runs lost with it.
+func countCrash(pool string, c scheduler.CountCrash) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("entry_upstream_crashes_total{pool=%q}", pool)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("entry_crash_lost_runs_total{pool=%q}", pool)).Add(c.Runs)
+}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -259,6 +259,8 @@
 		go o.advise(op)
 	case scheduler.Count:
 		countJob(o.pool, op)
+	case scheduler.CountCrash:
+		countCrash(o.pool, op)
 	case scheduler.Note:
 		o.log.Note(o.pool, op)
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -265,12 +265,16 @@
 	What string
 }
 
-func (Start) op()  {}
-func (Stop) op()   {}
-func (Pace) op()   {}
-func (Poll) op()   {}
-func (Append) op() {}
-func (Advise) op() {}
-func (Reply) op()  {}
-func (Note) op()   {}
-func (Count) op()  {}
+// CountCrash counts an upstream that crashed, and the runs that were lost with it.
+type CountCrash struct{ Runs int }
+
+func (Start) op()      {}
+func (Stop) op()       {}
+func (Pace) op()       {}
+func (Poll) op()       {}
+func (Append) op()     {}
+func (Advise) op()     {}
+func (Reply) op()      {}
+func (Note) op()       {}
+func (Count) op()      {}
+func (CountCrash) op() {}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -338,6 +338,10 @@
 	percent      int
 	progressedAt time.Time
 	baseline     baseline
+	// startClockMs is the upstream's clock at the answer to the start, or when the run was first
+	// listed, and survived how long the upstream is known to have lived on since.
+	startClockMs int64
+	survived     time.Duration
 	// gauge is the reported tail latency, in milliseconds.
 	gauge int64
 	// pace is the speed limit in percent, or _paceUnknown.
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -80,8 +80,9 @@
 // confirmed after the poll was sent.
 func (s *Scheduler) restartUpstream(now, sent time.Time, h *host, l platform.UpstreamStatus) {
 	s.logNote("Upstream restarted under its ID.", "", "upstream", h.up.ID, "runs", len(h.runs), "was", h.born, "born", l.StartUnixMs)
+	s.recordCrash(now, h, "upstream restarted", slices.DeleteFunc(h.cloneRuns(), func(r *run) bool { return mayBeIn(l, r, sent) }))
 	for _, r := range h.cloneRuns() {
-		if r.state == runOrdered || r.state == runUnconfirmed || !r.started.Before(sent) || lists(l, r) {
+		if mayBeIn(l, r, sent) {
 			continue
 		}
 		s.logNote("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
@@ -97,6 +98,9 @@
 		h.deadlineMs = l.ClockMs + max(s.set.MaxLease, _lease).Milliseconds()
 	}
 	h.seenEnd, h.durableEnd, h.lastResult, h.failedPolls = 0, 0, 0, 0
+	for _, r := range h.runs {
+		r.startClockMs, r.survived = 0, 0
+	}
 	s.journal.forgetHost(h)
 	h.health = health{}
 	h.pollDue = now
@@ -108,6 +112,12 @@
 	s.replan = true
 }
 
+// mayBeIn reports whether a run may be in the incarnation that answered a poll, sent at some
+// time.
+func mayBeIn(l platform.UpstreamStatus, r *run, sent time.Time) bool {
+	return r.state == runOrdered || r.state == runUnconfirmed || !r.started.Before(sent) || lists(l, r)
+}
+
 // lists reports whether a poll lists a run as running or ended.
 func lists(l platform.UpstreamStatus, r *run) bool {
 	return slices.ContainsFunc(l.Running, func(n platform.Running) bool {
@@ -125,6 +135,7 @@
 	}
 	s.logNote("Upstream incarnation ended.", "", "upstream", h.up.ID, "runs", len(h.runs), "why", why)
 	h.gone = true
+	s.recordCrash(now, h, why, h.runs)
 	s.loseRuns(now, h, why)
 	delete(s.unpolled, h.up.ID)
 	s.replan = true
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -122,6 +122,9 @@
 			s.updateClock(now, h, e.ClockMs)
 			if r != nil {
 				s.startAnswered(now, r, e.Err)
+				if e.Err == nil {
+					r.startClockMs = e.ClockMs
+				}
 			}
 		}
 	case Stop:
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -18,7 +18,7 @@
 		}
 		if r != nil {
 			listed[r] = true
-			s.updateRun(now, r, n, e.Sent)
+			s.updateRun(now, r, n, e)
 		} else {
 			h.unknownRuns++
 		}
@@ -68,10 +68,11 @@
 }
 
 // updateRun applies the listed state of a run.
-func (s *Scheduler) updateRun(now time.Time, r *run, n platform.Running, sent time.Time) {
+func (s *Scheduler) updateRun(now time.Time, r *run, n platform.Running, e Polled) {
+	r.noteSurvival(e.Result.ClockMs)
 	// A run still listed after a stop would have taken effect wasn't stopped by a
 	// former owner.
-	if !sent.Before(r.adoptedAt.Add(s.set.StopTimeout + _stopMargin)) {
+	if !e.Sent.Before(r.adoptedAt.Add(s.set.StopTimeout + _stopMargin)) {
 		r.adoptedAt = time.Time{}
 	}
 	if r.state == runOrdered || r.state == runUnconfirmed {
