--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -191,7 +191,7 @@
 			w.checkCompleted(j, k)
 		}
 	case link.JobState_JOB_STATE_FAILED:
-		if j.failPercent == 0 {
+		if j.failPercent == 0 && !w.ledger.mayBeGivenUp(j) {
 			w.ledger.addViolation("LOST", "job %s is reported failed, but none of its runs fails", id)
 		}
 	case link.JobState_JOB_STATE_CANCELLED:
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// TestTaskCrashesUpstreamAfterUpstream plays histories in which some tasks crash each upstream
+// that starts them.
+func TestTaskCrashesUpstreamAfterUpstream(t *testing.T) {
+	s := emulator.Settings{Crashing: true, Upstreams: 8}
+	if *_trace {
+		s.Seed, s.Trace = *_from, os.Stdout
+		emulator.New(s).Run()
+		return
+	}
+	for seed := *_from; seed < *_from+*_seeds; seed++ {
+		s.Seed = seed
+		for _, v := range emulator.New(s).Run() {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
--- a/standin/emulator/idle.go
+++ b/standin/emulator/idle.go
@@ -41,6 +41,9 @@
 		for i := range int(d.GetCount()) {
 			n := platform.TaskName{Job: j.def.GetId(), Step: k, Index: i}
 			since, idle := w.ledger.idleSince(j, n)
+			if t := w.ledger.tasks[n.String()]; t != nil && t.crashed() > 0 {
+				continue
+			}
 			if idle && w.now-since >= _maxIdleTime && w.hasRoom(j, k, d) && w.underHalfOfLimit(j.def.GetWorkspace()) {
 				w.ledger.addViolation("LOST", "long-running task %s hasn't run since %v, with room for it", n, since.Round(time.Millisecond))
 			}
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -31,7 +31,8 @@
 //	ORDER    a task starts after the steps it depends on, and not before it is due
 //	UNASKED  only tasks of submitted jobs start, and none long after a cancellation
 //	REFUSED  a job doesn't run if all attempts to submit it were refused
-//	BUDGET   a task fails no more often than its queue allows
+//	BUDGET   a task fails no more often than its queue allows, and is started at most twice
+//	         more after three upstreams have crashed under it
 //	LOST     entries don't lose an accepted job, its final state agrees with its runs, and
 //	         its long-running tasks run while the platform is calm and has room
 //	MIXED    a completed job has all its tasks done
@@ -66,6 +67,8 @@
 	refused             bool
 	cancelRequested     bool
 	lastState           link.JobState
+	// crashing is its task that crashes upstreams, or nil.
+	crashing *crashing
 	// runTimes are the mean run times of its tasks by step, if a load is replayed; took is
 	// how long its caller waited for its end, zero if that wasn't seen.
 	runTimes []time.Duration
@@ -103,6 +106,9 @@
 	lostWithUpstream bool
 	// stoppedByOrder is set if an order ended the run.
 	stoppedByOrder bool
+	// late is set if the upstream executed the start late, and crashedUpstream if the run
+	// crashed the upstream.
+	late, crashedUpstream bool
 }
 
 func (s *runRecord) String() string {
@@ -316,6 +322,7 @@
 	for _, n := range sortedKeys(l.tasks) {
 		t := l.tasks[n]
 		l.checkRuns(t)
+		l.checkCrashes(t)
 		if t.job.refused && !t.job.maybeAccepted {
 			l.addViolation("REFUSED", "%s started though all attempts to submit its job were refused", n)
 		}
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -153,6 +153,10 @@
 		task: s.Task, fails: d.failsOn(s.Run), record: u.world.ledger.recordStart(d, u, s.Run, by),
 	}
 	u.runs[s.Task] = r
+	r.record.late = u.executingLate
+	if d.crashes() {
+		u.crashLater(r)
+	}
 	if d.def.GetGang() {
 		u.world.joinGang(u, r, d)
 		return nil
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -29,6 +29,8 @@
 	FaultFree bool
 	// Limits adds a second pool, and workspaces whose limits hold over both.
 	Limits bool
+	// Crashing gives some jobs a task that crashes each upstream that starts it.
+	Crashing bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -98,6 +100,8 @@
 	moves          int
 	// limits are the limits of workspaces, or nil.
 	limits *limits
+	// crashes draws the tasks that crash their upstreams, or is nil.
+	crashes *crashes
 }
 
 // listEntry is an upstream's report with its time.
@@ -140,6 +144,9 @@
 	if s.Limits {
 		w.planLimits()
 	}
+	if s.Crashing {
+		w.crashes = &crashes{rand.New(rand.NewPCG(s.Seed, 4))}
+	}
 	return w
 }
 
@@ -238,6 +245,7 @@
 		d.IntervalMs, d.Occurrences = w.between(time.Second, 3*time.Second).Milliseconds(), 2
 	}
 	w.limitJob(d)
+	w.planCrash(j)
 	w.ledger.jobs[d.GetId()] = j
 	at := w.between(800*time.Millisecond, w.settings.SubmitPeriod)
 	w.after(at, func() { w.submit(j, 1) })
