scheduler: a task that crashes its upstreams is given up, and what shared them isn't

Cause: a run that is lost with its upstream was released and placed again at once, with a fresh upstream each time; only ends listed as failed were counted. The class: a retry without a budget, since the fault of the work was taken for one of the host.

Change: a crash counts against the tasks whose runs were lost. It doesn't tell which run caused it, so those that had just started (or were lost twice) start on trial: alone among runs that have lasted, and nothing else starts there until the run has lasted longer than the lost ones. What crashes in a trial is to blame; twice, and the job fails (a long-running task rests alone, as the others of its step may not be stopped). Counts, and the runs that may still crash their upstreams, are in the job's progress record: the start of a task that was lost to a crash waits for it, others ride along with the next batch. A successor so counts what ran on an upstream that crashed meanwhile. Room for trials is bounded to half of the upstreams; a suspect by chance starts anywhere after 1.5 s.

Scripts crashingTask, crashKnownAfterTakeover, crashStartsRecorded, crashingLongRunningTask.

Golden files: start records ride along in batches that were sent before. Scripts restart*, suspect and twiceStaleListAtTakeover got the answer to the append that the start of a lost task now waits for; suspect and restartWithRun go on until the tasks have started.

--- a/entry/scheduler/gang.go
+++ b/entry/scheduler/gang.go
@@ -23,12 +23,15 @@
 				n = max(n, st.tasks[i].lastRun)
 			}
 			for i := range st.tasks {
-				p.s.startAs(p.now, &st.tasks[i], hosts[i], n+1)
+				p.s.startAs(p.now, &st.tasks[i], hosts[i], n+1, p.trial(&st.tasks[i]))
 				p.closeIfFull(hosts[i])
 			}
 			return
 		}
 	}
+	if p.trial(&st.tasks[0]) > 0 {
+		p.s.suspectWaits = true
+	}
 	if !st.occurrence.job.givesWay() && p.now.Sub(st.waitingSince) > _reserveAfter && len(p.reserved) < _maxReserved {
 		p.reserve(&st.tasks[0])
 	}
@@ -47,6 +50,7 @@
 // findGangHosts returns an upstream for each task of a gang, or nil. A non-empty
 // rack restricts the choice.
 func (p *pass) findGangHosts(st *step, rack string) []*host {
+	d := p.trial(&st.tasks[0])
 	free := make(map[*host]platform.Capacity, len(p.hosts))
 	count := make(map[*host]int)
 	var out []*host
@@ -56,7 +60,7 @@
 			if _, ok := free[h]; !ok {
 				free[h] = h.free()
 			}
-			if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(&st.tasks[i], h) || !fitsIn(st.def, free[h]) {
+			if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(&st.tasks[i], h) || !fitsIn(st.def, free[h]) || !p.admits(&st.tasks[i], h, d) {
 				continue
 			}
 			if n := int(st.def.GetAntiAffinity()); n > 0 && count[h] >= n {
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -64,6 +64,9 @@
 
 	used platform.Capacity
 	runs []*run
+	// expired are the runs whose leases lapsed last while the upstream was unreachable. It may
+	// prove to have crashed.
+	expired []*run
 	// states counts the runs by their state, total those of all upstreams.
 	states [_runStates]int
 	total  *[_runStates]int
@@ -216,7 +219,7 @@
 		return 0
 	}
 	for _, r := range h.runs {
-		if r.state == runOrdered && now.Sub(r.ordered) > _unansweredStartAge {
+		if r.state == runOrdered && !r.held && now.Sub(r.ordered) > _unansweredStartAge {
 			return 0
 		}
 	}
@@ -272,7 +275,8 @@
 // unresponsive reports whether starts have been without an answer for longer than an answer
 // takes. Further ones would only wait behind them.
 func (h *host) unresponsive(now time.Time, usual time.Duration) bool {
-	return h.states[runOrdered] > 0 && now.Sub(h.awaitingSince) > _startPatience+usual
+	return h.states[runOrdered] > 0 && now.Sub(h.awaitingSince) > _startPatience+usual &&
+		slices.ContainsFunc(h.runs, func(r *run) bool { return r.state == runOrdered && !r.held })
 }
 
 // _startPatience is how long an upstream may leave a start without an answer before it gets
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -36,8 +36,9 @@
 	begun bool
 	// occurrences are those that have begun, by number.
 	occurrences []*occurrence
-	// dirty is set while changed progress has to be appended.
-	dirty bool
+	// dirty is set while changed progress has to be appended, and dirtyLater while it goes along
+	// with other records.
+	dirty, dirtyLater bool
 	// inherited is set for jobs accepted by a former owner.
 	inherited bool
 	objective time.Duration
@@ -263,7 +264,8 @@
 	// waitingSince is when the task could first be placed.
 	waitingSince time.Time
 	// avoid is the upstream on which the task failed last.
-	avoid string
+	avoid   string
+	crashes crashes
 }
 
 // available reports whether a long-running task is serving, as far as its
@@ -338,6 +340,14 @@
 	percent      int
 	progressedAt time.Time
 	baseline     baseline
+	// trial is how long the run has to last until anything else starts on its upstream.
+	trial time.Duration
+	// held is set while the start isn't sent, because the journal doesn't have it yet. heldBatch
+	// is the batch that has it.
+	held      bool
+	heldBatch int64
+	// inherited is set for a run that a former owner recorded, until it is listed.
+	inherited bool
 	// startClockMs is the upstream's clock at the answer to the start, or when the run was first
 	// listed, and survived how long the upstream is known to have lived on since.
 	startClockMs int64
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -48,6 +48,8 @@
 	// accepting are the new jobs, and dirty those with changed progress.
 	accepting []*job
 	dirty     []*job
+	// dirtyLater are those with changed progress that goes along with other records.
+	dirtyLater []*job
 	// ends holds, by upstream, the highest end number that may be acknowledged
 	// once the next batch has been appended.
 	ends map[*host]int64
@@ -101,6 +103,14 @@
 	s.journal.schedule(now.Add(within))
 }
 
+// recordWithNext adds the progress of a job to the next batch that has other records.
+func (s *Scheduler) recordWithNext(j *job) {
+	if !j.dirty && !j.dirtyLater {
+		j.dirtyLater = true
+		s.journal.dirtyLater = append(s.journal.dirtyLater, j)
+	}
+}
+
 // queueEnds marks the upstream's ends as covered by the next batch. They are
 // acknowledged once it has been appended.
 func (s *Scheduler) queueEnds(now time.Time, h *host) {
@@ -167,10 +177,17 @@
 	if len(n.accepting) > 0 {
 		n.due = now
 	}
+	known := func(j *job) bool { return s.jobs[j.def.GetId()] == j }
+	if len(b.records) > 0 || slices.ContainsFunc(n.dirty, known) {
+		n.dirty = append(n.dirty, slices.DeleteFunc(n.dirtyLater, func(j *job) bool { return j.dirty || j.over() })...)
+		n.dirtyLater = nil
+	}
 	for _, j := range n.dirty {
-		if j.dirty = false; s.jobs[j.def.GetId()] != j {
+		j.dirtyLater = false
+		if j.dirty = false; !known(j) {
 			continue // refused in the meantime
 		}
+		s.noteHeld(j, n.number)
 		b.progress = append(b.progress, progressUpdate{j, endState(j)})
 		b.records = append(b.records, record(ProgressKey(s.set.Pool, j.def.GetId()), progress(j)))
 	}
@@ -219,6 +236,12 @@
 				p.Failures = append(p.Failures, &work.Failure{Task: uint32(i), Run: uint32(n)})
 			}
 			p.LastRun = max(p.LastRun, uint32(t.lastRun))
+			if c := encodeCrashes(t); c != nil {
+				p.Crashes = append(p.Crashes, c)
+			}
+			if c := encodePlacement(t); c != nil {
+				p.Placements = append(p.Placements, c)
+			}
 		}
 		w.Steps = append(w.Steps, p)
 	}
@@ -308,6 +331,7 @@
 		}
 		j.cancelWaiters = nil
 	}
+	s.sendHeld(now, b.number)
 	for h, n := range b.ends {
 		h.durableEnd = max(h.durableEnd, n)
 		h.touch()
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -80,7 +80,7 @@
 // confirmed after the poll was sent.
 func (s *Scheduler) restartUpstream(now, sent time.Time, h *host, l platform.UpstreamStatus) {
 	s.logNote("Upstream restarted under its ID.", "", "upstream", h.up.ID, "runs", len(h.runs), "was", h.born, "born", l.StartUnixMs)
-	s.recordCrash(now, h, "upstream restarted", slices.DeleteFunc(h.cloneRuns(), func(r *run) bool { return mayBeIn(l, r, sent) }))
+	hopeless := s.recordCrash(now, h, "upstream restarted", slices.DeleteFunc(h.cloneRuns(), func(r *run) bool { return mayBeIn(l, r, sent) }))
 	for _, r := range h.cloneRuns() {
 		if mayBeIn(l, r, sent) {
 			continue
@@ -89,6 +89,7 @@
 			"run", r.number, "upstream", h.up.ID, "why", "upstream restarted")
 		s.release(now, r)
 	}
+	s.giveUp(now, hopeless)
 	h.setBorn(now, l.StartUnixMs)
 	h.fenced, h.gone = false, false
 	h.clockMs, h.clockReadAt, h.deadlineMs, h.pollClockMs = 0, time.Time{}, 0, 0
@@ -135,8 +136,9 @@
 	}
 	s.logNote("Upstream incarnation ended.", "", "upstream", h.up.ID, "runs", len(h.runs), "why", why)
 	h.gone = true
-	s.recordCrash(now, h, why, h.runs)
+	hopeless := s.recordCrash(now, h, why, h.runs)
 	s.loseRuns(now, h, why)
+	s.giveUp(now, hopeless)
 	delete(s.unpolled, h.up.ID)
 	s.replan = true
 }
@@ -179,6 +181,9 @@
 	t := r.task
 	t.drop(r)
 	t.step.running--
+	if j := t.step.occurrence.job; r.recorded() && !j.over() {
+		s.recordWithNext(j)
+	}
 	if len(t.runs) == 0 && !t.done {
 		t.waitingSince = now
 	}
@@ -188,17 +193,29 @@
 // expire gives up the runs on an unreachable upstream once its leases have
 // lapsed.
 func (s *Scheduler) expire(now time.Time, h *host) {
-	if len(h.runs) > 0 && h.failedPolls > 0 && h.lapsed(now) {
+	if s.mayLapse(h) && h.lapsed(now) {
+		h.expired = h.cloneRuns()
 		s.loseRuns(now, h, "lease lapsed")
 	}
 }
 
+// mayLapse reports whether runs on an upstream may end because their leases lapse. What a
+// former owner left on an upstream that wasn't polled yet is left to expireUnpolled.
+func (s *Scheduler) mayLapse(h *host) bool {
+	_, unpolled := s.unpolled[h.up.ID]
+	return len(h.runs) > 0 && h.failedPolls > 0 && !unpolled
+}
+
 // expireUnpolled stops waiting for the upstreams of a former owner once every
 // lease on them has certainly lapsed.
 func (s *Scheduler) expireUnpolled(now time.Time) {
 	for id, t := range s.unpolled {
 		if !now.Before(t) {
 			delete(s.unpolled, id)
+			if h := s.hosts.get(id); h != nil {
+				h.expired = h.cloneRuns()
+				s.loseRuns(now, h, "lease of a former owner lapsed")
+			}
 			s.logNote("Upstream of a former owner never answered; its leases have lapsed.", "", "upstream", id)
 			s.replan = true
 		}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -156,14 +156,14 @@
 	if h.hasServingAndBestEffort() {
 		return _pacePollWait
 	}
-	if h.hasStartingTask() {
+	if h.hasStartingTask() || h.onTrial() {
 		return _startupPollWait
 	}
 	return _pollWait
 }
 
 // _startupPollWait is the wait of polls while a task that others depend on starts
-// up. The upstream answers a waiting poll early only if a run ends, not if a task
+// up, or a run is on trial. The upstream answers a waiting poll early only if a run ends, not if a task
 // becomes available.
 const _startupPollWait = 250 * time.Millisecond
 
@@ -220,7 +220,7 @@
 	if h.failedPolls > 0 {
 		s.logNote("Upstream answers polls again.", "", "upstream", h.up.ID, "failed", h.failedPolls)
 	}
-	if !h.fenced || h.failedPolls > 0 || h.unknownRuns > 0 {
+	if !h.fenced || h.failedPolls > 0 || h.unknownRuns > 0 || s.suspectWaits {
 		s.replan = true
 	}
 	if !h.fenced && len(e.Result.Running) > 0 {
@@ -228,6 +228,7 @@
 		h.deadlineMs = max(h.deadlineMs, e.Result.ClockMs+_lease.Milliseconds())
 	}
 	h.failedPolls, h.fenced, h.lastAnsweredAt, h.unansweredStarts, h.restartSuspected = 0, true, now, 0, false
+	h.expired = nil
 	h.clockMs, h.clockReadAt = e.Result.ClockMs, now
 	delete(s.unpolled, h.up.ID)
 	s.recordInUse(now, h)
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -12,27 +12,38 @@
 )
 
 // start starts a task on an upstream under the next run number.
-func (s *Scheduler) start(now time.Time, t *task, h *host) {
-	t.lastRun++
-	s.startAs(now, t, h, t.lastRun)
+func (s *Scheduler) start(now time.Time, t *task, h *host, trial time.Duration) {
+	s.startAs(now, t, h, t.lastRun+1, trial)
 }
 
-func (s *Scheduler) startAs(now time.Time, t *task, h *host, n int64) {
+// startAs starts a task under a run number, on trial for some time. The start of a suspect is
+// sent once the journal has it.
+func (s *Scheduler) startAs(now time.Time, t *task, h *host, n int64, trial time.Duration) {
 	st := t.step
-	r := &run{task: t, number: n, state: runOrdered, ordered: now, percent: -1, progressedAt: now, pace: 100}
+	r := &run{task: t, number: n, state: runOrdered, ordered: now, percent: -1, progressedAt: now, pace: 100, trial: trial}
 	t.lastRun = n
-	t.runs = append(t.runs, r)
-	st.running++
 	if h.states[runOrdered] == 0 {
 		h.awaitingSince = now
 	}
-	h.add(r)
+	s.attach(r, h)
 	s.chargeStart(st)
-	s.countRun(r, 1)
 	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
+	if t.crashes.upstreams > 0 || trial > 0 {
+		s.hold(now, r)
+		return
+	}
+	s.recordWithNext(st.occurrence.job)
 	s.emitStart(now, r)
 }
 
+// attach adds a run to its task and its upstream.
+func (s *Scheduler) attach(r *run, h *host) {
+	r.task.runs = append(r.task.runs, r)
+	r.task.step.running++
+	h.add(r)
+	s.countRun(r, 1)
+}
+
 func (s *Scheduler) emitStart(now time.Time, r *run) {
 	t, h := r.task, r.host
 	o := platform.Start{
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -115,11 +115,14 @@
 
 // place runs one round of placement over the waiting tasks.
 func (s *Scheduler) place(now time.Time) {
-	s.placedAt = now
+	s.placedAt, s.suspectWaits = now, false
 	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
 	for _, h := range s.hosts.order {
 		if h.usable(now) && !h.unresponsive(now, s.flow.delay) {
 			p.hosts = append(p.hosts, h)
+			if h.onTrial() {
+				p.trials++
+			}
 		}
 	}
 	if len(p.hosts) == 0 {
@@ -183,12 +186,16 @@
 type pass struct {
 	s   *Scheduler
 	now time.Time
-	// hosts are the usable upstreams, and open those of them with enough free CPU
-	// for the smallest waiting task. least is that task's CPU request in
+	// hosts are the usable upstreams, and open those of them without a trial and with enough
+	// free CPU for the smallest waiting task. least is that task's CPU request in
 	// millicores.
 	hosts []*host
 	open  []*host
 	least int64
+	// trials counts the upstreams with a run on trial, or reserved for one.
+	trials int
+	// reservedTrials counts those of reserved that are for a trial.
+	reservedTrials int
 	// reserved are the upstreams kept free for tasks that have waited for at least
 	// _reserveAfter, or that are long-running.
 	reserved map[*host]bool
@@ -208,21 +215,25 @@
 		}
 	}
 	for _, h := range p.hosts {
-		if h.free().MilliCPU >= p.least {
+		if h.free().MilliCPU >= p.least && !h.onTrial() {
 			p.open = append(p.open, h)
 		}
 	}
 }
 
 // start starts a task on an upstream, and removes the upstream from the open ones
-// if it is full then.
+// if it is full then, or the run is on trial.
 func (p *pass) start(t *task, h *host) {
-	p.s.start(p.now, t, h)
+	d := p.trial(t)
+	if d > 0 {
+		p.trials++
+	}
+	p.s.start(p.now, t, h, d)
 	p.closeIfFull(h)
 }
 
 func (p *pass) closeIfFull(h *host) {
-	if h.free().MilliCPU >= p.least {
+	if h.free().MilliCPU >= p.least && !h.onTrial() {
 		return
 	}
 	if i := slices.Index(p.open, h); i >= 0 {
@@ -256,7 +267,7 @@
 	}
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.runs) > 0 {
+		if t.done || len(t.runs) > 0 || t.crashes.givenUp {
 			continue
 		}
 		if !p.windowOpen() || !p.withinLimit(st) {
@@ -268,11 +279,17 @@
 			continue
 		}
 		// For a long-running task an upstream is reserved without waiting.
-		if p.now.Sub(t.waitingSince) < _reserveAfter && !st.def.GetLongRunning() {
-			return // The other tasks of the step are as large, so they don't fit either.
+		early := p.now.Sub(t.waitingSince) < _reserveAfter && !st.def.GetLongRunning()
+		if p.trial(t) > 0 {
+			p.s.suspectWaits = true
+			if !early && p.mayTry() && p.reserve(t) {
+				p.trials++
+				p.reservedTrials++
+			}
+			continue // The other tasks of the step may have room.
 		}
-		if st.occurrence.job.givesWay() || len(p.reserved) >= _maxReserved || !p.reserve(t) {
-			return
+		if early || st.occurrence.job.givesWay() || len(p.reserved)-p.reservedTrials >= _maxReserved || !p.reserve(t) {
+			return // The other tasks of the step are as large, so they don't fit either.
 		}
 	}
 }
@@ -282,11 +299,19 @@
 func (p *pass) pick(t *task, rack string) *host {
 	var best *host
 	var low float64
+	d := p.trial(t)
+	if d > 0 && !p.mayTry() {
+		return nil
+	}
 	for _, h := range p.open {
-		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !fitsIn(t.step.def, h.free()) {
+		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !fitsIn(t.step.def, h.free()) || !p.admits(t, h, d) {
 			continue
 		}
-		if c := p.cost(t, h); best == nil || c < low {
+		c := p.cost(t, h)
+		if d > 0 {
+			c += t.trialCost(h)
+		}
+		if best == nil || c < low {
 			best, low = h, c
 		}
 	}
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -57,10 +57,7 @@
 	t.lastRun = max(t.lastRun, n.Run)
 	t.step.occurrence.job.begun = true
 	duplicate := len(t.runs) > 0
-	t.runs = append(t.runs, r)
-	t.step.running++
-	h.add(r)
-	s.countRun(r, 1)
+	s.attach(r, h)
 	if t.done || t.step.occurrence.job.over() || duplicate {
 		s.stop(now, r)
 	}
@@ -69,7 +66,10 @@
 
 // updateRun applies the listed state of a run.
 func (s *Scheduler) updateRun(now time.Time, r *run, n platform.Running, e Polled) {
-	r.noteSurvival(e.Result.ClockMs)
+	s.noteSurvival(now, r, e.Result.ClockMs)
+	if r.inherited {
+		r.inherited, r.adoptedAt = false, now
+	}
 	// A run still listed after a stop would have taken effect wasn't stopped by a
 	// former owner.
 	if !e.Sent.Before(r.adoptedAt.Add(s.set.StopTimeout + _stopMargin)) {
@@ -133,7 +133,7 @@
 	case runOrdered:
 		// The start may still be on its way. Its answer is an event of its own, which may be
 		// lost if the entry is overloaded.
-		if sent.Sub(r.ordered) > _orderLost {
+		if !r.held && sent.Sub(r.ordered) > _orderLost {
 			r.setState(runUnconfirmed)
 		}
 	}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -62,6 +62,13 @@
 	workedAt time.Time
 	// placedAt is the time of the last round of placement.
 	placedAt time.Time
+	// suspectWaits is set if the last round of placement had no upstream for a trial. More of them
+	// may do once further polls have been answered.
+	suspectWaits bool
+	// held are the starts that wait for the journal.
+	held []*run
+	// inheritedRuns are the runs that former owners recorded, while the journal is loaded.
+	inheritedRuns []inheritedRun
 	// unloggedStarts are the starts that weren't logged yet.
 	unloggedStarts  []unloggedStart
 	journal         journal
@@ -291,7 +298,7 @@
 		w.add(s.pollTime(h))
 	}
 	w.add(s.hedgeTime(now, h))
-	if len(h.runs) > 0 && h.failedPolls > 0 {
+	if s.mayLapse(h) {
 		w.add(h.lapseTime())
 	}
 	if h.states[runStopping] > 0 {
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -57,6 +57,7 @@
 			s.recordInUse(now, h)
 		}
 	}
+	s.restoreRuns(now)
 	s.logNote("Journal loaded.", "", "jobs", len(e.Jobs), "open", len(s.active), "upstreams", len(e.Hosts))
 	s.answerPending(now)
 	s.replan = true
@@ -78,6 +79,7 @@
 		for i, sp := range o.GetSteps() {
 			if c != nil && i < len(c.steps) {
 				restoreStep(c.steps[i], sp)
+				s.restoreCrashes(c.steps[i], sp)
 			}
 		}
 	}
