--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -408,7 +408,12 @@
 	return true
 }
 
+// eject ejects the upstream, unless it is ejected already: what ran on it may have failed for one
+// cause.
 func (e *health) eject(now time.Time) {
+	if now.Before(e.ejectedUntil) {
+		return
+	}
 	d := min(_ejection<<min(e.ejections, 4), _maxEjection)
 	e.ejections++
 	// The first failure after the ejection ejects again.
