scheduler: a recorded run of a former owner gives way to a later one of the task

The next owner restored run 1 from the record, took run 2 for a duplicate and stopped it, while another task of the step was unavailable. A former owner starts a task again only once the earlier run can't be running, so the earlier one is dropped.

--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/fleet/permit"
@@ -56,6 +57,7 @@
 	r := &run{task: t, number: n.Run, state: runRunning, started: now, adoptedAt: now, percent: -1, pace: 100}
 	t.lastRun = max(t.lastRun, n.Run)
 	t.step.occurrence.job.begun = true
+	s.releaseSuperseded(now, t, n.Run)
 	duplicate := len(t.runs) > 0
 	s.attach(r, h)
 	if t.done || t.step.occurrence.job.over() || duplicate {
@@ -64,6 +66,16 @@
 	return r
 }
 
+// releaseSuperseded ends the runs of a task that a former owner recorded and that it must have seen
+// the end of, since it started the task again under a higher number.
+func (s *Scheduler) releaseSuperseded(now time.Time, t *task, number int64) {
+	for _, r := range slices.Clone(t.runs) {
+		if r.inherited && r.number < number {
+			s.release(now, r)
+		}
+	}
+}
+
 // updateRun applies the listed state of a run.
 func (s *Scheduler) updateRun(now time.Time, r *run, n platform.Running, e Polled) {
 	s.noteSurvival(now, r, e.Result.ClockMs)
