--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -62,17 +62,19 @@
 	return c.blamed >= _maxBlamed || c.upstreams >= _maxCrashes
 }
 
-// trial returns how long the next run of the task is on trial. The members of a gang start
-// together, so that each is on trial with the others.
-func (t *task) trial() time.Duration {
+// suspicion returns what is held against the next run of the task. The members of a gang start
+// together, so that it is the same for all of them.
+func (t *task) suspicion() crashes {
 	if !t.step.def.GetGang() {
-		return t.crashes.trial()
+		return t.crashes
 	}
-	d := time.Duration(0)
+	var c crashes
 	for i := range t.step.tasks {
-		d = max(d, t.step.tasks[i].crashes.trial())
+		if m := t.step.tasks[i].crashes; m.upstreams > c.upstreams || m.upstreams == c.upstreams && m.lasted < c.lasted {
+			c = m
+		}
 	}
-	return d
+	return c
 }
 
 // settled reports whether the upstream has outlived the run's start by a time, as far as
--- a/entry/scheduler/trial.go
+++ b/entry/scheduler/trial.go
@@ -23,10 +23,11 @@
 // trial returns for how long the next run of a task has to be on trial; zero if it may start
 // anywhere.
 func (p *pass) trial(t *task) time.Duration {
-	if t.crashes.upstreams <= _patientCrashes && p.now.Sub(t.waitingSince) >= _trialPatience {
+	c := t.suspicion()
+	if c.upstreams <= _patientCrashes && p.now.Sub(t.waitingSince) >= _trialPatience {
 		return 0
 	}
-	return t.trial()
+	return c.trial()
 }
 
 // admits reports whether a run of a task may start on an upstream beside the others there, given
@@ -36,7 +37,7 @@
 	switch {
 	case trial == 0:
 		return true
-	case t.crashes.blamed > 0:
+	case t.suspicion().blamed > 0:
 		trial = _trustTime
 	}
 	return h.settled(trial)
