--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -228,8 +228,7 @@
 		h.deadlineMs = max(h.deadlineMs, e.Result.ClockMs+_lease.Milliseconds())
 	}
 	h.failedPolls, h.fenced, h.lastAnsweredAt, h.unansweredStarts, h.restartSuspected = 0, true, now, 0, false
-	h.expired = nil
-	h.clockMs, h.clockReadAt = e.Result.ClockMs, now
+	h.clockMs, h.clockReadAt, h.expired = e.Result.ClockMs, now, nil
 	delete(s.unpolled, h.up.ID)
 	s.recordInUse(now, h)
 	s.recordEnds(now, h, e.Result.Ended)
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -148,7 +148,7 @@
 
 // windowOpen reports whether another start may be sent.
 func (p *pass) windowOpen() bool {
-	return p.s.flow.open(p.now, p.s.hosts.states[runOrdered])
+	return p.s.flow.open(p.now, p.s.hosts.states[runOrdered]-len(p.s.held))
 }
 
 // waiting returns the occurrences with tasks to be placed. Jobs of a former owner
--- a/entry/scheduler/trial.go
+++ b/entry/scheduler/trial.go
@@ -167,7 +167,7 @@
 		}
 		r := &run{
 			task: x.task, number: int64(p.GetRun()), state: runUnconfirmed, ordered: now, progressedAt: now,
-			percent: -1, pace: 100, trial: milliseconds(p.GetTrialMs()), inherited: true,
+			percent: -1, pace: 100, trial: min(milliseconds(p.GetTrialMs()), _trustTime), inherited: true,
 		}
 		r.task.lastRun = max(r.task.lastRun, r.number)
 		s.attach(r, h)
