scheduler: placement runs anew when an upstream's capacity changes

The users' pages now let the capacity of a running upstream shrink and grow. It was read from each list, so that nothing started beyond it (script capacityShrinks), but capacity that came back started nothing by itself: a waiting task stood idle until some other event (capacityGrowsAgain: no start by the end of the script before, at once now).

--- /dev/null
+++ b/entry/scheduler/held.go
@@ -0,0 +1,50 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// hold keeps a start back until the journal has it, and what is known of crashes under the task, so
+// that a later owner counts the run if its upstream crashes too.
+func (s *Scheduler) hold(now time.Time, r *run) {
+	r.held = true
+	s.held = append(s.held, r)
+	s.markDirty(now, r.task.step.occurrence.job, _acceptDelay)
+}
+
+// noteHeld notes that a batch has the held starts of a job.
+func (s *Scheduler) noteHeld(j *job, batch int64) {
+	for _, r := range s.held {
+		if r.task.step.occurrence.job == j {
+			r.heldBatch = batch
+		}
+	}
+}
+
+// sendHeld sends the held starts that a batch has made durable.
+func (s *Scheduler) sendHeld(now time.Time, batch int64) {
+	var due []*run
+	s.held = slices.DeleteFunc(s.held, func(r *run) bool {
+		if !slices.Contains(r.task.runs, r) || r.state != runOrdered {
+			return true
+		}
+		if r.heldBatch == batch {
+			due = append(due, r)
+			return true
+		}
+		return false
+	})
+	for _, r := range due {
+		if r.state != runOrdered {
+			continue // stopped with another member of its gang
+		}
+		r.held, r.ordered = false, now
+		if !r.host.usable(now) || !s.mayOrder(now) {
+			s.releaseUnstarted(now, r)
+			continue
+		}
+		r.host.awaitingSince = now
+		s.emitStart(now, r)
+	}
+}
--- /dev/null
+++ b/entry/scheduler/inherit.go
@@ -0,0 +1,86 @@
+package scheduler
+
+import (
+	"time"
+
+	"fescuelanding/fleet/work"
+)
+
+// encodeCrashes returns the durable form of what is known of crashes under a task, or nil.
+func encodeCrashes(t *task) *work.Crashes {
+	c := t.crashes
+	if c.upstreams == 0 || t.done {
+		return nil
+	}
+	return &work.Crashes{
+		Task: uint32(t.index), Upstreams: uint32(c.upstreams), Blamed: uint32(c.blamed),
+		LastedMs: uint32(c.lasted.Milliseconds()), GivenUp: c.givenUp,
+	}
+}
+
+// encodePlacement returns where a task runs, if its run may still crash the upstream, or nil.
+func encodePlacement(t *task) *work.Placement {
+	if t.done || len(t.runs) == 0 || !t.runs[0].recorded() {
+		return nil
+	}
+	r := t.runs[0]
+	return &work.Placement{
+		Task: uint32(t.index), Run: uint32(r.number), Upstream: r.host.up.ID, StartUnixMs: r.host.born,
+		TrialMs: uint32(r.trial.Milliseconds()),
+	}
+}
+
+// recorded reports whether the journal names the run, so that a later owner knows what ran on an
+// upstream that has crashed meanwhile.
+func (r *run) recorded() bool { return !r.settled(max(r.trial, _settleTime)) }
+
+// restoreCrashes restores what former owners knew of crashes under the tasks of a step, and
+// notes the runs that they may have started.
+func (s *Scheduler) restoreCrashes(st *step, p *work.StepProgress) {
+	for _, m := range p.GetCrashes() {
+		if i := int(m.GetTask()); i < len(st.tasks) {
+			st.tasks[i].crashes = crashes{
+				upstreams: int(m.GetUpstreams()), blamed: int(m.GetBlamed()), lasted: milliseconds(m.GetLastedMs()),
+				givenUp: m.GetGivenUp(),
+			}
+		}
+	}
+	for _, m := range p.GetPlacements() {
+		if i := int(m.GetTask()); i < len(st.tasks) && !st.tasks[i].done {
+			s.inheritedRuns = append(s.inheritedRuns, inheritedRun{&st.tasks[i], m})
+		}
+	}
+}
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// inheritedRun is a run that a former owner may have started.
+type inheritedRun struct {
+	task      *task
+	placement *work.Placement
+}
+
+// restoreRuns adds the runs that former owners may have started. If the upstream has crashed
+// since, that counts against their tasks. An upstream that is no longer recorded was dropped after
+// its end had been handled.
+func (s *Scheduler) restoreRuns(now time.Time) {
+	for _, x := range s.inheritedRuns {
+		p := x.placement
+		h := s.hosts.get(p.GetUpstream())
+		if h == nil || x.task.step.occurrence.job.over() {
+			continue
+		}
+		r := &run{
+			task: x.task, number: int64(p.GetRun()), state: runUnconfirmed, ordered: now, progressedAt: now,
+			percent: -1, pace: 100, trial: min(milliseconds(p.GetTrialMs()), _trustTime), inherited: true,
+		}
+		r.task.lastRun = max(r.task.lastRun, r.number)
+		s.attach(r, h)
+		if p.GetStartUnixMs() < h.born {
+			hopeless := s.recordCrash(now, h, "restarted before the takeover", []*run{r})
+			s.release(now, r)
+			s.giveUp(now, hopeless)
+		}
+	}
+	s.inheritedRuns = nil
+}
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -68,6 +68,11 @@
 		s.logNote("Upstream listed again, or its draining state changed.", "", "upstream", u.ID, "draining", u.Draining)
 		s.replan = true
 	}
+	if u.Capacity != h.up.Capacity {
+		s.logNote("Capacity of an upstream changed.", "", "upstream", u.ID, "was", h.up.Capacity.MilliCPU, "milliCPU", u.Capacity.MilliCPU,
+			"used", h.used.MilliCPU)
+		s.replan = true
+	}
 	h.update(u, now)
 	if u.Draining {
 		s.evacuate(now, h)
