--- a/entry/scheduler/doc.go
+++ b/entry/scheduler/doc.go
@@ -33,11 +33,20 @@
 //
 // A job is accepted or cancelled once the record of it has been appended. The end
 // of a task is appended before the upstream may discard it, and before the job is
-// reported as completed. Where a task runs isn't appended: a new owner reads that
-// from the upstreams, after fencing off the former owner with its higher token.
+// reported as completed. Where a task runs needn't be appended: a new owner reads that
+// from the upstreams, after fencing off the former owner with its higher token. Runs that
+// have just started go along with other records, because their upstream may crash before
+// it is read.
 // Only the set of upstreams in use is appended, so that a new owner knows which
 // ones it has to poll before it places jobs accepted by a former owner.
 //
+// # Tasks that crash their upstreams
+//
+// A crash of an upstream ends all runs on it, and doesn't tell which of them caused it. It
+// counts against those that hadn't lasted for long. A suspect's next run is on trial, so
+// that a further crash has one cause; a task that is to blame is given up. What is known of
+// crashes is in the progress of the job, and is durable before the task starts again.
+//
 // # Limits of workspaces
 //
 // A workspace's limit holds over all pools. The planner gives each pool a share of it. A
