scheduler: one crash counts once, and inherited runs aren't to blame for being all that is known

Two causes, both with runs that a new owner restores from the records: a start without an answer was kept after it had been counted, stayed in the record, and the next owner counted the same crash again; and of an upstream that had restarted before the takeover each run was judged by itself, as if alone there, and so was to blame (five tasks of one upstream). A run that was counted leaves the record, the runs of one upstream are judged together, and an inherited run is to blame only for a trial.

--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -133,9 +133,9 @@
 }
 
 // blamable reports whether no other run than r can have crashed the upstream with which the
-// given runs were lost. The members of a gang are tried together.
+// given runs were lost. What else ran beside an inherited run is unknown, but for a trial. The members of a gang are tried together.
 func blamable(r *run, lost []*run) bool {
-	if len(lost) > 1 && !r.onTrial() {
+	if (len(lost) > 1 || r.inherited) && !r.onTrial() {
 		return false
 	}
 	return !slices.ContainsFunc(lost, func(o *run) bool {
@@ -150,9 +150,10 @@
 func (s *Scheduler) countCrash(now time.Time, r *run, machine string, blamed bool) bool {
 	t := r.task
 	j := t.step.occurrence.job
-	if t.done || j.over() || r.settled(_trustTime) {
+	if t.done || j.over() || r.settled(_trustTime) || r.crashCounted {
 		return false
 	}
+	r.crashCounted = true
 	c := &t.crashes
 	c.upstreams++
 	c.lasted, c.machine = max(c.lasted, r.lasted()), machine
--- a/entry/scheduler/inherit.go
+++ b/entry/scheduler/inherit.go
@@ -32,7 +32,7 @@
 
 // recorded reports whether the journal names the run, so that a later owner knows what ran on an
 // upstream that has crashed meanwhile.
-func (r *run) recorded() bool { return !r.settled(max(r.trial, _settleTime)) }
+func (r *run) recorded() bool { return !r.crashCounted && !r.settled(max(r.trial, _settleTime)) }
 
 // restoreCrashes restores what former owners knew of crashes under the tasks of a step, and
 // notes the runs that they may have started.
@@ -64,6 +64,7 @@
 // since, that counts against their tasks. An upstream that is no longer recorded was dropped after
 // its end had been handled.
 func (s *Scheduler) restoreRuns(now time.Time) {
+	crashed := make(map[*host][]*run)
 	for _, x := range s.inheritedRuns {
 		p := x.placement
 		h := s.hosts.get(p.GetUpstream())
@@ -77,10 +78,15 @@
 		r.task.lastRun = max(r.task.lastRun, r.number)
 		s.attach(r, h)
 		if p.GetStartUnixMs() < h.born {
-			hopeless := s.recordCrash(now, h, "restarted before the takeover", []*run{r})
-			s.release(now, r)
-			s.giveUp(now, hopeless)
+			crashed[h] = append(crashed[h], r)
 		}
 	}
 	s.inheritedRuns = nil
+	for _, h := range s.hosts.all() {
+		hopeless := s.recordCrash(now, h, "restarted before the takeover", crashed[h])
+		for _, r := range crashed[h] {
+			s.release(now, r)
+		}
+		s.giveUp(now, hopeless)
+	}
 }
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -348,6 +348,9 @@
 	heldBatch int64
 	// inherited is set for a run that a former owner recorded, until it is listed.
 	inherited bool
+	// crashCounted is set once a crash was counted against the run. The run may still be kept, if
+	// its start may reach the next incarnation.
+	crashCounted bool
 	// startClockMs is the upstream's clock at the answer to the start, or when the run was first
 	// listed, and survived how long the upstream is known to have lived on since.
 	startClockMs int64
