scheduler: placement runs anew when the tickets of a step expire

A wave had restarted its host, which then had an upstream under a new ID; the step's tickets named the former one, and task 1 of the step kept the other host. Tickets are requested again in a round of placement after they have expired, but nothing caused one in a pool without other events (a log line for each round showed the last one 1.1 s before the expiry). Placement is now due at the expiry.

--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -371,6 +371,8 @@
 	}
 	k := &st.tickets
 	if k.byHost != nil && p.now.Before(k.until) {
+		// A task that fits only on upstreams without a ticket waits for the next request.
+		p.s.adviceRetry.add(k.until)
 		return true
 	}
 	if k.requested || p.now.Before(k.retryAt) {
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -53,7 +53,7 @@
 	contest contest
 	// answerLostAt is when a call to an upstream last had no answer.
 	answerLostAt time.Time
-	// adviceRetry is when failed requests to policies are repeated.
+	// adviceRetry is when requests to policies are repeated that failed, or whose tickets expire.
 	adviceRetry earliest
 	// summed is the backlog as of summedAt, with the jobs accepted since.
 	summed   backlog
