--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -21,20 +21,12 @@
 
 // TestSeeds plays the histories of many seeds and checks that none breaks a guarantee.
 func TestSeeds(t *testing.T) {
-	if *_trace {
-		emulator.New(emulator.Settings{Seed: *_from, Trace: os.Stdout}).Run()
-		return
-	}
-	for seed := *_from; seed < *_from+*_seeds; seed++ {
-		for _, v := range emulator.New(emulator.Settings{Seed: seed}).Run() {
-			t.Errorf("seed %d: %v", seed, v)
-		}
-	}
+	playSeeds(t, emulator.Settings{})
 }
 
-// TestLimits plays histories in which workspaces have limits over two pools.
-func TestLimits(t *testing.T) {
-	s := emulator.Settings{Limits: true, Jobs: 40, Upstreams: 10}
+// playSeeds plays a history of each seed, or prints that of the first one.
+func playSeeds(t *testing.T, s emulator.Settings) {
+	t.Helper()
 	if *_trace {
 		s.Seed, s.Trace = *_from, os.Stdout
 		emulator.New(s).Run()
@@ -48,21 +40,15 @@
 	}
 }
 
+// TestLimits plays histories in which workspaces have limits over two pools.
+func TestLimits(t *testing.T) {
+	playSeeds(t, emulator.Settings{Limits: true, Jobs: 40, Upstreams: 10})
+}
+
 // TestTaskCrashesUpstreamAfterUpstream plays histories in which some tasks crash each upstream
 // that starts them.
 func TestTaskCrashesUpstreamAfterUpstream(t *testing.T) {
-	s := emulator.Settings{Crashing: true, Upstreams: 8}
-	if *_trace {
-		s.Seed, s.Trace = *_from, os.Stdout
-		emulator.New(s).Run()
-		return
-	}
-	for seed := *_from; seed < *_from+*_seeds; seed++ {
-		s.Seed = seed
-		for _, v := range emulator.New(s).Run() {
-			t.Errorf("seed %d: %v", seed, v)
-		}
-	}
+	playSeeds(t, emulator.Settings{Crashing: true, Upstreams: 8})
 }
 
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
