--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -133,7 +133,8 @@
 }
 
 // blamable reports whether no other run than r can have crashed the upstream with which the
-// given runs were lost. What else ran beside an inherited run is unknown, but for a trial. The members of a gang are tried together.
+// given runs were lost. What else ran beside an inherited run is unknown, but for a trial. The
+// members of a gang are tried together.
 func blamable(r *run, lost []*run) bool {
 	if (len(lost) > 1 || r.inherited) && !r.onTrial() {
 		return false
