entry: calls to the store are repeated after a multiple of what answers take

Cause: an append, a join or a leave whose answer is lost was repeated after 600 to 1,000 ms, where answers take 6 to 12 ms. Ruled out: an early time-out that cuts the first attempt off, as the answer of a slow store would be lost; the log read back, which costs a read of the partition for each lost answer and is no faster than the repeat, that the store answers with the first response. Change: entry/internal/hedge decides when an attempt is repeated beside the open ones: four times what answers take, twice as long each time; a repeat that is answered before the attempt that it repeats shows that answers get lost, and the intervals stay short. Used for appends and claims of pools, joins and leaves, and the planner's records.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"fescuelanding/entry/internal/hedge"
 	"fescuelanding/entry/member"
 	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
@@ -84,6 +85,8 @@
 	failing       bool
 	// took is how long the last call to the store took that was answered or timed out.
 	took time.Duration
+	// caller decides when a call that changes the group is repeated.
+	caller hedge.Caller
 	// handover determines, after each join, which members must join again at once.
 	handover member.Handover
 	rejoin   chan struct{}
@@ -154,7 +157,9 @@
 	c, cancel := context.WithTimeout(ctx, g.callTimeout())
 	defer cancel()
 	sent := time.Now()
-	m, err := g.store.Join(c, _group, g.member, _topic, member.TTL, n)
+	m, err := hedge.Do(c, &g.caller, func(c context.Context) (platform.Membership, error) {
+		return g.store.Join(c, _group, g.member, _topic, member.TTL, n)
+	})
 	g.noteTime(time.Since(sent), err)
 	if err != nil {
 		return member.RetryInterval, fmt.Errorf("join: %w", err)
@@ -208,7 +213,10 @@
 func (g *Group) Leave(ctx context.Context) error {
 	c, cancel := context.WithTimeout(ctx, _timeout)
 	defer cancel()
-	if err := g.store.Leave(c, _group, g.member); err != nil {
+	_, err := hedge.Do(c, &g.caller, func(c context.Context) (struct{}, error) {
+		return struct{}{}, g.store.Leave(c, _group, g.member)
+	})
+	if err != nil {
 		return fmt.Errorf("leave: %w", err)
 	}
 	return nil
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -4,7 +4,7 @@
 // A pool has one writer at a time: the owner's fencing token is the epoch of the
 // pool's producer, so that the store rejects appends of former owners. An append
 // whose response was lost is retried with the same sequence number until its
-// outcome is known.
+// outcome is known. When it is retried follows from how long responses take (hedge.Pace).
 //
 //	j := journal.New(store, pool, token, partitions)
 //	err := j.Claim(ctx)            // fences off former owners
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"fescuelanding/entry/internal/hedge"
 	"fescuelanding/entry/scheduler"
 	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
@@ -30,15 +31,13 @@
 
 const (
 	_topic = "keyed.jobs"
-	// _timeout is how long an attempt to append or claim may be without an answer before it is
-	// repeated, at least. A read of the whole journal may take three times _timeout.
-	_timeout = 900 * time.Millisecond
-	// _slowFactor is the multiple of the time of the last append after which one without an
-	// answer is repeated, as a slow store works on each repeat.
-	_slowFactor = 2
+	// _claimTimeout and _loadTimeout limit a claim of the journal and a read of all of it before
+	// they are made anew.
+	_claimTimeout = 1800 * time.Millisecond
+	_loadTimeout  = 2700 * time.Millisecond
 	// _maxAttempts limits the attempts at one append that are without an answer, each of which
 	// takes a connection.
-	_maxAttempts = 2
+	_maxAttempts = 4
 	// _firstPause and _maxPause limit the exponential backoff between attempts.
 	_firstPause = 60 * time.Millisecond
 	_maxPause   = 400 * time.Millisecond
@@ -54,10 +53,9 @@
 	partition int
 	epoch     int64
 	sequence  scheduler.AppendSequence
-	// took is how long the last append took.
-	took time.Duration
-	// repeatAfter replaces _timeout for appends if it isn't zero.
-	repeatAfter time.Duration
+	// pace decides when an append without an answer is repeated, caller the same for a claim.
+	pace   hedge.Pace
+	caller hedge.Caller
 }
 
 // New returns the journal of a pool for the owner with a fencing token. parts is
@@ -95,7 +93,7 @@
 func (j *Journal) Load(ctx context.Context) (scheduler.Loaded, error) {
 	pause := _firstPause
 	for {
-		c, cancel := context.WithTimeout(ctx, 3*_timeout)
+		c, cancel := context.WithTimeout(ctx, _loadTimeout)
 		b, err := j.store.Newest(c, _topic, j.partition)
 		cancel()
 		if err == nil {
@@ -135,9 +133,11 @@
 			r.attempt(ctx) // The outcome of the earlier attempt is unknown.
 			continue
 		}
+		if platform.Status(a.err) != 0 || a.err == nil {
+			j.pace.Answered(time.Now(), a.took, r.overtook(a.number))
+		}
 		switch j.sequence.Answered(a.err) {
 		case scheduler.AttemptDone:
-			j.took = a.took
 			return a.took, nil
 		case scheduler.AttemptRenumbered:
 			r.attempt(ctx) // The store expects another sequence number, which is now known.
@@ -203,7 +203,7 @@
 // next returns the next answer. It returns false when the append has to be repeated without one,
 // or ctx has ended.
 func (r *repeater) next(ctx context.Context) (answer, bool) {
-	t := time.NewTimer(max(r.journal.interval(), _slowFactor*r.journal.took))
+	t := time.NewTimer(r.journal.pace.After(time.Now(), r.last) + r.transfer())
 	defer t.Stop()
 	for {
 		select {
@@ -222,18 +222,31 @@
 	}
 }
 
-func (j *Journal) interval() time.Duration {
-	if j.repeatAfter > 0 {
-		return j.repeatAfter
+// transfer returns how long the records take on a thin link.
+func (r *repeater) transfer() time.Duration {
+	n := 0
+	for _, x := range r.records {
+		n += len(x.Key) + len(x.Value)
 	}
-	return _timeout
+	return time.Duration(n) * time.Second / _bytesPerS
+}
+
+// _bytesPerS is the rate of the thinnest link of an entry to the store.
+const _bytesPerS = 1 << 20
+
+// overtook reports whether an earlier attempt than an answered one has no answer.
+func (r *repeater) overtook(answered int) bool {
+	return len(r.open) > 0 && r.open[0].number < answered
 }
 
 // claimOnce makes one attempt to claim the journal.
 func (j *Journal) claimOnce(ctx context.Context) error {
-	c, cancel := context.WithTimeout(ctx, _timeout)
+	c, cancel := context.WithTimeout(ctx, _claimTimeout)
 	defer cancel()
-	return j.send(c, j.sequence.Next(), nil)
+	_, err := hedge.Do(c, &j.caller, func(c context.Context) (struct{}, error) {
+		return struct{}{}, j.send(c, j.sequence.Next(), nil)
+	})
+	return err
 }
 
 func (j *Journal) send(ctx context.Context, sequence int64, records []platform.Record) error {
--- a/entry/internal/journal/journal_test.go
+++ b/entry/internal/journal/journal_test.go
@@ -52,7 +52,6 @@
 	defer w.Close()
 	defer close(s.done)
 	j := New(platform.NewStore(w.Listener.Addr().String(), 4), "pool", 7, 1)
-	j.repeatAfter = 100 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	start := time.Now()
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -26,8 +26,9 @@
 
 const (
 	// _storeConns limits the connections to the store. They are used by a long poll,
-	// the group, the list of upstreams, and the journals of the owned pools.
-	_storeConns = 8
+	// the group, the list of upstreams, and the journals of the owned pools. A call that is
+	// repeated leaves its former connection open.
+	_storeConns = 16
 	// _orderConns limits the connections for orders to an upstream. The platform charges
 	// for connections, and an order takes only a few milliseconds.
 	_orderConns = 2
--- a/entry/internal/node/order.go
+++ b/entry/internal/node/order.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuelanding/entry/hostplan"
+	"fescuelanding/entry/internal/hedge"
 	"fescuelanding/platform"
 )
 
@@ -59,7 +60,15 @@
 func (s *term) append(ctx context.Context, topic string, l []platform.Record) error {
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
-	return s.node.store.Append(c, topic, 0, platform.Producer{}, l)
+	return s.appendAs(c, topic, platform.Producer{}, l)
+}
+
+// appendAs appends records atomically as a producer. An append without an answer is repeated.
+func (s *term) appendAs(ctx context.Context, topic string, p platform.Producer, l []platform.Record) error {
+	_, err := hedge.Do(ctx, &s.appends, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.node.store.Append(ctx, topic, 0, p, l)
+	})
+	return err
 }
 
 // appendNumbered appends records to _upkeepTopic atomically, unless a later planning
@@ -67,7 +76,7 @@
 func (s *term) appendNumbered(ctx context.Context, topic string, l []platform.Record) error {
 	c, cancel := context.WithTimeout(ctx, _cloudTimeout)
 	defer cancel()
-	err := s.node.store.Append(c, topic, 0, s.numbering.Next(), l)
+	err := s.appendAs(c, topic, s.numbering.Next(), l)
 	if err != nil || len(l) > 0 {
 		s.numbering.Answered(err)
 	}
--- a/entry/internal/node/shift.go
+++ b/entry/internal/node/shift.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuelanding/entry/hostplan"
+	"fescuelanding/entry/internal/hedge"
 	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
@@ -29,7 +30,9 @@
 	records, statuses *recorder
 	// numbering numbers the appends to _upkeepTopic.
 	numbering hostplan.AppendNumbering
-	view      hostplan.View
+	// appends decides when an append without an answer is repeated.
+	appends hedge.Caller
+	view    hostplan.View
 	// limits divides the limits of workspaces among the pools.
 	limits divider
 	// loadSequence numbers the calls of exchangeLoads. It is sent to the owners with the
