--- a/entry/hostplan/moves.go
+++ b/entry/hostplan/moves.go
@@ -58,6 +58,11 @@
 	// that a wave takes down.
 	waveExtra int
 	firstSeen time.Time
+	// owner is the fencing token of the pool's owner, which has reported since ownerSince.
+	owner      int64
+	ownerSince time.Time
+	// formerNeed is the last need under an owner that had seen enough of the demand.
+	formerNeed int
 	// recentNeeds are the values of need within _standbyDelay.
 	recentNeeds []needSample
 	cycle       demandCycle
@@ -92,7 +97,10 @@
 		s.current = v.Load != nil
 		if v.Load != nil {
 			s.load = v.Load
-			s.cycle.record(now, float64(v.Load.GetDemand()))
+			s.noteOwner(now, v.Load.GetOwner())
+			if !s.ownerIsNew(now) {
+				s.cycle.record(now, float64(v.Load.GetDemand()))
+			}
 		}
 		s.hosts, s.unavailable = 0, 0
 	}
@@ -149,12 +157,37 @@
 	}
 	s.minNeed = max(longRunningHosts, int(s.load.GetSpread()), _minHosts)
 	s.need = max(s.need, s.minNeed)
+	if s.ownerIsNew(now) {
+		s.need = max(s.need, s.formerNeed)
+	} else {
+		s.formerNeed = s.need
+	}
 	s.recentNeeds = append(s.recentNeeds, needSample{now, s.need})
 	for now.Sub(s.recentNeeds[0].at) > _standbyDelay {
 		s.recentNeeds = s.recentNeeds[1:]
 	}
 }
 
+// _ownerLearns is how long an owner takes to see the demand of its pool. It measures demand from
+// what is submitted to it, over that time, and knows nothing of its predecessor's.
+const _ownerLearns = 1500 * time.Millisecond
+
+// noteOwner notes the owner that reported the load.
+func (s *poolState) noteOwner(now time.Time, token int64) {
+	if s.owner == token {
+		return
+	}
+	if s.owner != 0 {
+		s.ownerSince = now
+	}
+	s.owner = token
+}
+
+// ownerIsNew reports whether the pool changed hands so lately that its owner sees too little demand.
+func (s *poolState) ownerIsNew(now time.Time) bool {
+	return !s.ownerSince.IsZero() && now.Sub(s.ownerSince) < _ownerLearns
+}
+
 // target returns how many available hosts the pool should have.
 func (s *poolState) target() int { return s.need + s.waveExtra }
 
--- a/entry/hostplan/script_test.go
+++ b/entry/hostplan/script_test.go
@@ -23,7 +23,7 @@
 //
 //	host NAME POOL [STATE] [upstream=U]   adds or replaces a listed host
 //	unlist NAME                           removes a host from the list
-//	pool NAME [standby] [demand=N] [expected=N] [waiting=N] [busy=N] [lasting=N] [spread=N]
+//	pool NAME [standby] [demand=N] [expected=N] [waiting=N] [busy=N] [lasting=N] [spread=N] [owner=N]
 //	    [runs=U:N:LASTING[:START[:KNOWNMS]],...] [doubtful=U:MACHINE[:START[:KNOWNMS]],...] [vacant=U,...]
 //	                                      sets the load that its owner reports
 //	unresponsive NAME                     the pool's owner doesn't answer
@@ -178,6 +178,8 @@
 			v.Load.Busy = p.number(s)
 		case "lasting":
 			v.Load.Lasting = p.number(s)
+		case "owner":
+			v.Load.Owner = p.number(s)
 		case "spread":
 			v.Load.Spread = int32(p.number(s))
 		case "vacant":
