--- a/entry/internal/hedge/hedge.go
+++ b/entry/internal/hedge/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -72,7 +71,7 @@
 			if answered {
 				c.answered(r.took, open > sent-r.number)
 			}
-			if answered || open == 0 || errors.Is(r.err, platform.ErrNotSent) {
+			if answered || open == 0 {
 				return r.value, r.err
 			}
 		}
