--- a/entry/internal/hedge/hedge.go
+++ b/entry/internal/hedge/hedge.go
@@ -41,7 +41,8 @@
 
 // Do makes a call, repeats it while answers are missing, and returns the first answer. A refusal
 // is an answer. Without one it returns the error of the last attempt, or that of ctx once that
-// has ended. Attempts that are still open then are cut off.
+// has ended. Attempts that are still open then are cut off: at most _maxAttempts run at a time, and
+// none is sent after the call has ended. A server may still carry out one that was sent.
 func Do[T any](ctx context.Context, c *Caller, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
