scheduler, owner: logs tell why and on whose word runs are given up

New lines: leases that have lapsed, with the ages of the last answer and of the confirmation; an owner that gives no orders, and gives them again; runs of a former owner that a new one finds. Metric entry_runs_given_up_total by reason. No decision changes.

--- a/entry/internal/owner/metrics.go
+++ b/entry/internal/owner/metrics.go
@@ -19,3 +19,8 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("entry_upstream_crashes_total{pool=%q}", pool)).Inc()
 	metrics.GetOrCreateCounter(fmt.Sprintf("entry_crash_lost_runs_total{pool=%q}", pool)).Add(c.Runs)
 }
+
+// countGivenUp counts runs whose tasks are placed again although the ends of the runs weren't read.
+func countGivenUp(pool string, c scheduler.CountGivenUp) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("entry_runs_given_up_total{pool=%q,why=%q}", pool, c.Why)).Add(c.Runs)
+}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -261,6 +261,8 @@
 		countJob(o.pool, op)
 	case scheduler.CountCrash:
 		countCrash(o.pool, op)
+	case scheduler.CountGivenUp:
+		countGivenUp(o.pool, op)
 	case scheduler.Note:
 		o.log.Note(o.pool, op)
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -265,16 +265,24 @@
 	What string
 }
 
+// CountGivenUp counts runs that were given up although their ends weren't read.
+type CountGivenUp struct {
+	// Why is one of a few fixed texts.
+	Why  string
+	Runs int
+}
+
 // CountCrash counts an upstream that crashed, and the runs that were lost with it.
 type CountCrash struct{ Runs int }
 
-func (Start) op()      {}
-func (Stop) op()       {}
-func (Pace) op()       {}
-func (Poll) op()       {}
-func (Append) op()     {}
-func (Advise) op()     {}
-func (Reply) op()      {}
-func (Note) op()       {}
-func (Count) op()      {}
-func (CountCrash) op() {}
+func (Start) op()        {}
+func (Stop) op()         {}
+func (Pace) op()         {}
+func (Poll) op()         {}
+func (Append) op()       {}
+func (Advise) op()       {}
+func (Reply) op()        {}
+func (Note) op()         {}
+func (Count) op()        {}
+func (CountCrash) op()   {}
+func (CountGivenUp) op() {}
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -90,14 +90,19 @@
 	hopeless := s.recordCrash(now, h, "upstream restarted", slices.DeleteFunc(h.cloneRuns(), func(r *run) bool {
 		return mayBeIn(l, r, sent) && (r.state != runUnconfirmed || lists(l, r))
 	}))
+	lost := 0
 	for _, r := range h.cloneRuns() {
 		if mayBeIn(l, r, sent) {
 			continue
 		}
+		lost++
 		s.logNote("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
 			"run", r.number, "upstream", h.up.ID, "why", "upstream restarted")
 		s.release(now, r)
 	}
+	if lost > 0 {
+		s.emit(CountGivenUp{Why: "upstream restarted", Runs: lost})
+	}
 	s.giveUp(now, hopeless)
 	h.setBorn(now, l.StartUnixMs)
 	h.fenced, h.gone = false, false
@@ -176,6 +181,9 @@
 // loseRuns gives up all runs on an upstream, so that their tasks are placed
 // again.
 func (s *Scheduler) loseRuns(now time.Time, h *host, why string) {
+	if len(h.runs) > 0 {
+		s.emit(CountGivenUp{Why: why, Runs: len(h.runs)})
+	}
 	for _, r := range h.cloneRuns() {
 		s.logNote("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
 			"run", r.number, "upstream", h.up.ID, "why", why)
@@ -203,6 +211,9 @@
 // lapsed.
 func (s *Scheduler) expire(now time.Time, h *host) {
 	if s.mayLapse(h) && h.lapsed(now) {
+		s.logNote("Leases on an unreachable upstream have lapsed.", "", "upstream", h.up.ID, "runs", len(h.runs),
+			"lapsedMsAgo", now.Sub(h.lapseTime()).Milliseconds(), "seenMsAgo", now.Sub(h.lastAnsweredAt).Milliseconds(),
+			"confirmedMsAgo", now.Sub(s.ownershipConfirmedAt).Milliseconds())
 		h.expired = h.cloneRuns()
 		s.loseRuns(now, h, "lease lapsed")
 	}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -224,6 +224,8 @@
 		s.replan = true
 	}
 	if !h.fenced && len(e.Result.Running) > 0 {
+		s.logNote("Upstream has runs of a former owner.", "", "upstream", h.up.ID, "runs", len(e.Result.Running),
+			"waitedMs", now.Sub(s.loadedAt).Milliseconds(), "token", s.set.Token)
 		// The runs may hold a lease that a former owner has just renewed.
 		h.deadlineMs = max(h.deadlineMs, e.Result.ClockMs+_lease.Milliseconds())
 	}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -35,6 +35,9 @@
 	// unpolledLoggedAt is when unpolled was logged last.
 	unpolledLoggedAt     time.Time
 	ownershipConfirmedAt time.Time
+	// silent is set while this owner gives no orders, because the store hasn't confirmed its
+	// ownership in time.
+	silent bool
 	// lost is set once a later owner has fenced off this one.
 	lost bool
 
@@ -204,6 +207,7 @@
 	if !s.loaded {
 		return
 	}
+	s.logSilence(now)
 	s.expireUnpolled(now)
 	s.logUnpolled(now)
 	a := &s.hosts.agenda
@@ -254,6 +258,20 @@
 	return now.Sub(s.ownershipConfirmedAt) < _storeTimeout
 }
 
+// logSilence logs when this owner ceases to give orders, and when it gives them again.
+func (s *Scheduler) logSilence(now time.Time) {
+	silent := !s.mayOrder(now)
+	if silent == s.silent {
+		return
+	}
+	s.silent = silent
+	what := "Owner gives orders again."
+	if silent {
+		what = "Owner gives no orders, because the store hasn't confirmed its ownership in time."
+	}
+	s.logNote(what, "", "token", s.set.Token, "confirmedMsAgo", now.Sub(s.ownershipConfirmedAt).Milliseconds())
+}
+
 // Next returns when to send Woken if no other event comes first. It is zero if
 // nothing is due.
 func (s *Scheduler) Next(now time.Time) time.Time {
