scheduler: leases have lapsed only if the store confirms that nobody else owned the pool

Cause: an owner that had lost the store and some upstreams gave up the runs on these once the leases that it had granted itself had lapsed, after 4.8 s, and started the tasks on upstreams that it still reached, as it may for 6 s. Its successor, in place 1.1 s after the store was lost, had renewed those leases. The upstreams that the former owner reached hadn't been reached by the successor, so no fencing token stopped it.

The same holds for upstreams of a former owner that never answered (expireUnpolled): a third owner may have renewed there.

--- a/entry/scheduler/doc.go
+++ b/entry/scheduler/doc.go
@@ -60,5 +60,6 @@
 // A task is placed again only when its former run can't be running any more: the
 // upstream listed its end, or confirmed a stop and no longer lists the run, or
 // the upstream's incarnation has ended, or the run's lease has lapsed even on the
-// slowest clock.
+// slowest clock, at a time at which the store confirms that this entry was still the
+// owner: a later owner may have renewed the lease.
 package scheduler
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -67,8 +67,11 @@
 
 // batch is an append in flight.
 type batch struct {
-	number    int64
-	sent      time.Time
+	number int64
+	sent   time.Time
+	// confirms is when this entry owns the pool if the batch is appended. It is before sent by the
+	// time for which the process was suspended since.
+	confirms  time.Time
 	accepting []*job
 	progress  []progressUpdate
 	ends      map[*host]int64
@@ -133,6 +136,13 @@
 	}
 }
 
+// suspended counts a suspension of the process, which the clock left out.
+func (n *journal) suspended(d time.Duration) {
+	if n.inFlight != nil {
+		n.inFlight.confirms = n.inFlight.confirms.Add(-d)
+	}
+}
+
 // flush sends the next batch if it is due and none is in flight.
 func (s *Scheduler) flush(now time.Time) {
 	n := &s.journal
@@ -157,7 +167,7 @@
 	n := &s.journal
 	s.refuseUnanswerable(now)
 	n.number++
-	b := &batch{number: n.number, sent: now, ends: n.ends}
+	b := &batch{number: n.number, sent: now, confirms: now, ends: n.ends}
 	n.ends, n.due = nil, time.Time{}
 	b.others, n.others = n.others, nil
 	b.hosts, n.hosts = n.hosts, nil
@@ -257,6 +267,10 @@
 	s.journal.inFlight = nil
 	if e.Err == nil {
 		s.journal.commits.answered(e.Took)
+		// A later owner claims the journal before it does anything else. The store would have refused
+		// the append then.
+		s.ownership.confirm(b.confirms)
+		s.touchLapsed(now)
 		s.logSlowAppend(now, b, e.Took)
 		s.completeBatch(now, b)
 		return
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -208,12 +208,12 @@
 }
 
 // expire gives up the runs on an unreachable upstream once its leases have
-// lapsed.
+// lapsed, and no later owner can have renewed them before that.
 func (s *Scheduler) expire(now time.Time, h *host) {
-	if s.mayLapse(h) && h.lapsed(now) {
+	if s.mayLapse(h) && h.lapsed(now) && s.ownedAt(now, h.lapseTime()) {
 		s.logNote("Leases on an unreachable upstream have lapsed.", "", "upstream", h.up.ID, "runs", len(h.runs),
 			"lapsedMsAgo", now.Sub(h.lapseTime()).Milliseconds(), "seenMsAgo", now.Sub(h.lastAnsweredAt).Milliseconds(),
-			"confirmedMsAgo", now.Sub(s.ownershipConfirmedAt).Milliseconds())
+			"confirmedMsAgo", now.Sub(s.ownership.confirmedAt).Milliseconds())
 		h.expired = h.cloneRuns()
 		s.loseRuns(now, h, "lease lapsed")
 	}
@@ -227,10 +227,10 @@
 }
 
 // expireUnpolled stops waiting for the upstreams of a former owner once every
-// lease on them has certainly lapsed.
+// lease on them has certainly lapsed, and no later owner can have renewed it before that.
 func (s *Scheduler) expireUnpolled(now time.Time) {
 	for id, t := range s.unpolled {
-		if !now.Before(t) {
+		if !now.Before(t) && s.ownedAt(now, t) {
 			delete(s.unpolled, id)
 			if h := s.hosts.get(id); h != nil {
 				h.expired = h.cloneRuns()
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -61,7 +61,7 @@
 
 // ownerPermit returns a permit for an order that only the owner of the pool may give.
 func (s *Scheduler) ownerPermit(now time.Time, life time.Duration) permit.Permit {
-	return permit.New(now, max(0, min(life, s.ownershipConfirmedAt.Add(_storeTimeout).Sub(now))))
+	return permit.New(now, max(0, min(life, s.ownership.confirmedAt.Add(_storeTimeout).Sub(now))))
 }
 
 // unloggedStart is a start that wasn't logged yet.
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -33,11 +33,8 @@
 	// yet, with the time by which everything on them must have ended.
 	unpolled map[string]time.Time
 	// unpolledLoggedAt is when unpolled was logged last.
-	unpolledLoggedAt     time.Time
-	ownershipConfirmedAt time.Time
-	// silent is set while this owner gives no orders, because the store hasn't confirmed its
-	// ownership in time.
-	silent bool
+	unpolledLoggedAt time.Time
+	ownership        ownership
 	// lost is set once a later owner has fenced off this one.
 	lost bool
 
@@ -137,9 +134,10 @@
 	case Advised:
 		s.adviceAnswered(now, e)
 	case OwnershipConfirmed:
-		s.ownershipConfirmedAt = e.At
+		s.confirmOwnership(now, e)
 	case Suspended:
-		s.ownershipConfirmedAt = s.ownershipConfirmedAt.Add(-e.For)
+		s.ownership.suspended(e.For)
+		s.journal.suspended(e.For)
 		s.shortenWaits(e.For)
 		s.workspaces.Suspended(e.For)
 	case Woken:
@@ -250,28 +248,6 @@
 	return s.placedAt.Add(_crowdedPlaceInterval)
 }
 
-// mayOrder reports whether this owner may start tasks and renew leases. It may
-// for _storeTimeout after the store last confirmed the ownership. A later owner
-// waits longer than that before it treats this owner's leases on unreachable
-// upstreams as lapsed.
-func (s *Scheduler) mayOrder(now time.Time) bool {
-	return now.Sub(s.ownershipConfirmedAt) < _storeTimeout
-}
-
-// logSilence logs when this owner ceases to give orders, and when it gives them again.
-func (s *Scheduler) logSilence(now time.Time) {
-	silent := !s.mayOrder(now)
-	if silent == s.silent {
-		return
-	}
-	s.silent = silent
-	what := "Owner gives orders again."
-	if silent {
-		what = "Owner gives no orders, because the store hasn't confirmed its ownership in time."
-	}
-	s.logNote(what, "", "token", s.set.Token, "confirmedMsAgo", now.Sub(s.ownershipConfirmedAt).Milliseconds())
-}
-
 // Next returns when to send Woken if no other event comes first. It is zero if
 // nothing is due.
 func (s *Scheduler) Next(now time.Time) time.Time {
@@ -288,7 +264,9 @@
 	}
 	w.add(s.journal.refuseAt.time)
 	for _, t := range s.unpolled {
-		w.add(t)
+		if t.After(now) {
+			w.add(t)
+		}
 	}
 	if s.replan && s.mayOrder(now) {
 		w.add(s.nextPlaceTime())
@@ -316,8 +294,8 @@
 		w.add(s.pollTime(h))
 	}
 	w.add(s.hedgeTime(now, h))
-	if s.mayLapse(h) {
-		w.add(h.lapseTime())
+	if t := h.lapseTime(); s.mayLapse(h) && t.After(now) {
+		w.add(t)
 	}
 	if h.states[runStopping] > 0 {
 		for _, r := range h.runs {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -179,7 +179,7 @@
 // confirm has the store confirm the ownership, unless there is an outage.
 func (p *player) confirm() {
 	if !p.storeOutage {
-		p.s.ownershipConfirmedAt = p.now
+		p.s.ownership.confirmedAt = p.now
 	}
 }
 
