scheduler, member: a pool assigned anew in another generation confirms nothing by itself

An owner that is cut off for longer than its membership lasts, or whose partitions are all dealt anew, may come back to find its pool assigned to it again. It kept its token, and took the join for a proof that it had been the owner all the time. But another entry may have owned the pool in between, renewed leases and run tasks that this owner believes to wait. On upstreams that only this owner reached, its old token was good.

Now a join confirms the ownership only in the generation in which it was known before. Until then the owner goes by the last confirmation, as while it can't reach the store at all.

--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -58,7 +58,7 @@
 	p.mu.Unlock()
 	p.reconcile()
 	for _, o := range p.all() {
-		o.Post(scheduler.OwnershipConfirmed{At: c.ConfirmedAt})
+		o.Post(scheduler.OwnershipConfirmed{At: c.ConfirmedAt, Generation: c.Generation})
 	}
 }
 
@@ -125,7 +125,7 @@
 		return
 	}
 	p.node.log.Info("Pool gained.", "pool", name, "token", token)
-	o.Post(scheduler.OwnershipConfirmed{At: p.held.ConfirmedAt()})
+	o.Post(scheduler.OwnershipConfirmed{At: p.held.ConfirmedAt(), Generation: p.held.Generation()})
 	o.Post(scheduler.Configured{Queues: queues(c, name), Workspaces: c.Workspaces})
 	if l := p.node.upstreams.inPool(name); l != nil {
 		o.Post(scheduler.Listed{Upstreams: l})
--- a/entry/member/shares.go
+++ b/entry/member/shares.go
@@ -100,3 +100,6 @@
 
 // ConfirmedAt returns the ConfirmedAt of the last assignment.
 func (p *Partitions) ConfirmedAt() time.Time { return p.current.ConfirmedAt }
+
+// Generation returns the generation of the last assignment.
+func (p *Partitions) Generation() int64 { return p.current.Generation }
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -169,7 +169,7 @@
 	if j.waitUntil.IsZero() || !now.Add(n.wait(now)).After(j.waitUntil) {
 		return true
 	}
-	if n.inFlight == nil && !n.commits.probe {
+	if n.inFlight == nil {
 		n.commits.probe = true
 		n.schedule(now.Add(_probeInterval))
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -142,9 +142,12 @@
 	Err     error
 }
 
-// OwnershipConfirmed reports when the store last confirmed that this entry owns
-// the pool.
-type OwnershipConfirmed struct{ At time.Time }
+// OwnershipConfirmed reports that the group, in some generation, assigned the pool to this entry
+// at some time.
+type OwnershipConfirmed struct {
+	At         time.Time
+	Generation int64
+}
 
 // Suspended reports that the process was suspended for some time that the steady clock
 // doesn't count. It is sent before any other event after that.
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -267,9 +267,7 @@
 	s.journal.inFlight = nil
 	if e.Err == nil {
 		s.journal.commits.answered(e.Took)
-		// A later owner claims the journal before it does anything else. The store would have refused
-		// the append then.
-		s.ownership.confirm(b.confirms)
+		s.ownership.appended(b.confirms)
 		s.touchLapsed(now)
 		s.logSlowAppend(now, b, e.Took)
 		s.completeBatch(now, b)
--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -10,8 +10,15 @@
 // ownership is what is known of this entry's ownership of the pool. The zero value is that of
 // a new owner.
 type ownership struct {
-	// confirmedAt is the latest time at which this entry is known to have been the owner.
+	// confirmedAt is the latest time at which this entry is known to have been the owner, with no
+	// other one since it became the owner.
 	confirmedAt time.Time
+	// generation is that of the group at confirmedAt.
+	generation int64
+	// changed is the latest generation of the group, if another entry may have owned the pool
+	// since confirmedAt, and changedAt the time at which this was learnt.
+	changed   int64
+	changedAt time.Time
 	// awaited is set while something that has lapsed by this owner's count waits for a later
 	// confirmation.
 	awaited bool
@@ -19,7 +26,33 @@
 	silent bool
 }
 
-// confirm notes that this entry was the owner at a time.
+// assigned notes that the group assigned the pool to this entry at a time, and reports whether
+// that confirms its ownership. In another generation it doesn't: another entry may have owned the
+// pool in between.
+func (o *ownership) assigned(now, at time.Time, generation int64) bool {
+	if o.generation == 0 {
+		o.generation = generation
+	}
+	if generation != o.generation {
+		if generation != o.changed {
+			o.changed, o.changedAt = generation, now
+		}
+		return false
+	}
+	o.confirm(at)
+	return true
+}
+
+// appended notes an append, sent at some time, that the store has carried out. Another owner
+// claims the journal before it does anything else, which the store would have refused the
+// append for.
+func (o *ownership) appended(sent time.Time) {
+	o.confirm(sent)
+	if o.changed != 0 && !sent.Before(o.changedAt) {
+		o.generation, o.changed = o.changed, 0
+	}
+}
+
 func (o *ownership) confirm(at time.Time) {
 	if at.After(o.confirmedAt) {
 		o.confirmedAt = at
@@ -27,14 +60,25 @@
 }
 
 // suspended counts a suspension of the process, which the clock left out.
-func (o *ownership) suspended(d time.Duration) { o.confirmedAt = o.confirmedAt.Add(-d) }
+func (o *ownership) suspended(d time.Duration) {
+	o.confirmedAt = o.confirmedAt.Add(-d)
+	o.changedAt = o.changedAt.Add(-d)
+}
 
-// confirmOwnership handles the group's confirmation of the ownership.
+// confirmOwnership handles the group's confirmation of the ownership. If another entry may have
+// been the owner in between, an append tells.
 func (s *Scheduler) confirmOwnership(now time.Time, e OwnershipConfirmed) {
-	s.ownership.confirm(e.At)
+	if !s.ownership.assigned(now, e.At, e.Generation) {
+		s.probe(now.Add(_generationProbeDelay))
+		return
+	}
 	s.touchLapsed(now)
 }
 
+// _generationProbeDelay is how long an append that tells who owns the pool is held back after a
+// change of the group, as several changes often follow each other.
+const _generationProbeDelay = time.Second
+
 // ownedAt reports whether this entry is known to have been the owner at a time that has passed.
 // If it isn't, an append is sent to find out.
 func (s *Scheduler) ownedAt(now, at time.Time) bool {
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -59,6 +59,8 @@
 //	advised STEP ID=TICKET ... | adviceFailed STEP
 //	paceFailed STATUS             the last change of pace failed
 //	storeOutage                   the store no longer confirms ownership of the pool
+//	confirmed GENERATION          the group, in a generation, assigns the pool to the owner again; the
+//	                              first generation is 1
 //	suspended MS                  the process was suspended, which its clock doesn't count
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -132,7 +134,7 @@
 		Pool: "pool", Token: token, MaxLease: 10 * time.Second,
 		StatusRetention: 2 * time.Minute, RemoteFactor: 2, StopTimeout: 400 * time.Millisecond,
 	})
-	p.s.Step(p.now, OwnershipConfirmed{At: p.now})
+	p.s.Step(p.now, OwnershipConfirmed{At: p.now, Generation: 1})
 }
 
 // takeOver replaces the scheduler by that of a new owner. With listed, the list is
@@ -405,6 +407,8 @@
 		p.step(Ordered{Op: p.pace, Err: failure("pace", f[1:])})
 	case "suspended":
 		p.step(Suspended{For: time.Duration(p.number(f[1])) * time.Millisecond})
+	case "confirmed":
+		p.step(OwnershipConfirmed{At: p.now, Generation: p.number(f[1])})
 	case "storeOutage":
 		p.storeOutage = true
 	default:
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -58,7 +58,10 @@
 // _statusRetention is how long the state of ended jobs is kept.
 const _statusRetention = 2 * time.Minute
 
-func (o *owner) confirm() { o.post(scheduler.OwnershipConfirmed{At: o.entry.partitions.ConfirmedAt()}) }
+func (o *owner) confirm() {
+	p := &o.entry.partitions
+	o.post(scheduler.OwnershipConfirmed{At: p.ConfirmedAt(), Generation: p.Generation()})
+}
 
 // isCurrent reports whether the entry still runs this owner.
 func (o *owner) isCurrent() bool { return o.entry.owners[o.pool] == o }
