scheduler: an owner that may not order learns at once whether the pool is still its own

After an outage of the store of more than 6 s an owner that found the group in another generation waited up to a second for the append that tells who owns the pool, while nothing could be started. It is sent at once then. Script formerOwner/rejoinedLate: the append at 7000 ms, not 8000.

--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -68,11 +68,15 @@
 // confirmOwnership handles the group's confirmation of the ownership. If another entry may have
 // been the owner in between, an append tells.
 func (s *Scheduler) confirmOwnership(now time.Time, e OwnershipConfirmed) {
-	if !s.ownership.assigned(now, e.At, e.Generation) {
-		s.probe(now.Add(_generationProbeDelay))
+	if s.ownership.assigned(now, e.At, e.Generation) {
+		s.touchLapsed(now)
 		return
 	}
-	s.touchLapsed(now)
+	at := now
+	if s.mayOrder(now) {
+		at = now.Add(_generationProbeDelay)
+	}
+	s.probe(at)
 }
 
 // _generationProbeDelay is how long an append that tells who owns the pool is held back after a
