site: cut paths of one entry to the store or an upstream; a former owner beside its successor

No session could part entries from upstreams: all entries reached an upstream at one address.

Change: each entry reaches the store and each upstream on a path of its own, at addresses that its list of upstreams names. "cut NAME PEER DIRECTION" loses answers, or holds requests up until "mend", when they are carried out, also if nobody waits for them any longer, but not in a later incarnation of the upstream. An answer that is due when the cut begins gets lost too; before, reads of the store that waited by then were answered. The log of the site names the entry that ordered a start.

The session formerOwner/renewedLease cuts the owner, c, off from the store and m4, and the others from m5.

--- a/standin/site/keys.go
+++ b/standin/site/keys.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strings"
-	"sync"
 
 	"fescuelanding/platform"
 )
@@ -37,38 +36,6 @@
 	}
 }
 
-// storeLine is an entry's way to the store. While it is cut, requests go through and their
-// answers get lost.
-type storeLine struct {
-	store http.Handler
-
-	mu    sync.Mutex
-	isCut bool
-}
-
-// ServeHTTP implements http.Handler.
-func (l *storeLine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !l.cut() {
-		l.store.ServeHTTP(w, r)
-		return
-	}
-	l.store.ServeHTTP(discardResponse{}, r)
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
-}
-
-func (l *storeLine) cut() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.isCut
-}
-
-func (l *storeLine) setCut(cut bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.isCut = cut
-}
-
 // askOne requests the state of a job from one entry, and returns the status.
 func (s *Site) askOne(entry, queue, job string) string {
 	q := s.Queue(queue)
--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -34,6 +34,8 @@
 	ends []*endRecord
 	// startedAt is when the last run started, endedAt when one ended.
 	startedAt, endedAt time.Time
+	// startedBy is the entry that ordered the last run.
+	startedBy string
 	// removed is set if the last run ended because the system moved it.
 	removed bool
 }
@@ -148,8 +150,9 @@
 	}
 }
 
-// recordStart records the start of a run and reports whether the run must fail.
-func (d *taskRecord) recordStart(u *Upstream, run int64) bool {
+// recordStart records the start of a run that an entry ordered, and reports whether the run
+// must fail.
+func (d *taskRecord) recordStart(u *Upstream, entry string, run int64) bool {
 	u.site.mu.Lock()
 	defer u.site.mu.Unlock()
 	now := time.Now()
@@ -160,9 +163,9 @@
 	if slices.ContainsFunc(d.ends, func(e *endRecord) bool { return !e.isVoid(now) }) {
 		u.site.addViolation("%s started after the task was done", name)
 	}
-	u.site.log(fmt.Sprintf("%s starts on %s", name, u.machine))
+	u.site.log(fmt.Sprintf("%s starts on %s, ordered by %s", name, u.machine, entry))
 	d.runCount++
-	d.startedAt, d.removed = now, false
+	d.startedAt, d.startedBy, d.removed = now, entry, false
 	d.current = append(d.current, runRecord{name: name, upstream: u})
 	return d.runCount <= d.behaviour.Fails
 }
@@ -340,6 +343,8 @@
 	Running bool
 	// StartedAt is when the last run started, EndedAt when one last ended.
 	StartedAt, EndedAt time.Time
+	// StartedBy is the entry that ordered the last run.
+	StartedBy string
 }
 
 // Tasks returns the tasks of a job that have started.
@@ -351,7 +356,7 @@
 		if d.name.Job == job && d.runCount > 0 {
 			l = append(l, Task{
 				Name: d.name.String(), Runs: d.runCount, Done: d.done > 0 || d.gangDone, Running: d.running(now),
-				StartedAt: d.startedAt, EndedAt: d.endedAt,
+				StartedAt: d.startedAt, EndedAt: d.endedAt, StartedBy: d.startedBy,
 			})
 		}
 	}
--- a/standin/site/ledger_test.go
+++ b/standin/site/ledger_test.go
@@ -68,7 +68,7 @@
 		s.jobs[_testJob] = &submitted{Job: &work.Job{Id: _testJob, Steps: []*work.Step{p}}, behaviour: Behaviour{Millis: 20}}
 	case "start":
 		u := s.upstreams[f[1]]
-		r := u.start(platform.Start{Task: testTask(f[2]), Run: n(3), DeadlineMs: u.clock() + n(4)})
+		r := u.start("", platform.Start{Task: testTask(f[2]), Run: n(3), DeadlineMs: u.clock() + n(4)})
 		assert.Equal(t, r.Status, 0, line)
 	case "stop":
 		r := s.upstreams[f[1]].stop(testTask(f[2]), n(3), 0)
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -73,8 +73,10 @@
 //	keys WORKSPACE=KEY,... ...    write one with workspaces and their keys; calls need one then
 //	as KEY                   callers send a key from now on; none for -
 //	one NAME QUEUE JOB       request the state of a job from one entry
-//	cut NAME                 lose the store's answers to an entry
-//	mend NAME                end the fault of cut
+//	cut NAME PEER DIRECTION  cut the path of an entry to a host's upstream, or to the store, which
+//	                         is also the default. DIRECTION is requests (held up until mend),
+//	                         answers (lost; the default) or both
+//	mend NAME PEER           end the faults of cut
 //	launch NAME              start an entry without waiting until it is ready
 //	wave HOSTS N             declare wave N for hosts, separated by commas
 //	waved N                  wait until wave N has completed
@@ -174,7 +176,7 @@
 	case "publish":
 		s.publish()
 	case "cut", "mend":
-		s.lines[f[1]].setCut(f[0] == "cut")
+		return s.cutPath(f[0], f[1:])
 	case "wave":
 		s.wave(int64(n), strings.Split(f[1], ","))
 	default:
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -70,8 +70,8 @@
 	workspaces []platform.Workspace
 	keys       map[string][]string
 	usedKey    string
-	// lines are the entries' ways to the store.
-	lines map[string]*storeLine
+	// paths are the paths of each entry, by entry and peer.
+	paths map[string]map[string]*path
 	// calmAt is when entries were started last, or the store was up again.
 	calmAt time.Time
 	// waves holds the declared waves by number.
@@ -98,7 +98,7 @@
 		jobs: make(map[string]*submitted), tasks: make(map[string]*taskRecord),
 		gangs:  make(map[string]*gang),
 		waves:  make(map[int64]*waveRecord),
-		lines:  make(map[string]*storeLine),
+		paths:  make(map[string]map[string]*path),
 		orders: make(map[string]platform.Holder), stop: make(chan struct{}),
 	}
 }
@@ -170,7 +170,7 @@
 
 func (s *Site) addMachine(name, pool string) error {
 	u := newUpstream(s, name)
-	at, err := s.listen(u.Handler())
+	at, err := s.listen(u.Handler(""))
 	if err != nil {
 		return err
 	}
@@ -314,16 +314,14 @@
 			return platform.Boot{}, fmt.Errorf("parse address: %w", err)
 		}
 	}
-	s.lines[name] = &storeLine{store: s.store.Handler()}
-	storeAt, err := s.listen(s.lines[name])
-	if err != nil {
+	if s.paths[name], err = s.openPaths(name); err != nil {
 		return platform.Boot{}, err
 	}
 	return platform.Boot{
 		Host: name, DataCentre: "muscat-a", Address: at[0].Addr(), CallerAddress: at[0], ReadyAddress: at[1],
 		FirstPort: at[2].Port(), LastPort: at[2].Port(), MilliCPU: 400, Advice: s.adviceAt, Heartbeat: _heartbeatInterval,
 		Store: platform.StoreSettings{
-			Address: storeAt, Partitions: _partitions, CallBytes: 2 << 20, RecordBytes: 256 << 10, MinTTL: time.Second,
+			Address: s.paths[name][_storePeer].address, Partitions: _partitions, CallBytes: 2 << 20, RecordBytes: 256 << 10, MinTTL: time.Second,
 		},
 		Cloud: platform.CloudSettings{Address: s.cloudAt, CallsPerS: 64, OrdersPerS: 64},
 		Bounds: platform.Bounds{
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -37,11 +37,18 @@
 
 // TestSessions plays each session of testdata with entry processes and a platform of
 // its own, and compares the results with its golden file.
-func TestSessions(t *testing.T) {
+func TestSessions(t *testing.T) { playAll(t, "") }
+
+// TestFormerOwnerBesideItsSuccessor plays sessions in which an owner that is cut off from the
+// store goes on giving orders beside its successor.
+func TestFormerOwnerBesideItsSuccessor(t *testing.T) { playAll(t, "formerOwner") }
+
+// playAll plays the sessions of a directory within testdata.
+func playAll(t *testing.T, dir string) {
 	entry := filepath.Join(t.TempDir(), "entry")
 	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", entry, "fescuelanding/entry").CombinedOutput()
 	assert.NilError(t, err, string(out))
-	files, err := filepath.Glob("testdata/*.txt")
+	files, err := filepath.Glob(filepath.Join("testdata", dir, "*.txt"))
 	assert.NilError(t, err)
 	assert.Assert(t, len(files) > 0)
 	for _, f := range files {
@@ -62,7 +69,7 @@
 			err = s.Play(string(text), &got)
 			s.Stop()
 			assert.NilError(t, err)
-			golden.Assert(t, got.String(), name+".golden")
+			golden.Assert(t, got.String(), filepath.Join(dir, name+".golden"))
 		})
 	}
 }
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -64,7 +64,7 @@
 }
 
 // Handler returns the HTTP interface of the store.
-func (s *Store) Handler() http.Handler {
+func (s *Store) Handler() *serve.Store {
 	return &serve.Store{
 		Append: s.Append, Read: s.read, Newest: s.Newest, Leave: s.Leave,
 		Join:      func(m serve.Member) platform.Membership { return s.Join(time.Now(), m) },
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -85,10 +85,13 @@
 	}
 }
 
-// Handler returns the HTTP interface of the upstream.
-func (u *Upstream) Handler() http.Handler {
+// Handler returns the HTTP interface of the upstream for an entry. The name is empty if the
+// entry isn't known.
+func (u *Upstream) Handler(entry string) http.Handler {
 	return &serve.Upstream{
-		ID: u.id, Clock: u.clock, Start: u.start, Stop: u.stop, Hold: u.hold, Pace: u.pace, Intercept: u.intercept,
+		ID: u.id, Clock: u.clock, Stop: u.stop, Hold: u.hold, Pace: u.pace,
+		Start:     func(s platform.Start) serve.Refusal { return u.start(entry, s) },
+		Intercept: func(_ http.ResponseWriter, r *http.Request) bool { return u.intercept(entry, r) },
 	}
 }
 
@@ -98,13 +101,19 @@
 	return u.report.ID
 }
 
-// isIncarnation reports whether the incarnation is still the one that began at a time.
-func (u *Upstream) isIncarnation(began time.Time) bool {
+// address returns the address in the reports, which never changes.
+func (u *Upstream) address() string { return u.report.Address }
+
+// beganAt returns when the incarnation began.
+func (u *Upstream) beganAt() time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.began.Equal(began)
+	return u.began
 }
 
+// isIncarnation reports whether the incarnation is still the one that began at a time.
+func (u *Upstream) isIncarnation(began time.Time) bool { return u.beganAt().Equal(began) }
+
 func (u *Upstream) clock() int64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -128,7 +137,7 @@
 
 // intercept aborts calls to an upstream that is down or whose host is off, and delays a
 // start if that fault is set. It never answers a call itself.
-func (u *Upstream) intercept(w http.ResponseWriter, r *http.Request) bool {
+func (u *Upstream) intercept(entry string, r *http.Request) bool {
 	u.mu.Lock()
 	down, late, began := u.down || u.report.ID == "", u.startDelay, u.began
 	if late > 0 && r.URL.Path == "/api/run-start" {
@@ -144,7 +153,7 @@
 		q := r.Clone(r.Context())
 		var b json.RawMessage
 		if json.NewDecoder(r.Body).Decode(&b) == nil {
-			go u.startLate(q, b, late, began)
+			go u.startLate(entry, q, b, late, began)
 		}
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -154,7 +163,7 @@
 
 // startLate executes the order to start a run after a delay, when the caller no longer
 // waits for it, unless a new incarnation has begun.
-func (u *Upstream) startLate(r *http.Request, body []byte, after time.Duration, began time.Time) {
+func (u *Upstream) startLate(entry string, r *http.Request, body []byte, after time.Duration, began time.Time) {
 	time.Sleep(after)
 	var s struct {
 		Task       string `json:"task"`
@@ -166,7 +175,7 @@
 	if json.Unmarshal(body, &s) != nil || r.Header.Get("Expect-Instance") != u.id() || !u.isIncarnation(began) {
 		return
 	}
-	f := u.start(platform.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, DeadlineMs: s.DeadlineMs, Token: s.Token})
+	f := u.start(entry, platform.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, DeadlineMs: s.DeadlineMs, Token: s.Token})
 	u.site.addEvent("late order of %s: %s", s.Task, refusal(f))
 }
 
@@ -197,7 +206,7 @@
 	return serve.Refusal{Status: http.StatusConflict, Reason: reason}
 }
 
-func (u *Upstream) start(s platform.Start) serve.Refusal {
+func (u *Upstream) start(entry string, s platform.Start) serve.Refusal {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.endFinishedRuns()
@@ -226,7 +235,7 @@
 	}
 	r := &running{
 		task: s.Task, run: s.Run, began: time.Now(), duration: time.Duration(d.behaviour.Millis) * time.Millisecond,
-		fails: d.recordStart(u, s.Run), longRunning: d.longRunning, checkpoint: s.Checkpoint, size: d.size,
+		fails: d.recordStart(u, entry, s.Run), longRunning: d.longRunning, checkpoint: s.Checkpoint, size: d.size,
 	}
 	u.extendLease(s.DeadlineMs)
 	u.runs[s.Task] = r
