site: an old build of the entry beside the new one

Cause: users replace machines one after the other while an old build runs beside the new one, and no session had two builds.

The commands old and new say which build an entry's next processes run. Nothing changes without it.

--- a/standin/cmd/standin/site.go
+++ b/standin/cmd/standin/site.go
@@ -17,8 +17,11 @@
 		Name:      "site",
 		Usage:     "run a session of real entries on a stand-in for the users' platform",
 		ArgsUsage: "[SESSION FILE]; without one, a day without faults and with one job of each kind",
-		Flags:     []cli.Flag{&cli.StringFlag{Name: "log", Usage: "`FILE` for the output of the entries"}},
-		Action:    playSite,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log", Usage: "`FILE` for the output of the entries"},
+			&cli.StringFlag{Name: "old", Usage: "`PATH` of an old build of the entry, for the commands old and new"},
+		},
+		Action: playSite,
 	}
 }
 
@@ -49,6 +52,7 @@
 		return err
 	}
 	s := site.New(entry, dir, out)
+	s.SetOldEntry(c.String("old"))
 	defer s.Stop()
 	if err := s.Start(); err != nil {
 		return fmt.Errorf("start site: %w", err)
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -77,6 +77,8 @@
 //	                         is also the default. DIRECTION is requests (held up until mend),
 //	                         answers (lost; the default) or both
 //	mend NAME PEER           end the faults of cut
+//	old NAME ...             run the old build of entries from their next start on
+//	new NAME ...             end that
 //	launch NAME              start an entry without waiting until it is ready
 //	wave HOSTS N             declare wave N for hosts, separated by commas
 //	waved N                  wait until wave N has completed
@@ -175,6 +177,8 @@
 		s.store.Compact()
 	case "publish":
 		s.publish()
+	case "old", "new":
+		return s.useOld(f[1:], f[0] == "old")
 	case "cut", "mend":
 		return s.cutPath(f[0], f[1:])
 	case "wave":
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -52,7 +52,9 @@
 type Site struct {
 	// entry is the path of the entry's program, dir the directory for its files.
 	entry, dir string
-	out        io.Writer
+	// oldEntry is the path of an old build of the entry's program.
+	oldEntry string
+	out      io.Writer
 
 	store     *Store
 	upstreams map[string]*Upstream
@@ -62,6 +64,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*process.Process
+	// runsOld has the entries whose next process is one of the old build.
+	runsOld map[string]bool
 	// boots holds the boot settings of each entry.
 	boots  map[string]platform.Boot
 	config platform.Config
@@ -94,7 +98,7 @@
 func New(entry, dir string, out io.Writer) *Site {
 	return &Site{
 		entry: entry, dir: dir, out: out, store: NewStore(), upstreams: make(map[string]*Upstream),
-		entries: make(map[string]*process.Process), boots: make(map[string]platform.Boot),
+		entries: make(map[string]*process.Process), runsOld: make(map[string]bool), boots: make(map[string]platform.Boot),
 		jobs: make(map[string]*submitted), tasks: make(map[string]*taskRecord),
 		gangs:  make(map[string]*gang),
 		waves:  make(map[int64]*waveRecord),
@@ -103,6 +107,22 @@
 	}
 }
 
+// SetOldEntry sets the path of an old build of the entry's program, which runs beside the other.
+func (s *Site) SetOldEntry(path string) { s.oldEntry = path }
+
+// useOld makes the next processes of some entries run the old build, or the other again.
+func (s *Site) useOld(entries []string, old bool) error {
+	if s.oldEntry == "" {
+		return fmt.Errorf("there is no old build: %w", ErrCommand)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range entries {
+		s.runsOld[n] = old
+	}
+	return nil
+}
+
 // addEvent records an event for the heard command.
 func (s *Site) addEvent(format string, a ...any) {
 	s.mu.Lock()
@@ -295,7 +315,12 @@
 	if err := os.WriteFile(file, []byte(serve.Boot(b)), _fileMode); err != nil {
 		return fmt.Errorf("write boot file: %w", err)
 	}
-	p, err := process.StartWithEnv(name, s.entry, []string{"platform"}, []string{platform.BootVariable + "=" + file}, s.out)
+	program := s.entry
+	if s.runsOld[name] {
+		program = s.oldEntry
+		s.log(name + " runs the old build")
+	}
+	p, err := process.StartWithEnv(name, program, []string{"platform"}, []string{platform.BootVariable + "=" + file}, s.out)
 	if err != nil {
 		return fmt.Errorf("start entry: %w", err)
 	}
