scheduler: an owner starts a task of an ended upstream only if no later owner can have read its end

The runs are gone, but a successor may have read their ends before, as done, and acknowledged them (TWICE: a start after an end as done). On an upstream that the successor doesn't reach no fencing token stops the start.

Most tasks that are lost with an upstream wait for it already (crashes.go); those that had lasted 3 s are new.

--- a/entry/scheduler/doc.go
+++ b/entry/scheduler/doc.go
@@ -61,5 +61,6 @@
 // upstream listed its end, or confirmed a stop and no longer lists the run, or
 // the upstream's incarnation has ended, or the run's lease has lapsed even on the
 // slowest clock, at a time at which the store confirms that this entry was still the
-// owner: a later owner may have renewed the lease.
+// owner: a later owner may have renewed the lease. If the incarnation has ended, the next start
+// waits for an append, because a later owner may have read before that the task was done.
 package scheduler
--- a/entry/scheduler/held.go
+++ b/entry/scheduler/held.go
@@ -13,6 +13,19 @@
 	s.markDirty(now, r.task.step.occurrence.job, _acceptDelay)
 }
 
+// doubt has the next start of a task wait for the journal, and those of its gang, because the end
+// of its run wasn't read. A later owner may have read that end, and noted that the task is done,
+// before the upstream ended or restarted. It claims the journal first, so that the store refuses
+// the append.
+func (t *task) doubt() {
+	t.doubted = true
+	if t.step.def.GetGang() {
+		for i := range t.step.tasks {
+			t.step.tasks[i].doubted = true
+		}
+	}
+}
+
 // noteHeld notes that a batch has the held starts of a job.
 func (s *Scheduler) noteHeld(j *job, batch int64) {
 	for _, r := range s.held {
@@ -36,6 +49,7 @@
 		return false
 	})
 	for _, r := range due {
+		r.task.doubted = false
 		if r.state != runOrdered {
 			continue // stopped with another member of its gang
 		}
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -266,6 +266,9 @@
 	// avoid is the upstream on which the task failed last.
 	avoid   string
 	crashes crashes
+	// doubted is set once a run was given up whose end wasn't read, until an append that was sent
+	// later is durable. A later owner may have read that the task is done.
+	doubted bool
 }
 
 // available reports whether a long-running task is serving, as far as its
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -95,6 +95,7 @@
 		if mayBeIn(l, r, sent) {
 			continue
 		}
+		r.task.doubt()
 		lost++
 		s.logNote("Run lost.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
 			"run", r.number, "upstream", h.up.ID, "why", "upstream restarted")
@@ -151,6 +152,9 @@
 	s.logNote("Upstream incarnation ended.", "", "upstream", h.up.ID, "runs", len(h.runs), "why", why)
 	h.gone = true
 	hopeless := s.recordCrash(now, h, why, h.runs)
+	for _, r := range h.runs {
+		r.task.doubt()
+	}
 	s.loseRuns(now, h, why)
 	s.giveUp(now, hopeless)
 	delete(s.unpolled, h.up.ID)
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -16,8 +16,8 @@
 	s.startAs(now, t, h, t.lastRun+1, trial)
 }
 
-// startAs starts a task under a run number, on trial for some time. The start of a suspect is
-// sent once the journal has it.
+// startAs starts a task under a run number, on trial for some time. The start of a suspect, or of
+// a doubted task, is sent once the journal has it.
 func (s *Scheduler) startAs(now time.Time, t *task, h *host, n int64, trial time.Duration) {
 	st := t.step
 	r := &run{task: t, number: n, state: runOrdered, ordered: now, percent: -1, progressedAt: now, pace: 100, trial: trial}
@@ -28,7 +28,7 @@
 	s.attach(r, h)
 	s.chargeStart(st)
 	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
-	if t.crashes.upstreams > 0 || trial > 0 {
+	if t.crashes.upstreams > 0 || trial > 0 || t.doubted {
 		s.hold(now, r)
 		return
 	}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -53,13 +53,13 @@
 //	appended [STATUS [REASON]]    the answer to the append in flight
 //	executed                      the append in flight is carried out, without an answer
 //	polled ID [concurrent] [atOnce] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
-//	pollFailed ID [STATUS REASON] | pollFailed ID lost sent=MS
+//	pollFailed ID [STATUS REASON] [sent=MS] | pollFailed ID lost sent=MS
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
 //	    STATUS: an HTTP status, or lost, expired or notSent
 //	advised STEP ID=TICKET ... | adviceFailed STEP
 //	paceFailed STATUS             the last change of pace failed
 //	storeOutage                   the store no longer confirms ownership of the pool
-//	confirmed GENERATION          the group, in a generation, assigns the pool to the owner again; the
+//	confirmed GENERATION [sent=MS] the group, in a generation, assigns the pool to the owner again; the
 //	                              first generation is 1
 //	suspended MS                  the process was suspended, which its clock doesn't count
 func TestScripts(t *testing.T) {
@@ -390,11 +390,11 @@
 			p.step(Polled{Host: f[1], Sent: _startTime.Add(time.Duration(p.number(m["sent"])) * time.Millisecond), Err: e})
 			return
 		}
-		e := failure("hold", f[2:])
+		e := failure("hold", rest[1:])
 		if e == nil {
 			e = &platform.Error{Call: "hold"}
 		}
-		p.step(Polled{Host: f[1], Sent: p.now, Err: e})
+		p.step(Polled{Host: f[1], Sent: p.sent(m), Err: e})
 	case "started":
 		p.step(Ordered{Op: p.starts[f[1]], ClockMs: p.number(m["clock"]), Err: failure("start", rest[1:])})
 	case "stopped":
@@ -408,7 +408,7 @@
 	case "suspended":
 		p.step(Suspended{For: time.Duration(p.number(f[1])) * time.Millisecond})
 	case "confirmed":
-		p.step(OwnershipConfirmed{At: p.now, Generation: p.number(f[1])})
+		p.step(OwnershipConfirmed{At: p.sent(m), Generation: p.number(f[1])})
 	case "storeOutage":
 		p.storeOutage = true
 	default:
@@ -416,6 +416,14 @@
 	}
 }
 
+// sent returns when something was sent whose answer comes now, which is by default now.
+func (p *player) sent(m map[string]string) time.Time {
+	if v := m["sent"]; v != "" {
+		return _startTime.Add(time.Duration(p.number(v)) * time.Millisecond)
+	}
+	return p.now
+}
+
 // goneOf decodes the report of an ended incarnation.
 func (p *player) goneOf(text string) *link.Gone {
 	id, born, ok := strings.Cut(text, "@")
