scheduler: the clock in a late answer to a start isn't taken for that of a later incarnation

A start is answered, its upstream restarts under its ID and answers a poll, and the answer to the start is handled after that. Its clock is that of the former incarnation, hours ahead maybe, so that all leases in the present one counted as lapsed: with the next poll that failed, its runs were given up and started elsewhere at once (TWICE). The clock counts now only if the start was sent in the incarnation that is known.

The script twiceClockOfFormerIncarnation before this change, while A.0.0.1/1 runs on u1:

- 130 start A.0.0.0/2 on u2 until 4629 - 130 start A.0.0.1/2 on u2 until 4629

--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -130,8 +130,8 @@
 			if r != nil && e.ClockMs > 0 && e.ClockMs < h.clockAtLeast(r.ordered) {
 				h.restartSuspected = true
 			}
-			s.updateClock(now, h, e.ClockMs)
 			if r != nil {
+				s.updateClock(now, h, r, e.ClockMs)
 				s.startAnswered(now, r, e.Err)
 				if e.Err == nil {
 					r.startClockMs = e.ClockMs
@@ -149,8 +149,10 @@
 	}
 }
 
-func (s *Scheduler) updateClock(now time.Time, h *host, ms int64) {
-	if ms > h.clockNow(now) {
+// updateClock applies the upstream's clock in the answer to a start. A start that was sent before
+// the present incarnation was known may have been answered by the former one.
+func (s *Scheduler) updateClock(now time.Time, h *host, r *run, ms int64) {
+	if ms > h.clockNow(now) && !r.ordered.Before(h.knownSince) {
 		h.clockMs, h.clockReadAt = ms, now
 	}
 }
