scheduler: a new owner that finds a run in a restarted upstream expects the longest lease there

An upstream restarts under its ID and carries out a start that its former owner had sent before. The lease in that start refers to the clock of the former incarnation, so that the present one may have granted the longest (holdMaxMs). An owner that saw the restart itself reckons with that. A new owner, to which the poll shows the restart and the run at once, reckoned with 4.5 s; cut off from the upstream, it started the task elsewhere after 4.8 s beside the run (TWICE).

The script twiceLeaseOfLateStart before and after:

- 4896 start A.0.0.0/17 on u1 until 9300 + 10509 start A.0.0.0/17 on u1 until 14800

--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -108,7 +108,7 @@
 	h.setBorn(now, l.StartUnixMs)
 	h.fenced, h.gone = false, false
 	h.clockMs, h.clockReadAt, h.deadlineMs, h.pollClockMs = 0, time.Time{}, 0, 0
-	if len(h.runs) > 0 {
+	if len(h.runs) > 0 || len(l.Running) > 0 {
 		// The deadlines refer to the former incarnation's clock, so the new one
 		// may have granted the longest lease.
 		h.deadlineMs = l.ClockMs + max(s.set.MaxLease, _lease).Milliseconds()
