scheduler: a stop that was answered before a restart is sent again to the new incarnation

The next case of: a start without an answer is followed by a stop, which the upstream answers; then it restarts under its ID. The new incarnation knows nothing of the stop and may carry the start out late, but the run, being stopped, was given up with the restart and its task started elsewhere (TWICE). Such a run is kept now until another stop has ruled the late start out, like one that wasn't stopped yet.

Left: the answer to a stop of the former incarnation that is handled after the poll which shows the restart.

--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -88,11 +88,13 @@
 	// A start without an answer counts too, although it may still reach the new incarnation: the
 	// upstream may have crashed while it carried it out.
 	hopeless := s.recordCrash(now, h, "upstream restarted", slices.DeleteFunc(h.cloneRuns(), func(r *run) bool {
-		return mayBeIn(l, r, sent) && (r.state != runUnconfirmed || lists(l, r))
+		return mayBeIn(l, r, sent) && (!r.unanswered() || lists(l, r))
 	}))
 	lost := 0
 	for _, r := range h.cloneRuns() {
 		if mayBeIn(l, r, sent) {
+			// The present incarnation knows nothing of a stop that the former one answered.
+			r.stopped, r.stopSent, r.stopDue = time.Time{}, false, now
 			continue
 		}
 		r.task.doubt()
@@ -131,7 +133,12 @@
 // mayBeIn reports whether a run may be in the incarnation that answered a poll, sent at some
 // time.
 func mayBeIn(l platform.UpstreamStatus, r *run, sent time.Time) bool {
-	return r.state == runOrdered || r.state == runUnconfirmed || !r.started.Before(sent) || lists(l, r)
+	return r.state == runOrdered || r.unanswered() || !r.started.Before(sent) || lists(l, r)
+}
+
+// unanswered reports whether the run's start had no answer, and no poll has listed the run since.
+func (r *run) unanswered() bool {
+	return r.state == runUnconfirmed || r.state == runStopping && r.started.IsZero()
 }
 
 // lists reports whether a poll lists a run as running or ended.
