scheduler: status 421 ends only the incarnation that the call was sent to

An upstream restarts under its ID at another address, and is polled there, before the answer to a poll or start at its former address arrives: that address serves another upstream by then. This was taken for the end of the present incarnation, whose runs were given up and started elsewhere (TWICE).

A poll that was sent before the present incarnation was known is repeated now; a start wasn't carried out, so that its run never began. The script twiceMisdirectedBefore gives up the runs on u1 before this change (B is A's neighbour, whose start got 421):

- 133 append pool/p/B pool/p/A - 140 start B.0.0.0/2 on u2 until 4639

and without B, with the poll alone:

- 140 start A.0.0.0/2 on u2 until 4639

Left: a stop that was sent to the former address.

--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -277,6 +277,11 @@
 	}
 	switch platform.Status(e.Err) {
 	case http.StatusMisdirectedRequest:
+		if e.Sent.Before(h.knownSince) {
+			// The poll may have gone to the address of a former incarnation.
+			h.pollDue = now
+			return
+		}
 		s.endIncarnation(now, h, "address serves another upstream")
 		return
 	case http.StatusConflict:
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -189,6 +189,9 @@
 		s.loseOwnership(h.up.ID)
 	case code == http.StatusConflict:
 		s.startConflict(now, r, reason)
+	case code == http.StatusMisdirectedRequest && r.ordered.Before(h.knownSince):
+		// The start went to the address of a former incarnation.
+		s.releaseUnstarted(now, r)
 	case code == http.StatusMisdirectedRequest:
 		s.endIncarnation(now, h, "address serves another upstream")
 	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
