scheduler: a join that was sent before a suspension confirms nothing

An owner's process is suspended between a join and its answer, for a time that its clock leaves out. The owner counted the suspension in the confirmation that it had, and then took the answer for a newer one, sent moments ago: it gave orders for another 6 s, though the store may have had a successor for long, which by then also takes the leases on upstreams that it doesn't reach for lapsed (TWICE). Such a join is ignored now; the next one follows within 0.3 s.

--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -19,6 +19,9 @@
 	// since confirmedAt, and changedAt the time at which this was learnt.
 	changed   int64
 	changedAt time.Time
+	// resumedAt is when a suspension of the process was noticed last. How long ago something was sent
+	// before that isn't known.
+	resumedAt time.Time
 	// awaited is set while something that has lapsed by this owner's count waits for a later
 	// confirmation.
 	awaited bool
@@ -60,14 +63,19 @@
 }
 
 // suspended counts a suspension of the process, which the clock left out.
-func (o *ownership) suspended(d time.Duration) {
+func (o *ownership) suspended(now time.Time, d time.Duration) {
+	o.resumedAt = now
 	o.confirmedAt = o.confirmedAt.Add(-d)
 	o.changedAt = o.changedAt.Add(-d)
 }
 
 // confirmOwnership handles the group's confirmation of the ownership. If another entry may have
-// been the owner in between, an append tells.
+// been the owner in between, an append tells. A join that was sent before a suspension may be older
+// than it seems; the next one follows soon.
 func (s *Scheduler) confirmOwnership(now time.Time, e OwnershipConfirmed) {
+	if e.At.Before(s.ownership.resumedAt) {
+		return
+	}
 	if s.ownership.assigned(now, e.At, e.Generation) {
 		s.touchLapsed(now)
 		return
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -136,7 +136,7 @@
 	case OwnershipConfirmed:
 		s.confirmOwnership(now, e)
 	case Suspended:
-		s.ownership.suspended(e.For)
+		s.ownership.suspended(now, e.For)
 		s.journal.suspended(e.For)
 		s.shortenWaits(e.For)
 		s.workspaces.Suspended(e.For)
