--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -189,11 +189,8 @@
 		s.loseOwnership(h.up.ID)
 	case code == http.StatusConflict:
 		s.startConflict(now, r, reason)
-	case code == http.StatusMisdirectedRequest && r.ordered.Before(h.knownSince):
-		// The start went to the address of a former incarnation.
-		s.releaseUnstarted(now, r)
 	case code == http.StatusMisdirectedRequest:
-		s.endIncarnation(now, h, "address serves another upstream")
+		s.startMisdirected(now, r)
 	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
 		h.health.eject(now)
 		s.releaseUnstarted(now, r)
@@ -212,6 +209,16 @@
 	}
 }
 
+// startMisdirected handles a start whose address serves another upstream.
+func (s *Scheduler) startMisdirected(now time.Time, r *run) {
+	if r.ordered.Before(r.host.knownSince) {
+		// It went to the address of a former incarnation.
+		s.releaseUnstarted(now, r)
+		return
+	}
+	s.endIncarnation(now, r.host, "address serves another upstream")
+}
+
 // startNotSent handles a start that wasn't sent, so that the run can't exist: its permit
 // had expired, or there was no connection to the upstream.
 func (s *Scheduler) startNotSent(now time.Time, r *run, expired bool) {
