--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -16,8 +16,8 @@
 	s.startAs(now, t, h, t.lastRun+1, trial)
 }
 
-// startAs starts a task under a run number, on trial for some time. The start of a suspect is
-// sent once the journal has it.
+// startAs starts a task under a run number, on trial for some time. The start of a suspect, or of
+// a doubted task, is sent once the journal has it.
 func (s *Scheduler) startAs(now time.Time, t *task, h *host, n int64, trial time.Duration) {
 	st := t.step
 	r := &run{task: t, number: n, state: runOrdered, ordered: now, percent: -1, progressedAt: now, pace: 100, trial: trial}
@@ -28,7 +28,7 @@
 	s.attach(r, h)
 	s.chargeStart(st)
 	s.unloggedStarts = append(s.unloggedStarts, unloggedStart{t.index, n, h.up.ID})
-	if t.crashes.upstreams > 0 || trial > 0 {
+	if t.crashes.upstreams > 0 || trial > 0 || t.doubted {
 		s.hold(now, r)
 		return
 	}
@@ -130,8 +130,8 @@
 			if r != nil && e.ClockMs > 0 && e.ClockMs < h.clockAtLeast(r.ordered) {
 				h.restartSuspected = true
 			}
-			s.updateClock(now, h, e.ClockMs)
 			if r != nil {
+				s.updateClock(now, h, r, e.ClockMs)
 				s.startAnswered(now, r, e.Err)
 				if e.Err == nil {
 					r.startClockMs = e.ClockMs
@@ -149,8 +149,10 @@
 	}
 }
 
-func (s *Scheduler) updateClock(now time.Time, h *host, ms int64) {
-	if ms > h.clockNow(now) {
+// updateClock applies the upstream's clock in the answer to a start. A start that was sent before
+// the present incarnation was known may have been answered by the former one.
+func (s *Scheduler) updateClock(now time.Time, h *host, r *run, ms int64) {
+	if ms > h.clockNow(now) && !r.ordered.Before(h.knownSince) {
 		h.clockMs, h.clockReadAt = ms, now
 	}
 }
@@ -188,7 +190,7 @@
 	case code == http.StatusConflict:
 		s.startConflict(now, r, reason)
 	case code == http.StatusMisdirectedRequest:
-		s.endIncarnation(now, h, "address serves another upstream")
+		s.startMisdirected(now, r)
 	case code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable:
 		h.health.eject(now)
 		s.releaseUnstarted(now, r)
@@ -207,6 +209,16 @@
 	}
 }
 
+// startMisdirected handles a start whose address serves another upstream.
+func (s *Scheduler) startMisdirected(now time.Time, r *run) {
+	if r.ordered.Before(r.host.knownSince) {
+		// It went to the address of a former incarnation.
+		s.releaseUnstarted(now, r)
+		return
+	}
+	s.endIncarnation(now, r.host, "address serves another upstream")
+}
+
 // startNotSent handles a start that wasn't sent, so that the run can't exist: its permit
 // had expired, or there was no connection to the upstream.
 func (s *Scheduler) startNotSent(now time.Time, r *run, expired bool) {
