scheduler: an upstream with an absurd capacity ends no process

Cause: gangHosts divides the capacity of the largest upstream by the request of a gang's task, and kept the quotient in an int32. The capacity comes from the platform's list, which others can write to. With a capacity of 2^32 tasks the quotient was zero, and the count of tasks was divided by it: the owner's process ended at the next request of the planner, and so did that of the owner after it. The upstream needs neither to answer nor to exist.

Change: the quotient stays an int64, and the sums don't overflow.

Evidence: testdata/gangHostsOddCapacity.txt before the change:

--- FAIL: TestScripts/gangHostsOddCapacity (0.00s) panic: runtime error: integer divide by zero [recovered, repanicked] fescuelanding/entry/scheduler.(*Scheduler).gangHosts entry/scheduler/demand.go:266 +0x120

The other scripts have the same output as before.

--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -262,13 +262,17 @@
 	for _, j := range s.active {
 		for _, d := range j.def.GetSteps() {
 			if each := d.GetMilliCpu(); d.GetGang() && each > 0 && each <= cpu {
-				fit := int32(cpu / each)
-				most = max(most, (d.GetCount()+fit-1)/fit)
+				fit, n := cpu/each, int64(d.GetCount())
+				most = max(most, int32((n-1)/fit+1))
 			}
 		}
 	}
 	if most == 0 {
 		return 0
 	}
-	return most + int32((longRunning+cpu-1)/cpu)
+	hosts := longRunning / cpu
+	if longRunning%cpu > 0 {
+		hosts++
+	}
+	return most + int32(min(hosts, math.MaxInt16))
 }
