scheduler: a start in the list that lies far ahead hides no upstream

Cause: reports and answers with an earlier start than the known one are ignored, as those of a former incarnation. The known start may come from a single report in the list, which others can write to. If its start lay far ahead, each later report of the upstream and each of its answers was ignored, as long as the pool had this owner. A new owner that read such a report recorded the start for the owners after it.

Change: until an upstream has answered this owner, its start is known from reports only. After the first answer, everything is as before.

Evidence: before the change the job of listedStartTooLate is refused, and that of listedStartTooLateForOwner stays queued although its task has run and ended:

--- FAIL: TestScripts/listedStartTooLate (0.00s) + 220 reply 1 overloaded retry - 240 reply 1 ok - 240 start A.0.0.0/1 on u1 until 4739 --- FAIL: TestScripts/listedStartTooLateForOwner (0.00s) - 560 reply 3 ok completed + 560 reply 3 ok queued

The other scripts have the same output as before.

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -158,7 +158,12 @@
 func (h *host) update(u platform.Upstream, now time.Time) {
 	h.listed = true
 	if u.StartUnixMs < h.born {
-		return // The list still has the former incarnation, whose clock is unrelated.
+		if h.fenced || h.recordQueued || u.StartUnixMs == 0 {
+			return // The list still has the former incarnation, whose clock is unrelated.
+		}
+		// Nothing but a former report named the later start.
+		h.setBorn(now, u.StartUnixMs)
+		h.clockMs, h.clockReadAt = 0, time.Time{}
 	}
 	h.up = u
 	h.target = platform.Target{Address: u.Address, ID: u.ID}
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -199,9 +199,11 @@
 		s.flow.answered(now, now.Sub(e.Sent), false)
 	}
 	if e.Result.StartUnixMs != 0 && h.born != 0 && e.Result.StartUnixMs != h.born {
-		if e.Result.StartUnixMs < h.born {
+		if e.Result.StartUnixMs < h.born && h.fenced {
 			return
 		}
+		// Before its first answer to this owner, the known start is that of a report. An
+		// incarnation from before it can't answer any more, so that the report was wrong.
 		s.restartUpstream(now, e.Sent, h, e.Result)
 	}
 	if h.gone {
