scheduler: a clock in the list that lies far ahead lets no lease seem to have lapsed

Cause: the clock in a report replaces the known one if it is higher. Others can write to the list. With a clock far ahead, the leases on an upstream that doesn't answer seemed to have lapsed at once, and its runs started a second time beside the first ones. A new owner that read such a clock granted leases by it; later the runs of that upstream never seemed to lapse.

Change: a listed clock counts only if it is ahead of what is known by no more than 2 s and an eighth of the time since the last reading. Clocks aren't fast; what is ignored is a lower bound that was better than the known one, so that leases lapse later, never earlier. With the first answer to an owner, the deadlines granted so far are cut to the longest lease from then, as the upstream cuts them.

Evidence: before the change the task of listedClockTooHigh starts a second time 100 ms after the first run was seen, with a lease until 4600; in listedClockTooHighForOwner the lost runs don't start again within 30 s:

--- FAIL: TestScripts/listedClockTooHigh (0.00s) + 200 start A.0.0.0/2 on u2 until 4600 - 4896 start A.0.0.0/2 on u2 until 9202 --- FAIL: TestScripts/listedClockTooHighForOwner (0.00s) - 10509 start A.0.0.0/18 on u2 until 14700 - 10509 start B.0.0.0/17 on u2 until 14700

The other scripts have the same output as before.

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -174,11 +174,28 @@
 	if u.StartUnixMs > h.born {
 		return // The clock is that of an incarnation that wasn't polled yet.
 	}
-	if u.ClockMs > h.clockNow(now) {
+	if u.ClockMs > h.clockNow(now) && !h.tooFarAhead(now, u.ClockMs) {
 		h.clockMs, h.clockReadAt = u.ClockMs, now
 	}
 }
 
+// tooFarAhead reports whether a listed clock can't be the upstream's, as known from earlier
+// readings. By such a clock, leases would seem to have lapsed, and their runs would start anew.
+func (h *host) tooFarAhead(now time.Time, ms int64) bool {
+	if h.clockReadAt.IsZero() {
+		return false
+	}
+	ahead := _maxClockLead + now.Sub(h.clockReadAt)/_clockLeadDivisor
+	return ms-h.clockNow(now) > ahead.Milliseconds()
+}
+
+// A listed clock may be ahead of what is known by _maxClockLead, which allows for an answer
+// that was on its way, and by one part in _clockLeadDivisor of the time since the last reading.
+const (
+	_maxClockLead     = 2 * time.Second
+	_clockLeadDivisor = 8
+)
+
 // setBorn sets the start of the incarnation.
 func (h *host) setBorn(now time.Time, ms int64) {
 	if h.born != ms {
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -225,9 +225,8 @@
 	if !h.fenced || h.failedPolls > 0 || h.unknownRuns > 0 || s.suspectWaits {
 		s.replan = true
 	}
-	if !h.fenced && len(e.Result.Running) > 0 {
-		// The runs may hold a lease that a former owner has just renewed.
-		h.deadlineMs = max(h.deadlineMs, e.Result.ClockMs+_lease.Milliseconds())
+	if !h.fenced {
+		s.setFirstDeadline(h, e.Result)
 	}
 	h.failedPolls, h.fenced, h.lastAnsweredAt, h.unansweredStarts, h.restartSuspected = 0, true, now, 0, false
 	h.clockMs, h.clockReadAt, h.expired = e.Result.ClockMs, now, nil
@@ -245,6 +244,20 @@
 	}
 }
 
+// setFirstDeadline sets the latest lease deadline that may have reached an upstream before its
+// first answer to this owner.
+func (s *Scheduler) setFirstDeadline(h *host, l platform.UpstreamStatus) {
+	if s.set.MaxLease > 0 {
+		// Deadlines so far counted from the listed clock, which may have been wrong. The
+		// upstream shortens them.
+		h.deadlineMs = min(h.deadlineMs, l.ClockMs+max(s.set.MaxLease, _lease).Milliseconds())
+	}
+	if len(l.Running) > 0 {
+		// The runs may hold a lease that a former owner has just renewed.
+		h.deadlineMs = max(h.deadlineMs, l.ClockMs+_lease.Milliseconds())
+	}
+}
+
 // _noWaitPollDelay is the pause between polls that don't wait for a run to end.
 const _noWaitPollDelay = 60 * time.Millisecond
 
