node: the list is followed past odd entries, with a log line now and then

Cause: each invalid record of the list gave a log line, as often as a writer repeated it. The list itself was followed past such records; that had no test.

Change: one line in 5 s about invalid records, with the number of them.

--- a/entry/internal/node/list.go
+++ b/entry/internal/node/list.go
@@ -19,6 +19,9 @@
 	mu     sync.Mutex
 	byName map[string]platform.Upstream
 	known  bool
+	// invalid counts the invalid records since one was logged, at invalidAt.
+	invalid   int
+	invalidAt time.Time
 }
 
 // _idlePause is the time between checks whether the list is needed.
@@ -70,7 +73,7 @@
 		}
 		u, err := platform.DecodeUpstream(r)
 		if err != nil {
-			l.node.log.Info("Record of an upstream is invalid; ignored.", "key", r.Key, "offset", r.Offset, "err", err)
+			l.logInvalid(time.Now(), r, err)
 			continue
 		}
 		l.byName[r.Key] = u
@@ -83,6 +86,20 @@
 	}
 }
 
+// _invalidLogInterval is the time between two log lines about invalid records. A writer may
+// repeat one at any rate.
+const _invalidLogInterval = 5 * time.Second
+
+// logInvalid logs an invalid record, unless another was logged lately. The caller holds the lock.
+func (l *upstreamList) logInvalid(now time.Time, r platform.Record, err error) {
+	l.invalid++
+	if !l.invalidAt.IsZero() && now.Sub(l.invalidAt) < _invalidLogInterval {
+		return
+	}
+	l.node.log.Info("Record of an upstream is invalid; ignored.", "key", r.Key, "offset", r.Offset, "err", err, "count", l.invalid)
+	l.invalid, l.invalidAt = 0, now
+}
+
 // inPool returns the upstreams of a pool, and nil if the list has not been read.
 func (l *upstreamList) inPool(pool string) []platform.Upstream {
 	l.mu.Lock()
