platform, feed: a record that doesn't fit into an answer is read past

Cause: a read that ends within its first record gave no records and the same offset again, and counted as a success. A follower would have asked for that offset for good, and got nothing that comes after it.

That continues at the end of the topic.

Evidence: TestRecordThatIsCut before the change waits for its 10 s:

--- FAIL: TestRecordThatIsCut (10.00s) feed_test.go:152: assertion failed: + {"long", "next"},

Whether the users' store ever cuts a record isn't known: recordBytes is said to be the most that one has, and an answer may have 1,024 KB.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -78,6 +79,9 @@
 		case platform.Status(err) == http.StatusGone:
 			// The next records have expired, or the topic was recreated.
 			snapshot = true
+		case errors.Is(err, platform.ErrRecords):
+			// The next record can't be read. A snapshot is read past it.
+			snapshot, pause = true, _retryPause
 		default:
 			pause = _retryPause
 		}
--- a/entry/internal/feed/feed_test.go
+++ b/entry/internal/feed/feed_test.go
@@ -113,3 +113,41 @@
 	assert.Assert(t, took > 0, "no records")
 	return took
 }
+
+// TestRecordThatIsCut follows a topic whose next record doesn't fit into an answer. It is read from
+// a snapshot instead, and what follows it as before.
+func TestRecordThatIsCut(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var cut atomic.Bool
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := binary.BigEndian.AppendUint64(nil, 2)
+		b = binary.BigEndian.AppendUint64(b, 0)
+		switch {
+		case strings.HasSuffix(r.URL.Path, "log-newest") && cut.Load():
+			_, _ = w.Write([]byte(`{"items":[{"key":"long","value":"AA==","offset":1}],"hasMore":false,"endOffset":2}`))
+		case strings.HasSuffix(r.URL.Path, "log-newest"):
+			_, _ = w.Write([]byte(`{"items":[],"hasMore":false,"endOffset":1}`))
+		case r.URL.Query().Get("from") == "1":
+			cut.Store(true)
+			b = binary.BigEndian.AppendUint32(b, 1<<20)
+			_, _ = w.Write(append(b, "\x04long and so on"...))
+		default:
+			binary.BigEndian.PutUint64(b, 3)
+			_, _ = w.Write(append(b, platform.EncodeRecords([]platform.Record{{Key: "next", Value: []byte("1")}})...))
+		}
+	}))
+	defer store.Close()
+	var keys []string
+	f := Follower{Store: platform.NewStore(strings.TrimPrefix(store.URL, "http://"), 2), Name: "keyed.servers", Poll: true}
+	f.OnRecords = func(l []platform.Record, _ bool) {
+		for _, r := range l {
+			keys = append(keys, r.Key)
+		}
+		if len(keys) == 2 {
+			cancel()
+		}
+	}
+	f.Run(ctx)
+	assert.DeepEqual(t, keys, []string{"long", "next"})
+}
