standin/emulator: split the network into two sides; a former owner starts tasks twice

Cause of the gap: the histories cut one entry from the store, one entry from one upstream, or one upstream from all. The answer of a call was also checked against the path of its request, so that cuts of one direction weren't possible.

A split has an entry (of four, three the pool's owner) or two and some upstreams on one side, and the store, the cloud interface and the rest on the other. It lasts 1 s to 14 s, may lose the messages of one direction only, overlap another, begin with a freeze, and heal path by path. One step in three runs for 2 s to 8 s.

It now also judges a start over a second after the job was shown as completed, by an entry in touch, and finds an end of the later of two incarnations under one ID.

--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -184,7 +184,7 @@
 	if s == j.lastState {
 		return
 	}
-	j.lastState = s
+	j.lastState, j.shownAt = s, w.now
 	switch s {
 	case link.JobState_JOB_STATE_COMPLETED:
 		for k := range max(1, int(j.def.GetOccurrences())) {
--- a/standin/emulator/doc.go
+++ b/standin/emulator/doc.go
@@ -6,8 +6,8 @@
 // entry/hostplan for the hosts, and entry/member for the ownership of both. The
 // package emulates everything around it: the store, upstreams with their leases and
 // fencing tokens, the cloud interface, callers that retry, and entries that are
-// killed, frozen or partitioned from the network. A World draws its load and its
-// faults from the seed. A ledger then checks the history, only by the tasks that
+// killed, frozen or cut off, alone or with one side of the network. A World draws its load
+// and its faults from the seed. A ledger then checks the history, only by the tasks that
 // upstreams ran and the answers that callers received:
 //
 //	w := emulator.New(emulator.Settings{Seed: 7})
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -26,13 +26,19 @@
 
 // playSeeds plays a history of each seed, or prints that of the first one.
 func playSeeds(t *testing.T, s emulator.Settings) {
+	t.Helper()
+	playSeedsUpTo(t, s, *_seeds)
+}
+
+// playSeedsUpTo does the same with at most so many seeds.
+func playSeedsUpTo(t *testing.T, s emulator.Settings, most uint64) {
 	t.Helper()
 	if *_trace {
 		s.Seed, s.Trace = *_from, os.Stdout
 		emulator.New(s).Run()
 		return
 	}
-	for seed := *_from; seed < *_from+*_seeds; seed++ {
+	for seed := *_from; seed < *_from+min(*_seeds, most); seed++ {
 		s.Seed = seed
 		for _, v := range emulator.New(s).Run() {
 			t.Errorf("seed %d: %v", seed, v)
@@ -51,6 +57,16 @@
 	playSeeds(t, emulator.Settings{Crashing: true, Upstreams: 8})
 }
 
+// TestFormerOwnerBesideItsSuccessor plays histories in which the network splits into two sides.
+// The owner of a pool may then go on beside its successor, each with some of the upstreams.
+func TestFormerOwnerBesideItsSuccessor(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{Splits: true}, _splitSeeds)
+}
+
+// _splitSeeds is how many histories with splits the test plays at most. The command play --splits
+// plays more.
+const _splitSeeds = 40
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
@@ -70,14 +86,30 @@
 // the same. In 90, 97 and 98 an owner loses the pool while several callers wait.
 func TestOneHistory(t *testing.T) {
 	for _, seed := range []uint64{5, 90, 97, 98} {
-		var first strings.Builder
-		emulator.New(emulator.Settings{Seed: seed, Trace: &first}).Run()
-		assert.Assert(t, strings.Contains(first.String(), "done"), fmt.Sprintf("%d bytes", first.Len()))
-		for range 2 {
-			var again strings.Builder
-			emulator.New(emulator.Settings{Seed: seed, Trace: &again}).Run()
-			assert.Assert(t, first.String() == again.String(), "seed %d", seed)
-		}
+		checkOneHistory(t, emulator.Settings{Seed: seed})
+	}
+}
+
+// TestOneHistoryWithSplits does the same for seeds with splits: in 9 two overlap, in 12 paths heal
+// one after the other, and in 40 a split begins with a freeze.
+func TestOneHistoryWithSplits(t *testing.T) {
+	for _, seed := range []uint64{9, 12, 40} {
+		checkOneHistory(t, emulator.Settings{Seed: seed, Splits: true})
+	}
+}
+
+// checkOneHistory plays a seed three times and checks that the histories are the same.
+func checkOneHistory(t *testing.T, s emulator.Settings) {
+	t.Helper()
+	var first strings.Builder
+	s.Trace = &first
+	emulator.New(s).Run()
+	assert.Assert(t, strings.Contains(first.String(), "done"), fmt.Sprintf("%d bytes", first.Len()))
+	for range 2 {
+		var again strings.Builder
+		s.Trace = &again
+		emulator.New(s).Run()
+		assert.Assert(t, first.String() == again.String(), "seed %d", s.Seed)
 	}
 }
 
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -27,7 +27,8 @@
 // Violation is a guarantee that a history broke. The rules are:
 //
 //	TWICE    a task runs once at a time, and a task that isn't long-running doesn't run
-//	         again after an acknowledged completion
+//	         again after an acknowledged completion, or, by an entry in touch with the
+//	         platform, after its job was shown as completed
 //	ORDER    a task starts after the steps it depends on, and not before it is due
 //	UNASKED  only tasks of submitted jobs start, and none long after a cancellation
 //	REFUSED  a job doesn't run if all attempts to submit it were refused
@@ -61,12 +62,13 @@
 	// accepted and cancelled are the times at which a caller received these answers; zero
 	// if none did. maybeAccepted is set when an attempt is accepted or its outcome is
 	// unknown, refused when an attempt is refused, and cancelRequested when a caller
-	// sends a cancellation. lastState is the last state that a caller received.
+	// sends a cancellation. lastState is the last state that a caller received, first at shownAt.
 	accepted, cancelled time.Duration
 	maybeAccepted       bool
 	refused             bool
 	cancelRequested     bool
 	lastState           link.JobState
+	shownAt             time.Duration
 	// crashing is its task that crashes upstreams, or nil.
 	crashing *crashing
 	// runTimes are the mean run times of its tasks by step, if a load is replayed; took is
@@ -179,6 +181,7 @@
 	if t.job.cancelled > 0 && l.world.now > t.job.cancelled+_cancelDelay {
 		l.addViolation("UNASKED", "%s: %v started long after the job was cancelled at %v", t.name, s, t.job.cancelled)
 	}
+	l.checkAgainAfterShown(s, u)
 	// The first start after the owner was killed ends the failover. Orders that were under
 	// way at the kill arrive within _maxDelay.
 	if w := l.world; w.killedAt > 0 && w.resumedAt == 0 && w.now > w.killedAt+_maxDelay {
@@ -190,6 +193,21 @@
 	return s
 }
 
+// checkAgainAfterShown checks that an entry in touch with the platform doesn't start a task whose
+// job was shown as completed.
+func (l *ledger) checkAgainAfterShown(s *runRecord, u *upstream) {
+	j := s.task.job
+	if j.lastState != link.JobState_JOB_STATE_COMPLETED || l.world.now <= j.shownAt+_shownDelay || u.executingLate {
+		return
+	}
+	if e := l.world.entryNamed(s.startedBy); e != nil && e.withoutRecentFault() {
+		l.addViolation("TWICE", "%s: %v started though its job was shown as completed at %v", s.task.name, s, j.shownAt)
+	}
+}
+
+// _shownDelay is how long after a job was shown as completed an entry may still start its tasks.
+const _shownDelay = time.Second
+
 // _cancelDelay is how long after a job was cancelled its tasks may still start. It
 // includes _maxLate, since orders may be executed that late.
 const _cancelDelay = 3*time.Second + _maxLate
@@ -297,11 +315,16 @@
 	l.world.tracef("%s %s: %v", s.task.name, how, s)
 }
 
-// findRun returns the run whose end an upstream lists.
+// findRun returns the run whose end an upstream lists. A former incarnation under the same ID
+// may have run the same number before.
 func (l *ledger) findRun(u *upstream, e platform.Ended) *runRecord {
 	all := l.tasks[e.Task].runs
-	i := slices.IndexFunc(all, func(s *runRecord) bool { return s.number == e.Run && s.upstream == u.name() })
-	return all[i]
+	for i, s := range slices.Backward(all) {
+		if s.number == e.Run && s.upstream == u.name() {
+			return all[i]
+		}
+	}
+	return nil // Upstreams list only runs that were recorded.
 }
 
 // recordAck records that an owner acknowledged the end of a run to the upstream. It
--- a/standin/emulator/network.go
+++ b/standin/emulator/network.go
@@ -25,12 +25,17 @@
 
 // cutOff partitions two peers, in both directions, until a time.
 func (n *network) cutOff(a, b string, until time.Duration) {
+	n.cutPath(a, b, until)
+	n.cutPath(b, a, until)
+}
+
+// cutPath partitions two peers, in the direction from a to b, until a time.
+func (n *network) cutPath(a, b string, until time.Duration) {
 	if n.cut == nil {
 		n.cut = make(map[path]time.Duration)
 	}
-	for _, l := range []path{{a, b}, {b, a}} {
-		n.cut[l] = max(n.cut[l], until)
-	}
+	p := path{a, b}
+	n.cut[p] = max(n.cut[p], until)
 }
 
 func (n *network) open(a, b string, now time.Duration) bool { return n.cut[path{a, b}] <= now }
@@ -59,7 +64,7 @@
 		}
 		serve(func(v T, err error) {
 			w.after(w.delay(), func() {
-				if w.net.open(e.name, to, w.now) {
+				if w.net.open(to, e.name, w.now) {
 					finish(v, err)
 				}
 			})
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -31,6 +31,8 @@
 	Limits bool
 	// Crashing gives some jobs a task that crashes each upstream that starts it.
 	Crashing bool
+	// Splits adds splits of the network into two sides, and tasks that run for seconds.
+	Splits bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -102,6 +104,8 @@
 	limits *limits
 	// crashes draws the tasks that crash their upstreams, or is nil.
 	crashes *crashes
+	// splits draws the splits of the network, or is nil.
+	splits *splits
 }
 
 // listEntry is an upstream's report with its time.
@@ -147,6 +151,9 @@
 	if s.Crashing {
 		w.crashes = &crashes{rand.New(rand.NewPCG(s.Seed, 4))}
 	}
+	if s.Splits {
+		w.splits = &splits{rand.New(rand.NewPCG(s.Seed, 5))}
+	}
 	return w
 }
 
@@ -189,6 +196,7 @@
 		}
 		w.planLongOutage()
 		w.planListLag()
+		w.planSplits()
 	}
 	if k := w.settings.KillOwner; k > 0 {
 		w.after(k, func() {
@@ -245,6 +253,7 @@
 		d.IntervalMs, d.Occurrences = w.between(time.Second, 3*time.Second).Milliseconds(), 2
 	}
 	w.limitJob(d)
+	w.splitJob(d)
 	w.planCrash(j)
 	w.ledger.jobs[d.GetId()] = j
 	at := w.between(800*time.Millisecond, w.settings.SubmitPeriod)
@@ -286,6 +295,16 @@
 	return nil
 }
 
+// entryNamed returns an entry by its name, or nil.
+func (w *World) entryNamed(name string) *entry {
+	for _, e := range w.entries {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
 // tracef writes a line to the trace.
 func (w *World) tracef(format string, a ...any) {
 	if w.trace != nil {
