scheduler: the answer to a stop that went to a former incarnation says nothing of the present one

An upstream restarts under its ID, and the answer to a stop of before is handled after the poll that shows the restart. 421 ended the present incarnation, whose runs were started elsewhere (TWICE); 200 was taken for a stop that the present incarnation had confirmed, so that a late start there wasn't ruled out. A stop says when it was decided on now; if that is before the incarnation was known, it is sent again.

--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -192,7 +192,9 @@
 
 // Stop stops a run.
 type Stop struct {
-	Host    string
+	Host string
+	// At is when it was decided on.
+	At      time.Time
 	Target  platform.Target
 	Task    string
 	Run     int64
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -102,7 +102,7 @@
 	r.stopSent = true
 	r.host.touch()
 	s.emit(Stop{
-		Host: r.host.up.ID, Target: r.host.target, Task: r.task.name, Run: r.number, Token: s.set.Token,
+		Host: r.host.up.ID, At: now, Target: r.host.target, Task: r.task.name, Run: r.number, Token: s.set.Token,
 		Permit: permit.New(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
 	})
 }
@@ -141,7 +141,7 @@
 	case Stop:
 		if h := s.hosts.get(o.Host); h != nil {
 			if r := h.findRun(o.Task, o.Run); r != nil {
-				s.stopAnswered(now, r, e.Err)
+				s.stopAnswered(now, r, o.At, e.Err)
 			}
 		}
 	case Pace:
@@ -283,9 +283,14 @@
 // expected.
 const _noRoomPause = 200 * time.Millisecond
 
-// stopAnswered handles the answer to a stop.
-func (s *Scheduler) stopAnswered(now time.Time, r *run, err error) {
+// stopAnswered handles the answer to a stop that was sent at some time.
+func (s *Scheduler) stopAnswered(now time.Time, r *run, sent time.Time, err error) {
 	h := r.host
+	if sent.Before(h.knownSince) {
+		// It went to a former incarnation, maybe at another address, and says nothing of this one.
+		r.stopSent, r.stopDue = false, now
+		return
+	}
 	if err == nil {
 		r.stopped = now
 		h.pollDue = now
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -54,7 +54,7 @@
 //	executed                      the append in flight is carried out, without an answer
 //	polled ID [concurrent] [atOnce] [sent=MS] [born=N] [clock=MS] [run=TASK/RUN/PERCENT[/CHECKPOINT] [gauge=N]] [end=N/TASK/RUN/HOW[/CHECKPOINT]]
 //	pollFailed ID [STATUS REASON] [sent=MS] | pollFailed ID lost sent=MS
-//	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON]
+//	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON] [sent=MS]
 //	    STATUS: an HTTP status, or lost, expired or notSent
 //	advised STEP ID=TICKET ... | adviceFailed STEP
 //	paceFailed STATUS             the last change of pace failed
@@ -104,7 +104,7 @@
 	list       []platform.Upstream
 	loaded     Loaded
 	starts     map[string]Start
-	stops      map[string]Stop
+	stops      map[string][]Stop
 	batch      int64
 	// unanswered are the records of the append in flight, journal those appended so far,
 	// by key.
@@ -121,7 +121,7 @@
 
 func newPlayer(t *testing.T) *player {
 	p := &player{
-		t: t, now: _startTime, starts: map[string]Start{}, stops: map[string]Stop{},
+		t: t, now: _startTime, starts: map[string]Start{}, stops: map[string][]Stop{},
 		journal: map[string]platform.Record{},
 	}
 	p.startOwner(7)
@@ -178,10 +178,11 @@
 	p.confirm()
 }
 
-// confirm has the store confirm the ownership, unless there is an outage.
+// confirm has group and journal confirm the ownership, unless there is an outage. Scripts that are about
+// that begin with one.
 func (p *player) confirm() {
 	if !p.storeOutage {
-		p.s.ownership.confirmedAt = p.now
+		p.s.ownership.confirmedAt, p.s.ownership.provenAt = p.now, p.now
 	}
 }
 
@@ -212,7 +213,8 @@
 		}
 		w("start %s on %s until %d%s", runName(op.Order.Task, op.Order.Run), op.Host, op.Order.DeadlineMs, extra)
 	case Stop:
-		p.stops[runName(op.Task, op.Run)] = op
+		k := runName(op.Task, op.Run)
+		p.stops[k] = append(p.stops[k], op)
 		w("stop %s on %s", runName(op.Task, op.Run), op.Host)
 	case Poll:
 		w("poll %s until %d acked %d wait %d", op.Host, op.Hold.DeadlineMs, op.Hold.Acked, op.Hold.Wait.Milliseconds())
@@ -398,7 +400,7 @@
 	case "started":
 		p.step(Ordered{Op: p.starts[f[1]], ClockMs: p.number(m["clock"]), Err: failure("start", rest[1:])})
 	case "stopped":
-		p.step(Ordered{Op: p.stops[f[1]], Err: failure("stop", f[2:])})
+		p.step(Ordered{Op: p.stopOf(f[1], m), Err: failure("stop", rest[1:])})
 	case "advised":
 		p.step(Advised{Step: f[1], Tickets: platform.Tickets{ByUpstream: m, Valid: 3 * time.Second}})
 	case "adviceFailed":
@@ -424,6 +426,20 @@
 	return p.now
 }
 
+// stopOf returns the last stop of a run, or the one that was sent at a given time.
+func (p *player) stopOf(run string, m map[string]string) Op {
+	l := p.stops[run]
+	if m["sent"] != "" {
+		i := slices.IndexFunc(l, func(s Stop) bool { return s.At.Equal(p.sent(m)) })
+		assert.Assert(p.t, i >= 0, "no stop of %s was sent then", run)
+		return l[i]
+	}
+	if len(l) == 0 {
+		return Stop{}
+	}
+	return l[len(l)-1]
+}
+
 // goneOf decodes the report of an ended incarnation.
 func (p *player) goneOf(text string) *link.Gone {
 	id, born, ok := strings.Cut(text, "@")
