scheduler: only an append tells that leases have lapsed; joins let an owner go on

- A join in a generation that an append had adopted was taken for a proof.
An entry that an earlier generation had given the pool to may claim it after that append, renew a lease, and be unknown to this owner until its next append (script lateClaim, which started A.0.0.0/2 at 4830 ms while the append that would have told was in flight).
- After any change of the group only appends confirmed the ownership.
An owner whose joins are answered, but whose appends aren't, gave no orders after 6 s, and the leases on sound upstreams lapsed (script otherMember: polls at 7000 and 8000 without a lease).

Now lapses wait for an append (provenAt), and nothing else. Orders go by joins and appends; a join doesn't count if the group has changed and more than member.TTL has passed since the one before, until an append has been carried out. So a change of the group costs no append any more, only an interruption does.

--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"fescuelanding/entry/member"
+)
 
 // An entry that doesn't reach the store may have a successor. It goes on giving orders for
 // _storeTimeout; upstreams that the successor has reached refuse them. On an upstream that this
@@ -10,49 +14,51 @@
 // ownership is what is known of this entry's ownership of the pool. The zero value is that of
 // a new owner.
 type ownership struct {
-	// confirmedAt is the latest time at which this entry is known to have been the owner, with no
-	// other one since it became the owner.
+	// confirmedAt is the latest time at which the group or the journal confirmed the ownership. Orders
+	// are given for _storeTimeout after it.
 	confirmedAt time.Time
-	// generation is that of the group at confirmedAt.
+	// provenAt is the latest time at which no other entry can have owned the pool since this
+	// one does. Another owner claims the journal before it does anything else, which the store would
+	// refuse an append for.
+	provenAt time.Time
+	// generation is that of the group in the last join, which was sent at joinedAt.
 	generation int64
-	// changed is the latest generation of the group, if another entry may have owned the pool
-	// since confirmedAt, and changedAt the time at which this was learnt.
-	changed   int64
-	changedAt time.Time
+	joinedAt   time.Time
+	// interruptedAt is when a join showed that another entry may have owned the pool since the one
+	// before; zero once an append has shown that none did.
+	interruptedAt time.Time
 	// resumedAt is when a suspension of the process was noticed last. How long ago something was sent
 	// before that isn't known.
 	resumedAt time.Time
-	// awaited is set while something that has lapsed by this owner's count waits for a later
-	// confirmation.
+	// awaited is set while something that has lapsed by this owner's count waits for an append.
 	awaited bool
 	// silent is set while no orders are given, because the ownership wasn't confirmed in time.
 	silent bool
 }
 
-// assigned notes that the group assigned the pool to this entry at a time, and reports whether
-// that confirms its ownership. In another generation it doesn't: another entry may have owned the
-// pool in between.
-func (o *ownership) assigned(now, at time.Time, generation int64) bool {
-	if o.generation == 0 {
-		o.generation = generation
+// joined notes that the group assigned the pool to this entry in a join sent at a time, and
+// reports whether that confirms its ownership. It doesn't if the group has changed and the
+// membership may have lapsed since the join before.
+func (o *ownership) joined(now, at time.Time, generation int64) bool {
+	if o.generation != 0 && generation != o.generation && now.Sub(o.joinedAt) >= member.TTL {
+		o.interruptedAt = now
 	}
-	if generation != o.generation {
-		if generation != o.changed {
-			o.changed, o.changedAt = generation, now
-		}
+	o.generation, o.joinedAt = generation, at
+	if !o.interruptedAt.IsZero() {
 		return false
 	}
 	o.confirm(at)
 	return true
 }
 
-// appended notes an append, sent at some time, that the store has carried out. Another owner
-// claims the journal before it does anything else, which the store would have refused the
-// append for.
+// appended notes an append, sent at some time, that the store has carried out.
 func (o *ownership) appended(sent time.Time) {
 	o.confirm(sent)
-	if o.changed != 0 && !sent.Before(o.changedAt) {
-		o.generation, o.changed = o.changed, 0
+	if sent.After(o.provenAt) {
+		o.provenAt = sent
+	}
+	if !sent.Before(o.interruptedAt) {
+		o.interruptedAt = time.Time{}
 	}
 }
 
@@ -66,35 +72,32 @@
 func (o *ownership) suspended(now time.Time, d time.Duration) {
 	o.resumedAt = now
 	o.confirmedAt = o.confirmedAt.Add(-d)
-	o.changedAt = o.changedAt.Add(-d)
+	o.provenAt = o.provenAt.Add(-d)
+	o.joinedAt = o.joinedAt.Add(-d)
 }
 
 // confirmOwnership handles the group's confirmation of the ownership. If another entry may have
 // been the owner in between, an append tells. A join that was sent before a suspension may be older
 // than it seems; the next one follows soon.
 func (s *Scheduler) confirmOwnership(now time.Time, e OwnershipConfirmed) {
-	if e.At.Before(s.ownership.resumedAt) {
-		return
-	}
-	if s.ownership.assigned(now, e.At, e.Generation) {
-		s.touchLapsed(now)
+	if e.At.Before(s.ownership.resumedAt) || s.ownership.joined(now, e.At, e.Generation) {
 		return
 	}
 	at := now
 	if s.mayOrder(now) {
-		at = now.Add(_generationProbeDelay)
+		at = now.Add(_interruptionProbeDelay)
 	}
 	s.probe(at)
 }
 
-// _generationProbeDelay is how long an append that tells who owns the pool is held back after a
-// change of the group, as several changes often follow each other.
-const _generationProbeDelay = time.Second
+// _interruptionProbeDelay is how long an append that tells who owns the pool is held back while
+// orders may be given anyway. The group changes several times in a row after an outage of the store.
+const _interruptionProbeDelay = time.Second
 
-// ownedAt reports whether this entry is known to have been the owner at a time that has passed.
-// If it isn't, an append is sent to find out.
+// ownedAt reports whether no other entry can have owned the pool before a time that has passed.
+// If that isn't known, an append is sent to find out.
 func (s *Scheduler) ownedAt(now, at time.Time) bool {
-	if !s.ownership.confirmedAt.Before(at) {
+	if !s.ownership.provenAt.Before(at) {
 		return true
 	}
 	s.ownership.awaited = true
