--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -240,8 +240,8 @@
 // expireUnpolled stops waiting for the upstreams of a former owner once every
 // lease on them has certainly lapsed, and no later owner can have renewed it before that.
 func (s *Scheduler) expireUnpolled(now time.Time) {
-	for id, t := range s.unpolled {
-		if !now.Before(t) && s.ownedAt(now, t) {
+	for _, id := range slices.Sorted(maps.Keys(s.unpolled)) {
+		if t := s.unpolled[id]; !now.Before(t) && s.ownedAt(now, t) {
 			delete(s.unpolled, id)
 			if h := s.hosts.get(id); h != nil {
 				h.expired = h.cloneRuns()
