scheduler: scripts of a late start in an incarnation after one that the planner reported, failing

A start without an answer is given up with the planner's report of its upstream's end, and may be carried out by the next incarnation if that has the same ID. A fix would keep such starts for seconds after each crash, against the idle time of their tasks.

--- a/entry/scheduler/former_test.go
+++ b/entry/scheduler/twice_test.go
@@ -22,3 +22,17 @@
 		})
 	}
 }
+
+// TestTwiceLateStart runs the scripts of testdata/lateStart: the task, whose first start is carried out
+// late, isn't started a second time.
+func TestTwiceLateStart(t *testing.T) {
+	files, err := filepath.Glob("testdata/lateStart/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			out := runScript(t, f)
+			assert.Equal(t, strings.Count(out, "  start A.0.0.0/"), 1, "%s", out)
+		})
+	}
+}
