--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -409,6 +409,12 @@
 	return ""
 }
 
+// PoolOwner returns the name of the entry that owns a pool, or an empty string.
+func (s *Site) PoolOwner(pool string) string {
+	// A pool's position in this list is the number of its partition.
+	return s.Owner(slices.Index([]string{"", "fitting", "returns"}, pool))
+}
+
 // Stop kills all entries and stops the platform.
 func (s *Site) Stop() {
 	for _, n := range s.entryNames() {
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -117,6 +117,9 @@
 
 func (c *caller) sendOn(o *conn, method string, q platform.Queue, id, body string) (answer, error) {
 	c.soak.requests.Add(1)
+	if o.entry.terminatedSince(o.opened) {
+		c.soak.late.Add(1)
+	}
 	a, err := o.send(method, q, id, body)
 	if err != nil || a.last {
 		c.drop(o.entry)
--- a/standin/soak/job.go
+++ b/standin/soak/job.go
@@ -23,6 +23,8 @@
 	tasks       int
 	fails       int
 	longRunning bool
+	// excess is how much later than others the job may end; zero unless its tasks are long.
+	excess time.Duration
 
 	mu sync.Mutex
 	// accepted is when an answer first said so; zero before that.
@@ -88,6 +90,26 @@
 	_highFailEvery = 5
 )
 
+// One job of _longEvery in a soak with splits is long, but in its last quarter: the tasks outlast
+// the leases that an owner has granted.
+const (
+	_longEvery    = 6
+	_shortestLong = 4 * time.Second
+	_longestLong  = 8 * time.Second
+)
+
+// newLongJob draws a job of long tasks that end by themselves.
+func newLongJob(r *rand.Rand, s *site.Site, id, queue string) (*job, error) {
+	v := site.Behaviour{Millis: int(between(r, _shortestLong, _longestLong).Milliseconds())}
+	b := jobBody{Phases: []step{{Count: 1 + r.IntN(3), CPU: 500, MemMB: 64, EstimateMs: v.Millis}}}
+	j, err := recordJob(s, id, queue, v, b)
+	if err != nil {
+		return nil, err
+	}
+	j.excess = time.Duration(v.Millis) * time.Millisecond
+	return j, nil
+}
+
 // newLongRunningJob draws a job of tasks that run until the job is cancelled.
 func newLongRunningJob(r *rand.Rand, s *site.Site, id, queue string) (*job, error) {
 	p := step{Count: 2, CPU: 500, MemMB: 64, LongRunning: true, MayMiss: 1, AntiAffinity: 1}
