--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -87,7 +87,7 @@
 	if s.mayOrder(now) {
 		at = now.Add(_interruptionProbeDelay)
 	}
-	s.probe(at)
+	s.probeJournal(at)
 }
 
 // _interruptionProbeDelay is how long an append that tells who owns the pool is held back while
@@ -101,13 +101,13 @@
 		return true
 	}
 	s.ownership.awaited = true
-	s.probe(now)
+	s.probeJournal(now)
 	return false
 }
 
-// probe has an append sent at a time although there may be nothing to append. While the store
+// probeJournal has an append sent at a time although there may be nothing to append. While the store
 // refuses appends, they are repeated anyway.
-func (s *Scheduler) probe(at time.Time) {
+func (s *Scheduler) probeJournal(at time.Time) {
 	n := &s.journal
 	n.commits.probe = true
 	if n.commits.failingSince.IsZero() {
