standin/emulator: histories with splits last 40 s longer

Three such steps with three runs each take 72 s, more than _drainTime.

Change: these histories end 40 s later. The check itself, and histories without splits, are as before.

--- a/standin/emulator/split.go
+++ b/standin/emulator/split.go
@@ -31,6 +31,9 @@
 	// in a history with splits. The runs of the others end soon after a split begins.
 	_longSteps         = 3
 	_minLong, _maxLong = 2 * time.Second, 8 * time.Second
+	// _longDrain is how much longer such a history lasts than others. A job may need three such
+	// steps one after the other, each with three runs.
+	_longDrain = 40 * time.Second
 )
 
 // splits draws the splits of a history, apart from the rest, so that a seed gives the same jobs
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -205,7 +205,11 @@
 		})
 	}
 	w.checkIdleTasks()
-	w.run(w.settings.SubmitPeriod + _drainTime)
+	end := w.settings.SubmitPeriod + _drainTime
+	if w.splits != nil {
+		end += _longDrain
+	}
+	w.run(end)
 	w.ledger.checkAtEnd()
 	return w.ledger.violations
 }
