site: upstreams shorten a lease to the longest one

An order with a deadline of the clock of a former incarnation (8.1 s ahead) had reached the next one under the same ID, and the stand-in granted a lease of over 12 s. By the platform's protocol a lease is shortened to holdMaxMs (10 s), after which the start would have been right. That the order was of a former incarnation is inferred from the times; the log doesn't name it.

Left to look at in entry/scheduler: restartUpstream expects the longest lease only if runs are left (len(h.runs) > 0); without any it counts from zero, so that up to 10 s after a restart under the same ID it could take a lease for lapsed too early.

TestLongestLease checks the bound. The other tests of the package passed, but for TestFormerOwnerBesideItsSuccessor, which is known to be red.

--- a/standin/site/ledger_test.go
+++ b/standin/site/ledger_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -92,3 +93,12 @@
 
 // testTask returns the name of a task of the test's job.
 func testTask(index string) string { return _testJob + ".0.0." + index }
+
+// TestLongestLease checks that an upstream shortens a lease to the longest one.
+func TestLongestLease(t *testing.T) {
+	u := newUpstream(New("", t.TempDir(), io.Discard), "m1")
+	begin := time.Now()
+	u.extendLease(u.clock() + time.Hour.Milliseconds())
+	assert.Assert(t, !u.lapsed(begin.Add(_maxLease-time.Second)))
+	assert.Assert(t, u.lapsed(time.Now().Add(_maxLease)))
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -25,6 +25,8 @@
 	// _moveTime and _upkeepTime are how long a host is down for a move and for upkeep.
 	_moveTime   = 300 * time.Millisecond
 	_upkeepTime = 300 * time.Millisecond
+	// _maxLease is the longest lease that upstreams grant.
+	_maxLease = 10 * time.Second
 	// _gangTimeout is how long a member of a gang waits for the others.
 	_gangTimeout = 3 * time.Second
 	// _maxMissedReports is how many reports of an upstream may be missing before the
@@ -350,7 +352,7 @@
 		},
 		Cloud: platform.CloudSettings{Address: s.cloudAt, CallsPerS: 64, OrdersPerS: 64},
 		Bounds: platform.Bounds{
-			MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: _gangTimeout,
+			MaxLease: _maxLease, StopTimeout: 400 * time.Millisecond, GangTimeout: _gangTimeout,
 			Grace: 6 * time.Second, StatusRetention: 2 * time.Minute, RemoteFactor: 2, MoveTime: _moveTime, UpkeepTime: _upkeepTime,
 			HolderLease: 500 * time.Millisecond, StrictRevocation: true, RevocationTime: _revocationTime,
 		},
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -122,9 +122,10 @@
 
 func (u *Upstream) now() int64 { return time.Since(u.began).Milliseconds() }
 
-// extendLease extends the lease up to a time of the upstream's clock. It never shortens it.
+// extendLease extends the lease up to a time of the upstream's clock, but not beyond the longest
+// lease. It never shortens it.
 func (u *Upstream) extendLease(deadline int64) {
-	u.deadline = max(u.deadline, deadline)
+	u.deadline = max(u.deadline, min(deadline, u.now()+_maxLease.Milliseconds()))
 	t := u.began.Add(time.Duration(u.deadline) * time.Millisecond)
 	u.lapse.Store(&t)
 }
