scheduler: an incarnation of the same ID may have granted the longest lease before it has any run

The owner of a pool polled m3; m3 crashed and came back under its ID, and the next incarnation carried out that poll. Its deadline was one by the former clock, far ahead, so that the new incarnation granted the longest lease (10 s). The owner reckoned with that only if a run was left; there was none, and the next task that it started there, run 35, was given up 4.7 s after m3's last answer (answers were cut) and started on m2, while it ran on m3.

--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -109,10 +109,10 @@
 	s.giveUp(now, hopeless)
 	h.setBorn(now, l.StartUnixMs)
 	h.fenced, h.gone = false, false
-	h.clockMs, h.clockReadAt, h.deadlineMs, h.pollClockMs = 0, time.Time{}, 0, 0
-	if len(h.runs) > 0 || len(l.Running) > 0 {
-		// The deadlines refer to the former incarnation's clock, so the new one
-		// may have granted the longest lease.
+	h.clockMs, h.clockReadAt, h.pollClockMs = 0, time.Time{}, 0
+	if h.deadlineMs > 0 || h.recordQueued || len(l.Running) > 0 {
+		// Calls that were meant for the former incarnation have deadlines by its clock, for which
+		// the new one may have granted the longest lease: to whatever runs there, also later.
 		h.deadlineMs = l.ClockMs + max(s.set.MaxLease, _lease).Milliseconds()
 	}
 	h.seenEnd, h.durableEnd, h.lastResult, h.failedPolls = 0, 0, 0, 0
