scheduler: an owner doesn't ask for the longest lease because the upstream may have granted it

After a restart under the same ID an owner reckons with the longest lease, 10 s, as calls that were meant for the former incarnation may have got it. It also asked for it: each start and poll carried that deadline.

What is asked for now is always 4.5 s from now; what is reckoned with stays the longest. The goldens of 15 scripts show starts and polls with a deadline of 4.5 s after a restart, and no other change.

--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -263,10 +263,12 @@
 	return h.clockReadAt.Add(time.Duration(left/_slowestClockRate)*time.Millisecond + time.Millisecond)
 }
 
-// extendLease returns the deadline of a lease that begins now, and stores it.
+// extendLease returns the deadline of a lease that begins now, and stores it. A longer lease that
+// the upstream may have granted isn't asked for: the next owner wouldn't know of it.
 func (h *host) extendLease(now time.Time, d time.Duration) int64 {
-	h.deadlineMs = max(h.deadlineMs, h.clockNow(now)+d.Milliseconds())
-	return h.deadlineMs
+	ms := h.clockNow(now) + d.Milliseconds()
+	h.deadlineMs = max(h.deadlineMs, ms)
+	return ms
 }
 
 // _unlistedGrace is how long an upstream stays in use after its entry has
