scheduler: a new owner reckons with the longest lease of an incarnation that has just begun

A call to the former incarnation may have got the longest lease from an incarnation that is in use and began less than that lease and 10 s ago, for clocks that differ and late calls.

The script twiceLeaseOfYoungIncarnation before this change: + 4796 start A.0.0.0/17 on u2 until 9200 while the lease on u1 may last until 10050.

--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -258,8 +258,20 @@
 		// The runs may hold a lease that a former owner has just renewed.
 		h.deadlineMs = max(h.deadlineMs, l.ClockMs+_lease.Milliseconds())
 	}
+	if h.recordQueued && s.young(now, h) {
+		h.deadlineMs = max(h.deadlineMs, l.ClockMs+s.set.MaxLease.Milliseconds())
+	}
+}
+
+// young reports whether an incarnation may hold a lease that it granted to a call which was meant for
+// the one before it. The time at which it began is by another clock.
+func (s *Scheduler) young(now time.Time, h *host) bool {
+	return now.UnixMilli()-h.born < (s.set.MaxLease + _youngMargin).Milliseconds()
 }
 
+// _youngMargin allows for clocks that differ, and for calls that are carried out late.
+const _youngMargin = 10 * time.Second
+
 // _noWaitPollDelay is the pause between polls that don't wait for a run to end.
 const _noWaitPollDelay = 60 * time.Millisecond
 
