--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -233,7 +234,7 @@
 // flaps has two executors crash twice soon after each has started a work item: one that lasts, and one
 // that takes 8 s. Each is the only executor with the label that its work item requires.
 func flaps(w *world) {
-	for i := range 14 {
+	for i := range 15 {
 		kind := "a"
 		if i < 2 {
 			kind = []string{"b", "c"}[i]
@@ -300,6 +301,145 @@
 	w.verdict(broken)
 }
 
+// vacated has a wave vacate a machine, on which a work item of 60 s runs on. Then another machine is lost
+// for good, one work item of a step that is spread over the machines with it.
+func vacated(w *world) {
+	for i := range 9 {
+		w.newExecutor(fmt.Sprintf("i-%08x", 0x7f3a0000+i), fmt.Sprintf("m-%d", i+1), service, "a", fmt.Sprintf("r1-%d", 1+i/4)).boot()
+	}
+	w.configure([]route{{"r-1", prefix, service, 3}}, service)
+	w.startEntries(3)
+	time.Sleep(3 * time.Second)
+	spread, long := id(9, 0), id(9, 1)
+	b := phases(map[string]any{"count": 8, "cpu": 4000, "memMb": 1024, "estimateMs": 1000, "longRunning": true, "antiAffinity": 1, "mayMiss": 1})
+	w.submit(0, prefix, spread, work{lasts: true, cpu: 4000}, 8, b, 2)
+	b = phases(map[string]any{"count": 1, "cpu": 1000, "memMb": 1024, "estimateMs": 60000})
+	w.submit(1, prefix, long, work{ms: 60000, cpu: 1000}, 1, b, 2)
+	time.Sleep(3 * time.Second)
+	var due, lost *executor
+	for _, x := range w.executors {
+		x.mu.Lock()
+		for _, r := range x.runs {
+			if jobOf(r.task) == long {
+				due = x
+			}
+		}
+		x.mu.Unlock()
+	}
+	if due == nil {
+		w.fatal("the work item of 60 s doesn't run")
+	}
+	w.declareWave(90*time.Second, due.machine)
+	time.Sleep(6 * time.Second)
+	for _, x := range w.executors {
+		x.mu.Lock()
+		if x != due && len(x.runs) > 0 {
+			lost = x
+		}
+		x.mu.Unlock()
+	}
+	if trouble() {
+		lost.crash() // for good
+	}
+	calm := time.Now()
+	idle, worst, room := time.Now(), time.Duration(0), int64(0)
+	for time.Since(calm) < 40*time.Second {
+		time.Sleep(50 * time.Millisecond)
+		n, free := 0, int64(0)
+		for _, x := range w.executors {
+			x.mu.Lock()
+			has := false
+			for _, r := range x.runs {
+				if jobOf(r.task) == spread {
+					n++
+					has = true
+				}
+			}
+			if x.up && !has {
+				free = max(free, x.cpu-x.used())
+			}
+			x.mu.Unlock()
+		}
+		if n == 8 || free < 8000 || time.Since(calm) < 7*time.Second {
+			idle = time.Now()
+		}
+		if d := time.Since(idle); d > worst {
+			worst, room = d, free
+		}
+	}
+	var broken []string
+	if worst > 3*time.Second {
+		broken = append(broken, fmt.Sprintf("LOST: one of 8 work items of %s, which last, doesn't run for %.1f s from 7 s after the last disruption on; an executor that has none of them has %d of 16 cores free, and it needs 4", spread, worst.Seconds(), room/1000))
+	}
+	w.verdict(broken)
+}
+
+// lateStart has an executor leave one start unanswered, crash, and start again under its id. The start
+// is carried out seconds later, as a call without an answer may be.
+func lateStart(w *world) {
+	for i := range 9 {
+		kind := "a"
+		if i < 2 {
+			kind = "b"
+		}
+		w.newExecutor(fmt.Sprintf("i-%08x", 0x7f3a0000+i), fmt.Sprintf("m-%d", i+1), service, kind, fmt.Sprintf("r1-%d", 1+i/4)).boot()
+	}
+	w.configure([]route{{"r-1", prefix, service, 3}}, service)
+	w.startEntries(3)
+	time.Sleep(3 * time.Second)
+	for n := range 8 {
+		w.shortJob(n, prefix, id(1, n), 2)
+	}
+	time.Sleep(2 * time.Second)
+	job := id(8, 0)
+	held := make(chan *executor, 1)
+	if trouble() {
+		var once sync.Once
+		for _, x := range w.executors[:2] {
+			x.mu.Lock()
+			x.late = func(task string) bool {
+				first := false
+				if jobOf(task) == job {
+					once.Do(func() { first = true; held <- x })
+				}
+				return first
+			}
+			x.mu.Unlock()
+		}
+	}
+	b := phases(map[string]any{"count": 1, "cpu": 1000, "memMb": 1024, "estimateMs": 10000, "requires": "b"})
+	w.submit(0, prefix, job, work{ms: 10000, cpu: 1000}, 1, b, 2)
+	if trouble() {
+		select {
+		case x := <-held:
+			time.Sleep(200 * time.Millisecond)
+			x.crash()
+			time.Sleep(1500 * time.Millisecond)
+			x.boot()
+		case <-time.After(5 * time.Second):
+			w.fatal("no start was sent")
+		}
+	}
+	var broken []string
+	for t := time.Now(); time.Since(t) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+		var on []string
+		for _, x := range w.executors {
+			x.mu.Lock()
+			for _, r := range x.runs {
+				if jobOf(r.task) == job {
+					on = append(on, r.String()+" on "+x.id)
+				}
+			}
+			x.mu.Unlock()
+		}
+		if len(on) > 1 && len(broken) == 0 {
+			broken = append(broken, "TWICE: two runs of one work item at the same time, on executors that are up: "+strings.Join(on, ", "))
+		}
+	}
+	w.state(1, w.jobs[job])
+	w.verdict(broken)
+}
+
 // awaitRun waits until a work item of a job runs.
 func (w *world) awaitRun(id string, limit time.Duration) {
 	for t := time.Now(); time.Since(t) < limit; time.Sleep(10 * time.Millisecond) {
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -43,8 +43,18 @@
 	sequence int64
 	cpu      int64
 	server   *http.Server
+	// late reports whether a start gets no answer and is carried out lateBy later; nil for none.
+	late     func(task string) bool
+	inUpkeep bool
 }
 
+// lateBy is how long after its arrival a late start is carried out, and lateFor how long its caller
+// waits in vain at most.
+const (
+	lateBy  = 4 * time.Second
+	lateFor = 3 * time.Second
+)
+
 type run struct {
 	task  string
 	run   int64
@@ -137,6 +147,28 @@
 	}()
 }
 
+// upkeep takes the machine down for maintenanceS, and reports whether it was up. An executor with
+// another id joins after that.
+func (x *executor) upkeep() bool {
+	x.mu.Lock()
+	up, id := x.up, x.id
+	x.inUpkeep = up
+	x.mu.Unlock()
+	if !up {
+		return false
+	}
+	x.crash()
+	x.w.store.put("keyed.servers", id, nil)
+	x.w.record("machine %s is down for its upkeep", x.machine)
+	time.AfterFunc(2*time.Second, func() {
+		x.mu.Lock()
+		x.id, x.inUpkeep = id+"b", false
+		x.mu.Unlock()
+		x.boot()
+	})
+	return true
+}
+
 func (x *executor) clock() int64 { return time.Since(x.born).Milliseconds() }
 
 func (x *executor) report() {
@@ -224,6 +256,17 @@
 	x.settle()
 	switch r.URL.Path {
 	case "/api/run-start":
+		if x.late != nil && x.late(q.Task) {
+			x.w.record("executor %s leaves the start of %s run %d unanswered", x.id, q.Task, q.Run)
+			time.AfterFunc(lateBy, func() { x.carryOut(q.Task, q.Run, q.Spec, q.DeadlineMs, q.FencingToken) })
+			x.mu.Unlock()
+			select {
+			case <-r.Context().Done():
+			case <-time.After(lateFor):
+			}
+			x.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
 		if why := x.start(q.Task, q.Run, q.Spec, q.DeadlineMs); why != "" {
 			reply(w, 409, map[string]any{"clockMs": x.clock(), "reason": why})
 			return
@@ -276,6 +319,23 @@
 	reply(w, 200, map[string]any{"clockMs": x.clock()})
 }
 
+// carryOut carries out a late start, which named the executor's id.
+func (x *executor) carryOut(task string, n int64, spec string, deadline, token int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	why := "down"
+	switch {
+	case !x.up:
+	case token < x.fence:
+		why = "fence"
+	default:
+		x.fence = token
+		x.settle()
+		why = x.start(task, n, spec, deadline)
+	}
+	x.w.record("executor %s carries out the late start of %s run %d; refused: %q", x.id, task, n, why)
+}
+
 func (x *executor) extend(deadline int64) {
 	x.deadline = max(x.deadline, min(deadline, x.clock()+holdMax.Milliseconds()))
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,7 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 func main() {
-	cases := map[string]func(*world){"backlog": backlog, "removed": removed, "flaps": flaps, "sameID": sameID}
+	cases := map[string]func(*world){"backlog": backlog, "removed": removed, "flaps": flaps, "sameID": sameID, "lateStart": lateStart, "vacated": vacated}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin CASE FOLDER")
 		os.Exit(2)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -45,6 +45,7 @@
 	starts []event
 	ends   []event
 	quiet  map[string]bool // jobs whose runs aren't recorded one by one
+	due    map[string]bool // the machines of the wave
 }
 
 type event struct {
@@ -81,7 +82,7 @@
 		os.Exit(2)
 	}
 	w := &world{
-		began: time.Now(), store: newStore(), dir: tmp, log: f, jobs: map[string]*job{}, quiet: map[string]bool{},
+		began: time.Now(), store: newStore(), dir: tmp, log: f, jobs: map[string]*job{}, quiet: map[string]bool{}, due: map[string]bool{},
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 	}
 	w.storeAddr = w.serve(w.store)
@@ -129,10 +130,18 @@
 	return ""
 }
 
-// serveCloud lists the machines. It refuses all orders for machines as busy, none of which a
-// deployment with one pool needs.
+// serveCloud lists the machines and carries out upkeeps. Moves, which a deployment with one pool
+// doesn't need, are refused as busy.
 func (w *world) serveCloud(rw http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/api/machines" {
+		var q struct{ Machine string }
+		_ = json.NewDecoder(r.Body).Decode(&q)
+		for _, x := range w.executors {
+			if r.URL.Path == "/api/machine-upkeep" && x.machine == q.Machine && w.due[q.Machine] && x.upkeep() {
+				reply(rw, 200, map[string]any{})
+				return
+			}
+		}
 		reply(rw, 409, map[string]any{"reason": "busy"})
 		return
 	}
@@ -143,6 +152,9 @@
 		if !x.up {
 			state, id = "down", ""
 		}
+		if x.inUpkeep {
+			state = "upkeep"
+		}
 		l = append(l, map[string]any{
 			"machine": x.machine, "pool": x.service, "state": state, "zone": "muscat-a", "labels": []string{x.kind, x.rack},
 			"capacity": map[string]any{"cpu": x.cpu, "memMb": 32768, "gpu": 0}, "id": id,
@@ -152,6 +164,16 @@
 	reply(rw, 200, map[string]any{"machines": l, "nextToken": nil})
 }
 
+// declareWave asks for the upkeep of machines, one at a time, as the operator does.
+func (w *world) declareWave(limit time.Duration, machines ...string) {
+	for _, m := range machines {
+		w.due[m] = true
+	}
+	b, _ := json.Marshal(map[string]any{"wave": 1, "machines": machines, "deadlineS": limit.Seconds(), "maxCount": 1})
+	w.store.put("keyed.op", "wave/1", b)
+	w.record("operator: wave 1 of %v within %.0f s acknowledged", machines, limit.Seconds())
+}
+
 // route is a queue of the configuration.
 type route struct {
 	name, prefix, service string
