scheduler: progress of a large job in parts, within the store's limits

Cause: the progress of a job was one record, with an entry for each occurrence and step. That of 1,500 occurrences of 100 steps outgrows the store's recordBytes, so that the store refuses the batch with 400, and the records go into each later batch. Neither records nor appends were bounded, but for the records of new jobs; RecordBytes and CallBytes were read and not used.

The stand-in for the store took records of any size, so that no test, emulator or soak could see it; it refuses them now (site.Store), and the emulator reports such an append as SIZE.

Fix: progress is appended in parts of at most 256 consecutive tasks; the first has the job's state. What a record has of a task is bounded (the latest 32 failed runs are listed, earlier ones counted; one placement, one count of crashes), so that a part always fits. A batch is filled up to the store's limit for a call, the rest goes into the next; ends are acknowledged once all changed progress is durable. A job of at most 256 tasks has the same record as before.

Related paths with the same cause: a mass of deletions, learned durations of queues that are no longer configured, and the record of a job itself, which is refused with 413 if it is too large.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -2,7 +2,7 @@
 // host and path prefix, passes the call to the owner of the queue's pool, and
 // translates the outcome into a status code:
 //
-//	h := &front.Handler{FindQueue: find, Limits: limits, CallOwner: call, Locate: locate, Log: log.Info, Closing: closing}
+//	h := &front.Handler{FindQueue: find, Limits: limits, MaxJobBytes: n, CallOwner: call, Locate: locate, Log: log.Info, Closing: closing}
 //	s := &http.Server{Handler: h}
 //
 // Below a queue's prefix, POST submits the job whose ID is the rest of the path,
@@ -20,6 +20,8 @@
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fescuelanding/entry/access"
 	"fescuelanding/entry/link"
 	"fescuelanding/platform"
@@ -34,7 +36,7 @@
 	_defaultBodyBytes = 256 << 10
 )
 
-// Handler serves callers' requests. All fields must be set.
+// Handler serves callers' requests. All fields must be set, except for MaxJobBytes.
 type Handler struct {
 	// FindQueue returns the queue for a host and path. configured is false until the
 	// first configuration arrives.
@@ -44,6 +46,8 @@
 	Authorize func(now time.Time, q platform.Queue, key platform.KeyHash, given bool) (access.Decision, *link.Credential)
 	// Limits returns the operator's limits on requests.
 	Limits func() platform.Limits
+	// MaxJobBytes is the size limit of a decoded job, in bytes; zero means no limit.
+	MaxJobBytes int
 	// CallOwner sends a call to the owner of its pool.
 	CallOwner func(ctx context.Context, q *link.Call) *link.Answer
 	// Locate sends a call about a job to the owners of all other pools. It is used
@@ -179,6 +183,10 @@
 		return
 	}
 	j.Workspace = c.workspace
+	if f.MaxJobBytes > 0 && proto.Size(j) > f.MaxJobBytes {
+		f.writeError(w, r, http.StatusRequestEntityTooLarge, 0, "job is too large")
+		return
+	}
 	m := c.link()
 	m.Body = &link.Call_Submit{Submit: &link.Submit{Job: j, BudgetMs: b.Milliseconds()}}
 	a := f.CallOwner(ctx, m)
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -21,6 +21,7 @@
 	"fescuelanding/entry/internal/logging"
 	"fescuelanding/entry/internal/owner"
 	"fescuelanding/entry/link"
+	"fescuelanding/entry/scheduler"
 	"fescuelanding/platform"
 )
 
@@ -183,7 +184,8 @@
 			}
 			return platform.Limits{}
 		},
-		Authorize: n.authorize, CallOwner: n.callOwner, Locate: n.locate, Log: n.log.Info, Closing: n.closing.Load,
+		MaxJobBytes: scheduler.MaxJobBytes(n.boot.Store.RecordBytes, n.boot.Store.CallBytes),
+		Authorize:   n.authorize, CallOwner: n.callOwner, Locate: n.locate, Log: n.log.Info, Closing: n.closing.Load,
 	}
 	return &http.Server{
 		Handler: f, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -118,6 +118,7 @@
 	set := scheduler.Settings{
 		Pool: name, Token: token, MaxLease: b.MaxLease, StatusRetention: b.StatusRetention, StopTimeout: b.StopTimeout,
 		RemoteFactor: b.RemoteFactor, AcceptLate: p.node.AcceptLate,
+		RecordBytes: p.node.boot.Store.RecordBytes, CallBytes: p.node.boot.Store.CallBytes,
 	}
 	o, err := owner.Start(p.node.system, set, p.node.boot.Store.Partitions, p.node.clients, p.node.log)
 	if err != nil {
@@ -298,7 +299,12 @@
 		if pool == q.GetPool() {
 			continue
 		}
-		a := n.callOwner(ctx, &link.Call{Pool: pool, Credential: q.GetCredential(), Body: q.GetBody()})
+		x := &link.Call{Pool: pool, Credential: q.GetCredential(), Body: q.GetBody()}
+		if c := q.GetCancel(); c != nil {
+			// Only the queue's own pool records the cancellation of an unknown job.
+			x.Body = &link.Call_Cancel{Cancel: &link.Cancel{Id: c.GetId(), Workspace: c.GetWorkspace()}}
+		}
+		a := n.callOwner(ctx, x)
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_OK:
 			return a
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -63,12 +63,8 @@
 	if took < _slowAppend && now.Sub(b.sent) < _slowAppend {
 		return
 	}
-	bytes := 0
-	for _, r := range b.records {
-		bytes += len(r.Key) + len(r.Value)
-	}
 	s.logNote("Journal was slow.", "", "batch", b.number, "tookMs", took.Milliseconds(), "sinceMs", now.Sub(b.sent).Milliseconds(),
-		"jobs", len(b.accepting), "records", len(b.records), "bytes", bytes)
+		"jobs", len(b.accepting), "records", len(b.records), "bytes", b.bytes)
 }
 
 // expected returns how long an append is expected to take: the second longest of the last ones, so
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -96,7 +96,7 @@
 	}
 	if t := r.task; t.crashes.upstreams > 0 && r.settled(_trustTime) {
 		t.crashes = crashes{}
-		s.markDirty(now, t.step.occurrence.job, _endDelay)
+		s.markDirty(now, s.partOf(t), _endDelay)
 	}
 }
 
@@ -161,7 +161,7 @@
 	if blamed {
 		c.blamed++
 	}
-	s.markDirty(now, j, _acceptDelay)
+	s.markDirty(now, s.partOf(t), _acceptDelay)
 	if blamed || c.suspect() {
 		s.logNote("Task is suspected of crashing its upstream.", j.def.GetId(), "task", t.name, "run", r.number,
 			"upstream", r.host.up.ID, "ranMs", r.survived.Milliseconds(), "crashes", c.upstreams, "toBlame", c.blamed)
@@ -191,6 +191,6 @@
 		}
 		j.failed = true
 		s.endJob(now, j)
-		s.markDirty(now, j, _endDelay)
+		s.markEnded(now, j, _endDelay)
 	}
 }
--- a/entry/scheduler/decode.go
+++ b/entry/scheduler/decode.go
@@ -52,7 +52,12 @@
 		if err := checkProgress(m); err != nil {
 			return fmt.Errorf("progress %s: %w", id, err)
 		}
-		l.Progress[id] = m
+		// A large job has several records, of which only the first has the job's state.
+		id, _, _ = strings.Cut(id, "/")
+		if l.Progress[id] == nil {
+			l.Progress[id] = &work.Progress{}
+		}
+		proto.Merge(l.Progress[id], m)
 	}
 	if id, ok := strings.CutPrefix(r.Key, HostKey(pool, "")); ok {
 		m := &work.Host{}
--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"fescuelanding/platform"
@@ -106,12 +105,14 @@
 	}
 	if st.def.GetGang() {
 		for i := range st.tasks {
-			st.tasks[i].done = true
+			st.tasks[i].setDone()
+		}
+		for _, p := range s.partsOf(st) {
+			s.markDirty(now, p, _endDelay)
 		}
-		st.left = 0
 	} else {
-		t.done = true
-		st.left--
+		t.setDone()
+		s.markDirty(now, s.partOf(t), _endDelay)
 	}
 	if st.left == 0 && st.took.n > 0 {
 		// Recorded only after the whole step: the first tasks to complete are the
@@ -119,11 +120,11 @@
 		s.learned.add(j.def.GetQueue(), st.def, st.took.mean, st.longest)
 	}
 	s.stopAll(now, t)
-	s.markDirty(now, j, _endDelay)
 	s.replan = true
 	if j.allDone() {
 		j.completed = true
 		s.endJob(now, j)
+		s.markEnded(now, j, _endDelay)
 	}
 }
 
@@ -136,21 +137,22 @@
 	}
 	t.avoid = h.up.ID
 	s.logNote("Run failed.", j.def.GetId(), "task", e.Task, "run", e.Run, "upstream", h.up.ID,
-		"failures", len(t.failed)+1, "allowed", j.queue.Attempts)
+		"failures", t.failed.count()+1, "allowed", j.queue.Attempts)
 	if t.step.def.GetLongRunning() {
 		return // Long-running tasks have no limit of attempts.
 	}
-	if slices.Contains(t.failed, e.Run) {
+	if t.failed.has(e.Run) {
 		return // already counted by a former owner
 	}
-	t.failed = append(t.failed, e.Run)
-	s.markDirty(now, j, _endDelay)
+	t.failed.add(e.Run)
+	s.markDirty(now, s.partOf(t), _endDelay)
 	if h.health.recordFailure(now, j.def.GetId()) {
 		s.logNote("Upstream ejected after failed runs of several jobs; no tasks are placed on it for now.", "", "upstream", h.up.ID, "until", h.health.ejectedUntil)
 	}
 	if n := t.step.failures(t); j.queue.Attempts > 0 && n >= j.queue.Attempts {
 		j.failed = true
 		s.endJob(now, j)
+		s.markEnded(now, j, _endDelay)
 	}
 }
 
@@ -158,13 +160,15 @@
 // the task, or of the gang. Members that failed in one run of the gang count once.
 func (st *step) failures(t *task) int {
 	if !st.def.GetGang() {
-		return len(t.failed)
+		return t.failed.count()
 	}
-	runs := make(map[int64]bool)
+	runs, earlier := make(map[int64]bool), 0
 	for i := range st.tasks {
-		for _, n := range st.tasks[i].failed {
+		f := &st.tasks[i].failed
+		earlier = max(earlier, f.earlier)
+		for _, n := range f.runs {
 			runs[n] = true
 		}
 	}
-	return len(runs)
+	return earlier + len(runs)
 }
--- a/entry/scheduler/held.go
+++ b/entry/scheduler/held.go
@@ -10,7 +10,7 @@
 func (s *Scheduler) hold(now time.Time, r *run) {
 	r.held = true
 	s.held = append(s.held, r)
-	s.markDirty(now, r.task.step.occurrence.job, _acceptDelay)
+	s.markDirty(now, s.partOf(r.task), _acceptDelay)
 }
 
 // doubt has the next start of a task wait for the journal, and those of its gang, because the end
@@ -26,10 +26,10 @@
 	}
 }
 
-// noteHeld notes that a batch has the held starts of a job.
-func (s *Scheduler) noteHeld(j *job, batch int64) {
+// noteHeld notes that a batch has the held starts of a part.
+func (s *Scheduler) noteHeld(p part, batch int64) {
 	for _, r := range s.held {
-		if r.task.step.occurrence.job == j {
+		if s.partOf(r.task) == p {
 			r.heldBatch = batch
 		}
 	}
--- a/entry/scheduler/inherit.go
+++ b/entry/scheduler/inherit.go
@@ -6,26 +6,28 @@
 	"fescuelanding/fleet/work"
 )
 
-// encodeCrashes returns the durable form of what is known of crashes under a task, or nil.
-func encodeCrashes(t *task) *work.Crashes {
+// encodeCrashes returns the durable form of what is known of crashes under a task, or nil. The task
+// has index i in the record.
+func encodeCrashes(i int, t *task) *work.Crashes {
 	c := t.crashes
 	if c.upstreams == 0 || t.done {
 		return nil
 	}
 	return &work.Crashes{
-		Task: uint32(t.index), Upstreams: uint32(c.upstreams), Blamed: uint32(c.blamed),
+		Task: uint32(i), Upstreams: uint32(c.upstreams), Blamed: uint32(c.blamed),
 		LastedMs: uint32(c.lasted.Milliseconds()), GivenUp: c.givenUp,
 	}
 }
 
-// encodePlacement returns where a task runs, if its run may still crash the upstream, or nil.
-func encodePlacement(t *task) *work.Placement {
+// encodePlacement returns where a task runs, if its run may still crash the upstream, or nil. The task
+// has index i in the record.
+func encodePlacement(i int, t *task) *work.Placement {
 	if t.done || len(t.runs) == 0 || !t.runs[0].recorded() {
 		return nil
 	}
 	r := t.runs[0]
 	return &work.Placement{
-		Task: uint32(t.index), Run: uint32(r.number), Upstream: r.host.up.ID, StartUnixMs: r.host.born,
+		Task: uint32(i), Run: uint32(r.number), Upstream: r.host.up.ID, StartUnixMs: r.host.born,
 		TrialMs: uint32(r.trial.Milliseconds()),
 	}
 }
@@ -34,21 +36,11 @@
 // upstream that has crashed meanwhile.
 func (r *run) recorded() bool { return !r.crashCounted && !r.settled(max(r.trial, _settleTime)) }
 
-// restoreCrashes restores what former owners knew of crashes under the tasks of a step, and
-// notes the runs that they may have started.
-func (s *Scheduler) restoreCrashes(st *step, p *work.StepProgress) {
-	for _, m := range p.GetCrashes() {
-		if i := int(m.GetTask()); i < len(st.tasks) {
-			st.tasks[i].crashes = crashes{
-				upstreams: int(m.GetUpstreams()), blamed: int(m.GetBlamed()), lasted: milliseconds(m.GetLastedMs()),
-				givenUp: m.GetGivenUp(),
-			}
-		}
-	}
-	for _, m := range p.GetPlacements() {
-		if i := int(m.GetTask()); i < len(st.tasks) && !st.tasks[i].done {
-			s.inheritedRuns = append(s.inheritedRuns, inheritedRun{&st.tasks[i], m})
-		}
+// restoreCrashes returns what former owners knew of crashes under a task.
+func restoreCrashes(m *work.Crashes) crashes {
+	return crashes{
+		upstreams: int(m.GetUpstreams()), blamed: int(m.GetBlamed()), lasted: milliseconds(m.GetLastedMs()),
+		givenUp: m.GetGivenUp(),
 	}
 }
 
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -36,9 +36,10 @@
 	begun bool
 	// occurrences are those that have begun, by number.
 	occurrences []*occurrence
-	// dirty is set while changed progress has to be appended, and dirtyLater while it goes along
-	// with other records.
-	dirty, dirtyLater bool
+	// done is the number of tasks that are done.
+	done int
+	// parts are the parts of its progress that may have records, besides the first.
+	parts []int
 	// inherited is set for jobs accepted by a former owner.
 	inherited bool
 	objective time.Duration
@@ -77,17 +78,40 @@
 	return time.UnixMilli(ms)
 }
 
+// tasksPerOccurrence returns the number of tasks of all steps.
+func (j *job) tasksPerOccurrence() int {
+	n := 0
+	for _, d := range j.def.GetSteps() {
+		n += int(d.GetCount())
+	}
+	return n
+}
+
+// size returns the number of tasks of all occurrences.
+func (j *job) size() int { return j.times() * j.tasksPerOccurrence() }
+
 // allDone reports whether every task of every occurrence is done.
-func (j *job) allDone() bool {
-	if len(j.occurrences) < j.times() {
-		return false
+func (j *job) allDone() bool { return j.done == j.size() }
+
+// noteRecord notes that a part of the progress has a record.
+func (j *job) noteRecord(first int) {
+	if i, found := slices.BinarySearch(j.parts, first); first > 0 && !found {
+		j.parts = slices.Insert(j.parts, i, first)
 	}
-	for _, o := range j.occurrences {
-		if !o.done() {
-			return false
+}
+
+// tasks returns up to n tasks of the occurrences that have begun, in the order of their numbers: that of
+// occurrences, steps and indexes.
+func (j *job) tasks(first, n int) []*task {
+	var l []*task
+	for k := first / j.tasksPerOccurrence(); k < len(j.occurrences) && len(l) < n; k++ {
+		for _, st := range j.occurrences[k].steps {
+			for i := max(0, first-st.first); i < len(st.tasks) && len(l) < n; i++ {
+				l = append(l, &st.tasks[i])
+			}
 		}
 	}
-	return true
+	return l
 }
 
 // state returns the state that callers are told.
@@ -107,12 +131,17 @@
 	number int
 	due    time.Time
 	steps  []*step
+	// open are the steps that are ready and not done, and openKnown is set while that is up to date.
+	open      []*step
+	openKnown bool
 }
 
 func newOccurrence(j *job, k int) *occurrence {
 	o := &occurrence{job: j, number: k, due: j.due(k)}
+	first := k * j.tasksPerOccurrence()
 	for i, d := range j.def.GetSteps() {
-		s := &step{occurrence: o, number: i, def: d, left: int(d.GetCount())}
+		s := &step{occurrence: o, number: i, def: d, first: first, left: int(d.GetCount())}
+		first += int(d.GetCount())
 		s.tasks = make([]task, d.GetCount())
 		s.name = platform.StepName(j.def.GetId(), k, i)
 		for x := range s.tasks {
@@ -155,17 +184,21 @@
 // of a task before it appends progress of the job.
 const _runNumberGap = 16
 
-func (o *occurrence) done() bool {
-	for _, s := range o.steps {
-		if s.left > 0 {
-			return false
+// openSteps returns the steps that are ready and not done.
+func (o *occurrence) openSteps() []*step {
+	if !o.openKnown {
+		o.open, o.openKnown = o.open[:0], true
+		for _, s := range o.steps {
+			if s.left > 0 && s.ready() {
+				o.open = append(o.open, s)
+			}
 		}
 	}
-	return true
+	return o.open
 }
 
 // waiting reports whether any of its tasks can be placed.
-func (o *occurrence) waiting() bool { return slices.ContainsFunc(o.steps, (*step).waiting) }
+func (o *occurrence) waiting() bool { return slices.ContainsFunc(o.openSteps(), (*step).unplaced) }
 
 // step is a step of an occurrence.
 type step struct {
@@ -173,7 +206,9 @@
 	number     int
 	name       string
 	def        *work.Step
-	tasks      []task
+	// first is the number of its first task in the job.
+	first int
+	tasks []task
 	// left counts the tasks that aren't done.
 	left int
 	// waitingSince is when a round of placement first visited the step.
@@ -211,7 +246,10 @@
 }
 
 // waiting reports whether tasks of the step can be placed.
-func (s *step) waiting() bool { return s.left > s.running && s.ready() }
+func (s *step) waiting() bool { return s.unplaced() && s.ready() }
+
+// unplaced reports whether tasks of the step neither run nor are done.
+func (s *step) unplaced() bool { return s.left > s.running }
 
 // cpuRequest returns the free CPU that a task needs, in millicores.
 func (s *step) cpuRequest() int64 {
@@ -250,12 +288,11 @@
 
 // task is a task of a step.
 type task struct {
-	step  *step
-	index int
-	name  string
-	done  bool
-	// failed holds the numbers of the failed runs.
-	failed []int64
+	step   *step
+	index  int
+	name   string
+	done   bool
+	failed failures
 	// lastRun is the highest run number used.
 	lastRun    int64
 	checkpoint string
@@ -271,6 +308,19 @@
 	doubted bool
 }
 
+// number returns the number of the task in its job.
+func (t *task) number() int { return t.step.first + t.index }
+
+// setDone marks a task as done.
+func (t *task) setDone() {
+	t.done = true
+	t.step.left--
+	t.step.occurrence.job.done++
+	if t.step.left == 0 {
+		t.step.occurrence.openKnown = false
+	}
+}
+
 // available reports whether a long-running task is serving, as far as its
 // upstream reports.
 func (t *task) available() bool {
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"fescuelanding/entry/link"
-	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
 
@@ -45,19 +44,18 @@
 	inFlight *batch
 	// due is when the next batch is sent; zero for none.
 	due time.Time
-	// accepting are the new jobs, and dirty those with changed progress.
+	// accepting are the new jobs.
 	accepting []*job
-	dirty     []*job
-	// dirtyLater are those with changed progress that goes along with other records.
-	dirtyLater []*job
+	// dirty are the parts with changed progress, and dirtyLater those whose progress goes along with
+	// other records.
+	dirty      partQueue
+	dirtyLater partQueue
 	// ends holds, by upstream, the highest end number that may be acknowledged
-	// once the next batch has been appended.
+	// once all of dirty has been appended.
 	ends map[*host]int64
 	// others are records that no caller waits for: upstreams in use, and
 	// deletions.
-	others []platform.Record
-	// hosts are the upstreams in others.
-	hosts []*host
+	others []otherRecord
 	// learnedAt is when learned durations were appended last.
 	learnedAt time.Time
 	commits   commits
@@ -65,6 +63,13 @@
 	refuseAt earliest
 }
 
+// otherRecord is a record that no caller waits for. host is set if the record names an upstream in
+// use.
+type otherRecord struct {
+	platform.Record
+	host *host
+}
+
 // batch is an append in flight.
 type batch struct {
 	number int64
@@ -75,17 +80,26 @@
 	accepting []*job
 	progress  []progressUpdate
 	ends      map[*host]int64
-	// others are records that no caller waits for.
-	others []platform.Record
-	// hosts are the upstreams in others.
-	hosts   []*host
-	records []platform.Record
+	others    []otherRecord
+	records   []platform.Record
+	// bytes is the size of the records.
+	bytes int
+}
+
+// add adds a record if the batch stays within a size.
+func (b *batch) add(r platform.Record, limit int) bool {
+	if b.bytes+r.Size() > limit {
+		return false
+	}
+	b.bytes += r.Size()
+	b.records = append(b.records, r)
+	return true
 }
 
-// progressUpdate is a progress record in a batch: the job and, if it has ended,
+// progressUpdate is a progress record in a batch: the part and, if the job has ended,
 // its final state.
 type progressUpdate struct {
-	job   *job
+	part  part
 	state link.JobState
 }
 
@@ -96,22 +110,31 @@
 	}
 }
 
-// markDirty queues the progress of a job for a batch that is sent within the
+// markDirty queues a part of a job's progress for a batch that is sent within the
 // given time.
-func (s *Scheduler) markDirty(now time.Time, j *job, within time.Duration) {
-	if !j.dirty {
-		j.dirty = true
-		s.journal.dirty = append(s.journal.dirty, j)
-	}
+func (s *Scheduler) markDirty(now time.Time, p part, within time.Duration) {
+	s.journal.dirty.add(p)
 	s.journal.schedule(now.Add(within))
 }
 
-// recordWithNext adds the progress of a job to the next batch that has other records.
-func (s *Scheduler) recordWithNext(j *job) {
-	if !j.dirty && !j.dirtyLater {
-		j.dirtyLater = true
-		s.journal.dirtyLater = append(s.journal.dirtyLater, j)
+// markEnded queues the final state of a job for a batch that is sent within the given time.
+func (s *Scheduler) markEnded(now time.Time, j *job, within time.Duration) {
+	s.markDirty(now, part{job: j}, within)
+}
+
+// recordWithNext adds the progress of a task to the next batch that has other records.
+func (s *Scheduler) recordWithNext(t *task) {
+	if p := s.partOf(t); !s.journal.dirty.contains(p) {
+		s.journal.dirtyLater.add(p)
+	}
+}
+
+// deleteRecords queues the deletion of records.
+func (s *Scheduler) deleteRecords(now time.Time, keys ...string) {
+	for _, k := range keys {
+		s.journal.others = append(s.journal.others, otherRecord{Record: platform.Record{Key: k}})
 	}
+	s.journal.schedule(now.Add(_deletionDelay))
 }
 
 // queueEnds marks the upstream's ends as covered by the next batch. They are
@@ -129,10 +152,16 @@
 func (n *journal) forgetHost(h *host) {
 	h.recordQueued, h.recordDurable = false, false
 	h.touch()
-	same := func(x *host) bool { return x == h }
-	n.hosts = slices.DeleteFunc(n.hosts, same)
+	forget := func(l []otherRecord) {
+		for i := range l {
+			if l[i].host == h {
+				l[i].host = nil
+			}
+		}
+	}
+	forget(n.others)
 	if n.inFlight != nil {
-		n.inFlight.hosts = slices.DeleteFunc(n.inFlight.hosts, same)
+		forget(n.inFlight.others)
 	}
 }
 
@@ -162,50 +191,69 @@
 	s.emit(Append{Batch: b.number, Records: b.records})
 }
 
-// collect moves pending records into a batch, up to the size limit.
+// collect moves pending records into a batch, up to the store's limit for an append.
 func (s *Scheduler) collect(now time.Time) *batch {
 	n := &s.journal
 	s.refuseUnanswerable(now)
 	n.number++
-	b := &batch{number: n.number, sent: now, confirms: now, ends: n.ends}
-	n.ends, n.due = nil, time.Time{}
-	b.others, n.others = n.others, nil
-	b.hosts, n.hosts = n.hosts, nil
-	b.records = append(b.records, b.others...)
-	if (len(n.accepting) > 0 || len(n.dirty) > 0) && now.Sub(n.learnedAt) > _learnedInterval && len(s.learned.byQueue) > 0 {
+	b := &batch{number: n.number, sent: now, confirms: now}
+	n.due = time.Time{}
+	limit := s.set.callBytes()
+	for len(n.others) > 0 && b.add(n.others[0].Record, limit/_othersDivisor) {
+		b.others, n.others = append(b.others, n.others[0]), n.others[1:]
+	}
+	if (len(n.accepting) > 0 || len(n.dirty.order) > 0) && now.Sub(n.learnedAt) > _learnedInterval && len(s.learned.byQueue) > 0 {
 		n.learnedAt = now
-		b.records = append(b.records, record(LearnedKey(s.set.Pool), s.learned.record()))
+		b.add(s.learnedRecord(), limit)
 	}
-	size := 0
-	for len(n.accepting) > 0 && size < _maxBatchBytes {
-		j := n.accepting[0]
-		n.accepting = n.accepting[1:]
-		r := record(JobKey(s.set.Pool, j.def.GetId()), j.def)
-		size += len(r.Value)
-		b.accepting, b.records = append(b.accepting, j), append(b.records, r)
+	jobs := min(b.bytes+_maxJobBytes, limit)
+	for len(n.accepting) > 0 && b.add(record(JobKey(s.set.Pool, n.accepting[0].def.GetId()), n.accepting[0].def), jobs) {
+		b.accepting, n.accepting = append(b.accepting, n.accepting[0]), n.accepting[1:]
 	}
-	if len(n.accepting) > 0 {
-		n.due = now
+	s.collectProgress(b)
+	if len(n.dirty.order) == 0 {
+		b.ends, n.ends = n.ends, nil
+	}
+	if n.commits.probe && len(b.records) == 0 {
+		b.add(s.learnedRecord(), limit)
 	}
-	known := func(j *job) bool { return s.jobs[j.def.GetId()] == j }
-	if len(b.records) > 0 || slices.ContainsFunc(n.dirty, known) {
-		n.dirty = append(n.dirty, slices.DeleteFunc(n.dirtyLater, func(j *job) bool { return j.dirty || j.over() })...)
-		n.dirtyLater = nil
+	if len(n.others) > 0 || len(n.accepting) > 0 || len(n.dirty.order) > 0 {
+		n.due = now
 	}
-	for _, j := range n.dirty {
-		j.dirtyLater = false
-		if j.dirty = false; !known(j) {
-			continue // refused in the meantime
+	return b
+}
+
+// _othersDivisor is the part of an append that records may take up for which no caller waits.
+const _othersDivisor = 2
+
+// collectProgress adds changed progress to a batch.
+func (s *Scheduler) collectProgress(b *batch) {
+	n := &s.journal
+	known := func(p part) bool { return s.jobs[p.job.def.GetId()] == p.job }
+	if len(b.records) > 0 || slices.ContainsFunc(n.dirty.order, known) {
+		for _, p := range n.dirtyLater.order {
+			if !p.job.over() {
+				n.dirty.add(p)
+			}
 		}
-		s.noteHeld(j, n.number)
-		b.progress = append(b.progress, progressUpdate{j, endState(j)})
-		b.records = append(b.records, record(ProgressKey(s.set.Pool, j.def.GetId()), progress(j)))
+		n.dirtyLater = partQueue{}
 	}
-	n.dirty = nil
-	if n.commits.probe && len(b.records) == 0 {
-		b.records = append(b.records, record(LearnedKey(s.set.Pool), s.learned.record()))
+	for ; len(n.dirty.order) > 0; n.dirty.pop() {
+		p := n.dirty.order[0]
+		if !known(p) || p.first > 0 && p.job.over() {
+			continue // The job was refused in the meantime, or its state is all that counts.
+		}
+		if !b.add(record(partKey(s.set.Pool, p.job.def.GetId(), p.first), s.progress(p)), s.set.callBytes()) {
+			return
+		}
+		s.noteHeld(p, b.number)
+		p.job.noteRecord(p.first)
+		b.progress = append(b.progress, progressUpdate{p, endState(p.job)})
 	}
-	return b
+}
+
+func (s *Scheduler) learnedRecord() platform.Record {
+	return record(LearnedKey(s.set.Pool), s.learned.record(s.queues))
 }
 
 // record encodes a message. Marshalling a message built in memory can't fail.
@@ -217,47 +265,6 @@
 	return platform.Record{Key: key, Value: v}
 }
 
-// progress returns the durable progress of a job.
-func progress(j *job) *work.Progress {
-	p := &work.Progress{Cancelled: j.cancelled, Failed: j.failed, Completed: j.completed}
-	if j.over() {
-		p.EndedUnixMs = j.endedAt.UnixMilli()
-		return p
-	}
-	for _, o := range j.occurrences {
-		p.Occurrences = append(p.Occurrences, occurrenceProgress(o))
-	}
-	return p
-}
-
-func occurrenceProgress(o *occurrence) *work.Occurrence {
-	w := &work.Occurrence{Number: int32(o.number)}
-	for _, st := range o.steps {
-		p := &work.StepProgress{}
-		for i := range st.tasks {
-			t := &st.tasks[i]
-			if t.done {
-				if p.Done == nil {
-					p.Done = make([]byte, (len(st.tasks)+7)/8)
-				}
-				p.Done[i/8] |= 1 << (i % 8)
-			}
-			for _, n := range t.failed {
-				p.Failures = append(p.Failures, &work.Failure{Task: uint32(i), Run: uint32(n)})
-			}
-			p.LastRun = max(p.LastRun, uint32(t.lastRun))
-			if c := encodeCrashes(t); c != nil {
-				p.Crashes = append(p.Crashes, c)
-			}
-			if c := encodePlacement(t); c != nil {
-				p.Placements = append(p.Placements, c)
-			}
-		}
-		w.Steps = append(w.Steps, p)
-	}
-	return w
-}
-
 // appendAnswered handles the outcome of a batch.
 func (s *Scheduler) appendAnswered(now time.Time, e Appended) {
 	b := s.journal.inFlight
@@ -281,13 +288,12 @@
 	// wait for it.
 	s.journal.commits.refused(b.sent)
 	s.journal.others = append(b.others, s.journal.others...)
-	s.journal.hosts = append(b.hosts, s.journal.hosts...)
 	s.journal.accepting = append(b.accepting, s.journal.accepting...)
 	for _, j := range b.accepting {
 		s.journal.refuseAt.add(j.waitUntil)
 	}
 	for _, p := range b.progress {
-		s.markDirty(now, p.job, _probeInterval)
+		s.markDirty(now, p.part, _probeInterval)
 	}
 	for h, n := range b.ends {
 		if s.journal.ends == nil {
@@ -310,10 +316,12 @@
 // completeBatch applies a batch that has been appended, and answers the requests
 // that waited for it.
 func (s *Scheduler) completeBatch(now time.Time, b *batch) {
-	for _, h := range b.hosts {
-		h.recordDurable = true
-		h.touch()
-		s.replan = true
+	for _, r := range b.others {
+		if h := r.host; h != nil {
+			h.recordDurable = true
+			h.touch()
+			s.replan = true
+		}
 	}
 	for _, j := range b.accepting {
 		j.durable = true
@@ -328,7 +336,7 @@
 		s.replan = true
 	}
 	for _, p := range b.progress {
-		j, state := p.job, p.state
+		j, state := p.part.job, p.state
 		if state == link.JobState_JOB_STATE_UNSPECIFIED {
 			continue
 		}
@@ -369,8 +377,9 @@
 		}
 		id := j.def.GetId()
 		delete(s.jobs, id)
-		s.journal.others = append(s.journal.others,
-			platform.Record{Key: JobKey(s.set.Pool, id)}, platform.Record{Key: ProgressKey(s.set.Pool, id)})
-		s.journal.schedule(now.Add(_deletionDelay))
+		s.deleteRecords(now, JobKey(s.set.Pool, id), ProgressKey(s.set.Pool, id))
+		for _, first := range j.parts {
+			s.deleteRecords(now, partKey(s.set.Pool, id, first))
+		}
 	}
 }
--- a/entry/scheduler/learn.go
+++ b/entry/scheduler/learn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
 )
 
 // learned predicts the duration of tasks from those that completed. Callers
@@ -134,13 +135,16 @@
 	return one
 }
 
-// record encodes the trends by queue, and the residual.
-func (l *learned) record() *work.Learned {
+// record encodes the trends of the configured queues, and the residual.
+func (l *learned) record(queues map[string]platform.Queue) *work.Learned {
 	m := &work.Learned{
 		Queues:   make(map[string]*work.Trend, len(l.byQueue)),
 		Residual: &work.Residual{Work: l.residual.work, Square: l.residual.square},
 	}
 	for q, t := range l.byQueue {
+		if _, ok := queues[q]; !ok {
+			continue
+		}
 		m.Queues[q] = &work.Trend{N: t.n, X: t.x, Y: t.y, Xx: t.xx, Xy: t.xy}
 	}
 	return m
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -184,8 +184,7 @@
 	s.logNote("Upstream dropped.", "", "upstream", id, "gone", h.gone, "failed", h.failedPolls, "recorded", h.recordQueued)
 	s.hosts.drop(id)
 	if h.recordQueued {
-		s.journal.others = append(s.journal.others, platform.Record{Key: HostKey(s.set.Pool, id)})
-		s.journal.schedule(now.Add(_deletionDelay))
+		s.deleteRecords(now, HostKey(s.set.Pool, id))
 	}
 }
 
@@ -209,8 +208,8 @@
 	t := r.task
 	t.drop(r)
 	t.step.running--
-	if j := t.step.occurrence.job; r.recorded() && !j.over() {
-		s.recordWithNext(j)
+	if r.recorded() && !t.step.occurrence.job.over() {
+		s.recordWithNext(t)
 	}
 	if len(t.runs) == 0 && !t.done {
 		t.waitingSince = now
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -282,9 +282,9 @@
 		return
 	}
 	h.recordQueued = true
-	s.journal.others = append(s.journal.others, record(HostKey(s.set.Pool, h.up.ID),
-		&work.Host{Id: h.up.ID, Address: h.up.Address, Machine: h.up.Machine, StartUnixMs: h.born}))
-	s.journal.hosts = append(s.journal.hosts, h)
+	r := record(HostKey(s.set.Pool, h.up.ID),
+		&work.Host{Id: h.up.ID, Address: h.up.Address, Machine: h.up.Machine, StartUnixMs: h.born})
+	s.journal.others = append(s.journal.others, otherRecord{r, h})
 	s.journal.schedule(now.Add(_acceptDelay))
 }
 
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -32,7 +32,7 @@
 		s.hold(now, r)
 		return
 	}
-	s.recordWithNext(st.occurrence.job)
+	s.recordWithNext(t)
 	s.emitStart(now, r)
 }
 
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -118,7 +118,9 @@
 	s.placedAt, s.suspectWaits = now, false
 	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
 	for _, h := range s.hosts.order {
-		if h.usable(now) && !h.unresponsive(now, s.flow.delay) {
+		switch {
+		case h.unresponsive(now, s.flow.delay):
+		case h.usable(now):
 			p.hosts = append(p.hosts, h)
 			if h.onTrial() {
 				p.trials++
@@ -133,8 +135,8 @@
 	slices.SortStableFunc(all, func(a, b ranked) int { return a.rank.compare(b.rank) })
 	s.takeTurns(all)
 	for _, r := range all {
-		for _, st := range r.occ.steps {
-			if !st.waiting() {
+		for _, st := range r.occ.openSteps() {
+			if !st.unplaced() {
 				continue
 			}
 			if !p.windowOpen() {
@@ -156,11 +158,15 @@
 // leases have lapsed, because the tasks may still be running there.
 func (p *pass) waiting() []ranked {
 	var all []ranked
+	p.s.visited = 0
 	for _, j := range p.s.active {
 		if !j.durable || j.inherited && len(p.s.unpolled) > 0 {
 			continue
 		}
 		for _, o := range j.occurrences {
+			if len(o.openSteps()) > 0 {
+				p.s.visited++
+			}
 			if o.waiting() {
 				all = append(all, ranked{p.s.rank(p.now, o), o})
 			}
@@ -169,17 +175,19 @@
 	return all
 }
 
-// crowded reports whether so many jobs haven't ended that rounds of placement are
-// rate-limited. Each round visits all of them.
-func (s *Scheduler) crowded() bool { return len(s.active) > _crowdedJobs }
+// crowded reports whether so many jobs, or occurrences of them, haven't ended that rounds of
+// placement are rate-limited. Each round visits all of them.
+func (s *Scheduler) crowded() bool { return max(len(s.active), s.visited) > _crowdedJobs }
 
 const (
 	// _crowdedJobs is the number of jobs above which the pool is crowded. A round
 	// visits that many within a fraction of a millisecond.
 	_crowdedJobs = 60
 	// _crowdedPlaceInterval is the time between two rounds while the pool is
-	// crowded: short compared with the run time of a task.
+	// crowded: short compared with the run time of a task. It is multiplied by the
+	// number of times that more than _manyOccurrences are visited in a round.
 	_crowdedPlaceInterval = 5 * time.Millisecond
+	_manyOccurrences      = 500
 )
 
 // pass is one round of placement.
@@ -208,8 +216,8 @@
 func (p *pass) findOpen(all []ranked) {
 	p.least = math.MaxInt64
 	for _, r := range all {
-		for _, st := range r.occ.steps {
-			if st.waiting() {
+		for _, st := range r.occ.openSteps() {
+			if st.unplaced() {
 				p.least = min(p.least, st.cpuRequest())
 			}
 		}
@@ -273,8 +281,7 @@
 		if !p.windowOpen() || !p.withinLimit(st) {
 			return
 		}
-		h := p.pick(t, "")
-		if h != nil {
+		if h := p.pick(t, ""); h != nil {
 			p.start(t, h)
 			continue
 		}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -60,8 +60,10 @@
 	summedAt time.Time
 	// workedAt is when due work was done last.
 	workedAt time.Time
-	// placedAt is the time of the last round of placement.
+	// placedAt is the time of the last round of placement, visited the number of occurrences that it
+	// visited.
 	placedAt time.Time
+	visited  int
 	// suspectWaits is set if the last round of placement had no upstream for a trial. More of them
 	// may do once further polls have been answered.
 	suspectWaits bool
@@ -245,7 +247,7 @@
 	if !s.crowded() {
 		return s.placedAt
 	}
-	return s.placedAt.Add(_crowdedPlaceInterval)
+	return s.placedAt.Add(_crowdedPlaceInterval * time.Duration(1+s.visited/_manyOccurrences))
 }
 
 // Next returns when to send Woken if no other event comes first. It is zero if
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -220,6 +220,7 @@
 		w("poll %s until %d acked %d wait %d", op.Host, op.Hold.DeadlineMs, op.Hold.Acked, op.Hold.Wait.Milliseconds())
 	case Append:
 		p.batch, p.unanswered, p.appendedAt = op.Batch, op.Records, p.now
+		checkSizes(p.t, p.s.set, op.Records)
 		var keys []string
 		for _, r := range op.Records {
 			k := r.Key
@@ -250,6 +251,17 @@
 	}
 }
 
+// checkSizes checks that an append keeps to the store's limits.
+func checkSizes(t *testing.T, v Settings, l []platform.Record) {
+	t.Helper()
+	total := 0
+	for _, r := range l {
+		total += r.Size()
+		assert.Assert(t, r.Size() <= v.recordBytes(), "record %s has %d bytes", r.Key, r.Size())
+	}
+	assert.Assert(t, total <= v.callBytes(), "append of %d bytes", total)
+}
+
 func runName(task string, run int64) string { return fmt.Sprintf("%s/%d", task, run) }
 
 func answerText(a *link.Answer) string {
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings configures a Scheduler.
 type Settings struct {
@@ -18,12 +21,29 @@
 	// RemoteFactor is how many times longer a task takes on another rack than
 	// that of its data.
 	RemoteFactor float64
+	// RecordBytes and CallBytes are the store's limits for a record and for an append, in bytes; zero
+	// selects a default.
+	RecordBytes int
+	CallBytes   int
 	// AcceptLate accepts jobs that will be late, but within _maxLateness times their
 	// objective, behind all that can be on time. Without it they are accepted only if they can
 	// run at once.
 	AcceptLate bool
 }
 
+// recordBytes returns the limit for a record, which is never above that for an append.
+func (v Settings) recordBytes() int {
+	return min(cmp.Or(max(0, v.RecordBytes), _defaultRecordBytes), v.callBytes())
+}
+
+// MaxJobBytes returns the size limit of a job, given the store's limits for a record and for an append,
+// all in bytes. A limit of zero selects a default.
+func MaxJobBytes(record, call int) int {
+	return Settings{RecordBytes: record, CallBytes: call}.recordBytes() - _maxStateBytes
+}
+
+func (v Settings) callBytes() int { return cmp.Or(max(0, v.CallBytes), _defaultCallBytes) }
+
 const (
 	// _lease is how long a task keeps running without renewal. It covers the
 	// takeover by another entry, and bounds how long a partitioned upstream keeps
@@ -76,7 +96,9 @@
 	// _vacateLease is how long an upstream stays drained after the planner's last
 	// request to vacate it.
 	_vacateLease = 5 * time.Second
-	// _maxBatchBytes limits the size of the job records in a batch. It is below
-	// the store's limit for one append.
-	_maxBatchBytes = 512 << 10
+	// _defaultRecordBytes and _defaultCallBytes apply if the settings have no limits of the store.
+	_defaultRecordBytes = 256 << 10
+	_defaultCallBytes   = 2 << 20
+	// _maxJobBytes limits the size of the job records in a batch.
+	_maxJobBytes = 512 << 10
 )
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fescuelanding/entry/link"
 	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
@@ -74,15 +76,7 @@
 	j.objective = s.objective(j)
 	j.durableState = endState(j)
 	j.endedAt = time.UnixMilli(p.GetEndedUnixMs())
-	for _, o := range p.GetOccurrences() {
-		c := j.ensureOccurrence(int(o.GetNumber()))
-		for i, sp := range o.GetSteps() {
-			if c != nil && i < len(c.steps) {
-				restoreStep(c.steps[i], sp)
-				s.restoreCrashes(c.steps[i], sp)
-			}
-		}
-	}
+	s.restoreProgress(j, p)
 	if !j.over() && !j.recurring() {
 		// Its tasks may have run although nothing about them was appended.
 		j.ensureOccurrence(0)
@@ -90,29 +84,12 @@
 	return j
 }
 
-// restoreStep restores the appended progress of a step.
-func restoreStep(st *step, p *work.StepProgress) {
-	for i := range st.tasks {
-		t := &st.tasks[i]
-		if b := p.GetDone(); i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 {
-			t.done = true
-			st.left--
-			st.occurrence.job.begun = true
-		}
-		// lastRun already contains the gap that ensureOccurrence left for the runs
-		// of a former owner.
-		t.lastRun += int64(p.GetLastRun())
-	}
-	for _, f := range p.GetFailures() {
-		if i := int(f.GetTask()); i < len(st.tasks) {
-			st.tasks[i].failed = append(st.tasks[i].failed, int64(f.GetRun()))
-		}
-	}
-}
-
 // submit handles a caller's request to run a job. A repeated request for a known
 // job isn't decided again.
 func (s *Scheduler) submit(now time.Time, e Submitted) {
+	if s.refuseOversized(e) {
+		return
+	}
 	id := e.Job.GetId()
 	if j := s.jobs[id]; j != nil {
 		if j.def.GetWorkspace() != e.Job.GetWorkspace() {
@@ -186,6 +163,18 @@
 	s.queueJob(now, j)
 }
 
+// refuseOversized refuses a job whose record the store would refuse. An entry with the same limits
+// forwards none.
+func (s *Scheduler) refuseOversized(e Submitted) bool {
+	n := proto.Size(e.Job)
+	if n <= MaxJobBytes(s.set.RecordBytes, s.set.CallBytes) {
+		return false
+	}
+	s.logNote("Job refused.", e.Job.GetId(), "queue", e.Job.GetQueue(), "why", "exceeds the store's limit for a record", "bytes", n)
+	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_UNAVAILABLE})
+	return true
+}
+
 // replyState replies with the state of a job.
 func (s *Scheduler) replyState(e StateRequested) {
 	j := s.jobs[e.ID]
@@ -217,7 +206,7 @@
 		s.endJob(now, j)
 		s.logNote("Job cancelled.", e.ID, "queue", j.def.GetQueue())
 	}
-	s.markDirty(now, j, _acceptDelay)
+	s.markEnded(now, j, _acceptDelay)
 }
 
 // endJob removes a job that is over from the active ones, and stops its runs.
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -67,6 +67,14 @@
 // plays more.
 const _splitSeeds = 40
 
+// TestSmallRecords plays histories in which the store takes only small records and appends.
+func TestSmallRecords(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{SmallRecords: true}, _smallRecordSeeds)
+}
+
+// _smallRecordSeeds is how many histories with small records the test plays at most.
+const _smallRecordSeeds = 40
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -42,6 +42,7 @@
 //	         down at once than it allows
 //	QUOTA    a start doesn't bring what a workspace has running above its limit
 //	WAKE     a scheduler doesn't repeatedly request a wake-up for a time in the past
+//	SIZE     an append keeps to the store's limits for sizes
 //	DECODE   an owner can decode the records of the former owners
 type Violation struct {
 	Rule   string
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -46,9 +46,13 @@
 // takeOwnership makes the entry the owner of a pool.
 func takeOwnership(e *entry, pool string, token int64) {
 	o := &owner{entry: e, pool: pool, token: token, missed: e.missed, waiting: make(map[scheduler.Ref]func(*link.Answer))}
-	o.sched = scheduler.New(scheduler.Settings{
+	v := scheduler.Settings{
 		Pool: pool, Token: token, MaxLease: _maxLease, StatusRetention: _statusRetention, RemoteFactor: 1, StopTimeout: _stopTime,
-	})
+	}
+	if e.world.settings.SmallRecords {
+		v.RecordBytes, v.CallBytes = _smallRecord, _smallCall
+	}
+	o.sched = scheduler.New(v)
 	e.owners[pool] = o
 	o.confirm()
 	o.configure()
@@ -192,6 +196,9 @@
 			}
 		})
 	}, func(r serve.Refusal, err error) {
+		if r.Status == http.StatusBadRequest {
+			w.ledger.addViolation("SIZE", "an append of %s exceeds %s", o.pool, r.Reason)
+		}
 		if err == nil && r.Status != 0 {
 			err = &platform.Error{Status: r.Status, Reason: r.Reason, Expected: r.Expected}
 		}
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -33,6 +33,9 @@
 	Crashing bool
 	// Splits adds splits of the network into two sides, and tasks that run for seconds.
 	Splits bool
+	// SmallRecords has the store refuse all but small records and appends, so that the progress of
+	// most jobs has several records.
+	SmallRecords bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -48,6 +51,9 @@
 	// have ended. It exceeds the longest fault plus the longest time for which entries and
 	// callers wait after it.
 	_drainTime = 48 * time.Second
+	// _smallRecord and _smallCall are the store's limits with SmallRecords, in bytes.
+	_smallRecord = 3 << 10
+	_smallCall   = 4 << 10
 )
 
 // withDefaults replaces zero values by the defaults.
@@ -148,6 +154,9 @@
 	if s.Limits {
 		w.planLimits()
 	}
+	if s.SmallRecords {
+		w.store.LimitSizes(_smallRecord, _smallCall)
+	}
 	if s.Crashing {
 		w.crashes = &crashes{rand.New(rand.NewPCG(s.Seed, 4))}
 	}
--- a/standin/site/entries.go
+++ b/standin/site/entries.go
@@ -70,7 +70,7 @@
 		Host: name, DataCentre: "muscat-a", Address: at[0].Addr(), CallerAddress: at[0], ReadyAddress: at[1],
 		FirstPort: at[2].Port(), LastPort: at[2].Port(), MilliCPU: 400, Advice: s.adviceAt, Heartbeat: _heartbeatInterval,
 		Store: platform.StoreSettings{
-			Address: s.paths[name][_storePeer].address, Partitions: _partitions, CallBytes: 2 << 20, RecordBytes: 256 << 10, MinTTL: time.Second,
+			Address: s.paths[name][_storePeer].address, Partitions: _partitions, CallBytes: CallBytes, RecordBytes: RecordBytes, MinTTL: time.Second,
 		},
 		Cloud: platform.CloudSettings{Address: s.cloudAt, CallsPerS: 64, OrdersPerS: 64},
 		Bounds: platform.Bounds{
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -27,8 +27,16 @@
 	loseAppends int
 	// hold delays appends to the topic of jobs until it is closed; nil for no delay.
 	hold chan struct{}
+	// recordBytes and callBytes limit the size of a record and of an append, in bytes.
+	recordBytes, callBytes int
 }
 
+// Limits for the size of a record and of an append, in bytes.
+const (
+	RecordBytes = 256 << 10
+	CallBytes   = 2 << 20
+)
+
 // partition is a partition of a topic.
 type partition struct {
 	records   []platform.Record
@@ -60,9 +68,16 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{wake: make(chan struct{}), topics: make(map[string]*partition), groups: make(map[string]*group)}
+	return &Store{
+		wake: make(chan struct{}), topics: make(map[string]*partition), groups: make(map[string]*group),
+		recordBytes: RecordBytes, callBytes: CallBytes,
+	}
 }
 
+// LimitSizes replaces the limits for the size of a record and of an append, in bytes. It is called
+// before the store is used.
+func (s *Store) LimitSizes(record, call int) { s.recordBytes, s.callBytes = record, call }
+
 // Handler returns the HTTP interface of the store.
 func (s *Store) Handler() *serve.Store {
 	return &serve.Store{
@@ -172,11 +187,14 @@
 }
 
 // Append adds records to a partition. It returns the offset of the first record and the
-// end offset after the last, or a refusal if the producer is fenced off or out of
-// sequence.
+// end offset after the last, or a refusal if a limit for sizes is exceeded, or the producer is
+// fenced off or out of sequence.
 func (s *Store) Append(a serve.Append) (first, end int64, f serve.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if reason := s.checkSizes(a.Records); reason != "" {
+		return 0, 0, serve.Refusal{Status: http.StatusBadRequest, Reason: reason}
+	}
 	p := s.part(a.Topic, a.Part)
 	if a.Producer.Name != "" {
 		if f, repeat := p.check(a); f.Status != 0 || repeat {
@@ -197,6 +215,24 @@
 	return first, p.end(), serve.Refusal{}
 }
 
+// checkSizes returns the limit for sizes that records exceed, or "" if there is none.
+func (s *Store) checkSizes(l []platform.Record) string {
+	total := 0
+	for _, r := range l {
+		total += r.Size()
+		if r.Size()-_lengthBytes > s.recordBytes {
+			return "recordBytes"
+		}
+	}
+	if total > s.callBytes {
+		return "callBytes"
+	}
+	return ""
+}
+
+// _lengthBytes is the size of a record's length, which the limit for a record leaves out.
+const _lengthBytes = 4
+
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
 
 // check checks a producer's epoch and sequence number. It reports whether the append
