scheduler: starts without an answer are ruled out also while the list of ends is full

Cause: an upstream lists 500 ends at a time. No end is acknowledged while a start may be unanswered (its end may be one of a later incarnation), and a start that isn't listed was ruled out only if the list wasn't full. After a takeover with more than 500 ends that aren't acknowledged, the starts that the former owner recorded count as unanswered: the list stays full, and the two wait for each other.

Fix: a start without an answer is stopped although the list is full. That is safe: the stop only keeps it from beginning, and the end of a run that did begin is still read from a later list. Runs that were confirmed are released from a list that isn't full only, as before.

--- a/entry/scheduler/progress_test.go
+++ b/entry/scheduler/progress_test.go
@@ -140,6 +140,15 @@
 	w.play(20)
 	t.Logf("%d ends, %d bytes appended, %d records", w.ends, w.appended, len(w.journal))
 	assert.Assert(t, w.s.jobs[small.GetId()].completed)
+	done := w.s.jobs[def.GetId()].done
+	assert.Assert(t, done > 10_000, "%d tasks are done", done)
+	w.own(8)
+	// The ends that weren't appended are listed by the upstreams.
+	restored := w.s.jobs[def.GetId()].done
+	assert.Assert(t, restored > done*9/10, "%d of %d tasks that are done were restored", restored, done)
+	w.play(40)
+	t.Logf("%d ends, %d bytes appended", w.ends, w.appended)
+	assert.Assert(t, w.s.jobs[def.GetId()].done > done, "%d of %d", w.s.jobs[def.GetId()].done, done)
 	assert.Assert(t, w.appended < 500*w.ends, "%d bytes were appended for %d ends", w.appended, w.ends)
 }
 
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -24,11 +24,11 @@
 			h.unknownRuns++
 		}
 	}
-	if len(e.Result.Ended) >= _maxListedEnds {
-		return // The list is full: the end of a missing run may be on the next one.
-	}
+	full := len(e.Result.Ended) >= _maxListedEnds
 	for _, r := range h.cloneRuns() {
-		if !listed[r] {
+		// If the list is full, the end of a missing run may be on the next one. Starts without an answer
+		// are ruled out nevertheless, because no end is acknowledged before, and the list stays full.
+		if !listed[r] && (!full || r.state == runUnconfirmed || r.state == runOrdered) {
 			s.reconcileMissing(now, r, e.Sent)
 		}
 	}
