scheduler, hostplan: a host that is being vacated takes tasks that have no other room

Cause: a host is closed to all tasks from the moment at which the planner begins to vacate it until it is ordered, which takes as long as the longest task that runs there. Whether its pool can do without it is looked at once, when that begins; the pool may lose another host after it.

Fix, on both sides: - The planner tells the owner which of the hosts to vacate it won't order before they are reported vacant. The owner places a long-running task there that has found no room elsewhere for 1.5 s, and a task that no other host could ever have (a label, a large request). Once a host was reported vacant, nothing is placed there, as it may be ordered at any time. A task that was placed so stays until another host has room for it, or until the wave's time limit nears. - The planner gives up an upkeep that it hasn't ordered if the pool has fewer other hosts than its long-running tasks are to be spread over.

Moves to another pool, which vacate hosts as well, get the first part of it.

--- a/entry/hostplan/planner.go
+++ b/entry/hostplan/planner.go
@@ -122,6 +122,11 @@
 	retryAt time.Time
 }
 
+// orderSent reports whether the order may have been sent.
+func (t *hostTask) orderSent() bool {
+	return t.ordering || !t.retryAt.IsZero() || !t.orderedAt.IsZero()
+}
+
 // New returns a planner without waves.
 func New(s Settings) *Planner {
 	return &Planner{settings: s, tasks: make(map[string]*hostTask), pools: make(map[string]*poolState)}
@@ -157,6 +162,9 @@
 		// effect of the order with a delay.
 		if t.machine.Pool == pool && t.machine.Upstream != "" && (t.wave != 0 || t.targetPool != "") {
 			l.Vacate = append(l.Vacate, t.machine.Upstream)
+			if !t.orderSent() {
+				l.Reclaimable = append(l.Reclaimable, t.machine.Upstream)
+			}
 		}
 	}
 	for _, name := range sortedKeys(p.priorOrders) {
@@ -256,6 +264,7 @@
 	p.findEnded(now)
 	p.advanceTasks(now)
 	p.reportWaves(now)
+	p.giveUpUpkeeps(now)
 	p.planUpkeeps(now)
 	p.planMoves(now)
 	p.summarise(now)
--- a/entry/hostplan/pool.go
+++ b/entry/hostplan/pool.go
@@ -151,7 +151,7 @@
 			longRunningHosts++
 		}
 	}
-	s.minNeed = max(longRunningHosts, int(s.load.GetSpread()), _minHosts)
+	s.minNeed = max(longRunningHosts, s.leastHosts())
 	s.need = max(s.need, s.minNeed)
 	if s.ownerIsNew(now) {
 		s.need = max(s.need, s.formerNeed)
@@ -164,6 +164,9 @@
 	}
 }
 
+// leastHosts returns how many hosts the pool needs to spread the tasks of each step over them.
+func (s *poolState) leastHosts() int { return max(int(s.load.GetSpread()), _minHosts) }
+
 // noteOwner notes the owner that reported the load.
 func (s *poolState) noteOwner(now time.Time, token int64) {
 	if s.owner == token {
--- a/entry/hostplan/script_test.go
+++ b/entry/hostplan/script_test.go
@@ -34,7 +34,7 @@
 //	at MS                                 sets the time
 //	step [MS]                             plans with the hosts as listed at MS, by
 //	                                      default now, and prints the operations
-//	loadRequest POOL                      prints the request to the pool's owner
+//	loadRequest POOL [reclaimable]        prints the request to the pool's owner
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	assert.NilError(t, err)
@@ -127,6 +127,9 @@
 			gone = append(gone, fmt.Sprintf("%s@%d", g.GetUpstream(), g.GetStartUnixMs()))
 		}
 		fmt.Fprintf(&p.out, "  vacate %v gone %v arrivals %d\n", q.GetVacate(), gone, len(q.GetArrivals()))
+		if len(f) > 2 {
+			fmt.Fprintf(&p.out, "  reclaimable %v\n", q.GetReclaimable())
+		}
 		if l := q.GetEvict(); len(l) > 0 {
 			fmt.Fprintf(&p.out, "  evict %v\n", l)
 		}
--- a/entry/hostplan/upkeep.go
+++ b/entry/hostplan/upkeep.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// giveUpUpkeeps gives up the upkeeps that haven't been ordered, of pools that have become too small for
+// them since. A host may be vacated for as long as a task runs on it.
+func (p *Planner) giveUpUpkeeps(now time.Time) {
+	for _, name := range sortedKeys(p.tasks) {
+		t := p.tasks[name]
+		s := p.pools[t.machine.Pool]
+		if t.wave == 0 || t.orderSent() || s == nil || s.standby || s.load == nil || s.hosts-s.unavailable >= s.leastHosts() {
+			continue
+		}
+		delete(p.tasks, name)
+		s.unavailable--
+		p.emit(LogLine{"Host is not vacated for upkeep any longer, because its pool has too few others.", []any{
+			"wave", t.wave, "machine", name, "pool", s.name, "sinceMs", now.Sub(t.since).Milliseconds(),
+			"hosts", s.hosts, "away", s.unavailable, "least", s.leastHosts(),
+		}})
+	}
+}
+
 // hostsInProgress counts the hosts of a wave that have an upkeep task, for this wave or
 // another one, or may be down for upkeep.
 func (p *Planner) hostsInProgress(w *wave) int {
--- a/entry/hostplan/waves.go
+++ b/entry/hostplan/waves.go
@@ -40,7 +40,7 @@
 	n := 0
 	for _, name := range w.Machines {
 		t := p.tasks[name]
-		ordered := t != nil && t.wave != 0 && (t.ordering || !t.retryAt.IsZero() || !t.orderedAt.IsZero())
+		ordered := t != nil && t.wave != 0 && t.orderSent()
 		if ordered || p.byName[name].State == platform.MachineUpkeep || p.priorOrderUnseen(name) {
 			n++
 		}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -193,7 +193,7 @@
 		return scheduler.LoadRequested{
 			Ref: r, Token: b.Load.GetToken(), Sequence: b.Load.GetSequence(), Arrivals: b.Load.GetArrivals(),
 			Ahead:  time.Duration(b.Load.GetAheadMs()) * time.Millisecond,
-			Vacate: b.Load.GetVacate(), Evict: b.Load.GetEvict(), Due: b.Load.GetDue(), Gone: b.Load.GetGone(), Shares: b.Load.GetShares(),
+			Vacate: b.Load.GetVacate(), Evict: b.Load.GetEvict(), Reclaimable: b.Load.GetReclaimable(), Due: b.Load.GetDue(), Gone: b.Load.GetGone(), Shares: b.Load.GetShares(),
 			SharesOwner: b.Load.GetSharesOwner(), SharesReport: b.Load.GetSharesReport(),
 		}
 	}
--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -201,7 +201,7 @@
 	}
 	l := s.poolLoad(now, e.Ahead)
 	s.leaveDueHosts(now)
-	l.Vacant = s.vacate(now, e.Vacate, e.Evict)
+	l.Vacant = s.vacate(now, e)
 	s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, Load: l})
 }
 
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -86,6 +86,9 @@
 	Vacate []string
 	// Evict lists those of Vacate on which also tasks that end by themselves are stopped.
 	Evict []string
+	// Reclaimable lists those of Vacate whose hosts the planner doesn't order before this owner
+	// reports them vacant.
+	Reclaimable []string
 	// Due lists the upstreams whose hosts will be taken down for a wave.
 	Due []string
 	// Gone lists the upstream incarnations that have ended.
--- a/entry/scheduler/held.go
+++ b/entry/scheduler/held.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// mayStart reports whether a held run may still start on its upstream.
+func (r *run) mayStart(now time.Time) bool {
+	return r.host.usable(now) || r.reclaimed && r.host.reclaims(now)
+}
+
 // sendHeld sends the held starts that a batch has made durable.
 func (s *Scheduler) sendHeld(now time.Time, batch int64) {
 	var due []*run
@@ -54,7 +59,7 @@
 			continue // stopped with another member of its gang
 		}
 		r.held, r.ordered = false, now
-		if !r.host.usable(now) || !s.mayOrder(now) {
+		if !r.mayStart(now) || !s.mayOrder(now) {
 			s.releaseUnstarted(now, r)
 			continue
 		}
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -80,6 +80,9 @@
 	// drainedUntil is set if the planner has requested the upstream to be vacated.
 	// No tasks are placed before it.
 	drainedUntil time.Time
+	// reclaimable is set while tasks that have no other room may be placed before drainedUntil: the
+	// planner orders the host only once it has been reported vacant, which reportedVacant notes.
+	reclaimable, reportedVacant bool
 	// waveDue is set if the host will be taken down for a wave.
 	waveDue bool
 	// slowed is the percentage by which best-effort tasks are slowed, since
@@ -277,10 +280,19 @@
 const _unlistedGrace = 2500 * time.Millisecond
 
 // usable reports whether tasks may be placed on the upstream.
-func (h *host) usable(now time.Time) bool {
+func (h *host) usable(now time.Time) bool { return h.inService(now) && !now.Before(h.drainedUntil) }
+
+// reclaims reports whether tasks that have no other room may be placed on the upstream, which the
+// planner has requested to be vacated.
+func (h *host) reclaims(now time.Time) bool {
+	return h.inService(now) && now.Before(h.drainedUntil) && h.reclaimable
+}
+
+// inService reports whether the upstream could run tasks, whether or not it is being vacated.
+func (h *host) inService(now time.Time) bool {
 	known := h.listed || now.Sub(h.unlistedAt) < _unlistedGrace && h.lastAnsweredAt.After(h.unlistedAt)
 	return known && !h.gone && h.fenced && h.recordDurable && h.unknownRuns == 0 && !h.up.Draining && h.failedPolls == 0 &&
-		!now.Before(h.health.ejectedUntil) && !now.Before(h.drainedUntil)
+		!now.Before(h.health.ejectedUntil)
 }
 
 // usableSoon reports whether tasks may be placed on the upstream now, or as soon
@@ -316,6 +328,19 @@
 	}
 }
 
+// roomBesideLongRunning returns the capacity that long-running runs leave.
+func (h *host) roomBesideLongRunning() platform.Capacity {
+	c := h.up.Capacity
+	for _, r := range h.runs {
+		if d := r.task.step.def; d.GetLongRunning() {
+			c.MilliCPU -= r.task.step.cpuRequest()
+			c.MemoryMB -= d.GetMemoryMb()
+			c.GPUs -= d.GetGpus()
+		}
+	}
+	return c
+}
+
 func (h *host) add(r *run) {
 	h.touch()
 	h.runs = append(h.runs, r)
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -395,6 +395,8 @@
 	baseline     baseline
 	// trial is how long the run has to last until anything else starts on its upstream.
 	trial time.Duration
+	// reclaimed is set if the run was placed on an upstream that is being vacated.
+	reclaimed bool
 	// held is set while the start isn't sent, because the journal doesn't have it yet. heldBatch
 	// is the batch that has it.
 	held      bool
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -75,7 +75,7 @@
 	}
 	h.update(u, now)
 	if u.Draining {
-		s.evacuate(now, h)
+		s.evacuate(now, h, true)
 	}
 }
 
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -125,9 +125,11 @@
 			if h.onTrial() {
 				p.trials++
 			}
+		case h.reclaims(now):
+			p.drained = append(p.drained, h)
 		}
 	}
-	if len(p.hosts) == 0 {
+	if len(p.hosts)+len(p.drained) == 0 {
 		return
 	}
 	all := p.waiting()
@@ -200,6 +202,8 @@
 	hosts []*host
 	open  []*host
 	least int64
+	// drained are the upstreams that are being vacated, but take tasks that have no other room.
+	drained []*host
 	// trials counts the upstreams with a run on trial, or reserved for one.
 	trials int
 	// reservedTrials counts those of reserved that are for a trial.
@@ -285,6 +289,13 @@
 			p.start(t, h)
 			continue
 		}
+		if h := p.reclaim(t); h != nil {
+			p.start(t, h)
+			t.runs[len(t.runs)-1].reclaimed = true
+			p.s.logNote("Task is placed on an upstream that is being vacated, because no other has room.",
+				st.occurrence.job.def.GetId(), "task", t.name, "upstream", h.up.ID, "waitedMs", p.now.Sub(t.waitingSince).Milliseconds())
+			continue
+		}
 		// For a long-running task an upstream is reserved without waiting.
 		early := p.now.Sub(t.waitingSince) < _reserveAfter && !st.def.GetLongRunning()
 		if p.trial(t) > 0 {
@@ -303,14 +314,43 @@
 
 // pick returns the best upstream for a task, or nil. A non-empty rack restricts
 // the choice.
-func (p *pass) pick(t *task, rack string) *host {
+func (p *pass) pick(t *task, rack string) *host { return p.pickFrom(p.open, t, rack) }
+
+// _reclaimAfter is how long a task waits for room before it is placed on an upstream that is being
+// vacated. It leaves the time until a long-running task has to be at work again to the start.
+const _reclaimAfter = 1500 * time.Millisecond
+
+// reclaim returns an upstream that is being vacated, for a task that has no room elsewhere, or nil. Only
+// a long-running task gets one while others are full; the rest wait for room, unless no other upstream
+// could ever have it.
+func (p *pass) reclaim(t *task) *host {
+	if len(p.drained) == 0 || !t.step.def.GetLongRunning() && p.mayFit(t) {
+		return nil
+	}
+	if at := t.waitingSince.Add(_reclaimAfter); p.now.Before(at) {
+		p.s.reclaimAt.add(at)
+		return nil
+	}
+	return p.pickFrom(p.drained, t, "")
+}
+
+// mayFit reports whether an upstream that isn't being vacated has room for a task beside long-running
+// ones.
+func (p *pass) mayFit(t *task) bool {
+	return slices.ContainsFunc(p.hosts, func(h *host) bool {
+		return p.allowed(t, h) && fitsIn(t.step.def, h.roomBesideLongRunning())
+	})
+}
+
+// pickFrom returns the best of some upstreams for a task, or nil. A non-empty rack restricts the choice.
+func (p *pass) pickFrom(hosts []*host, t *task, rack string) *host {
 	var best *host
 	var low float64
 	d := p.trial(t)
 	if d > 0 && !p.mayTry() {
 		return nil
 	}
-	for _, h := range p.open {
+	for _, h := range hosts {
 		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !fitsIn(t.step.def, h.free()) || !p.admits(t, h, d) {
 			continue
 		}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	answerLostAt time.Time
 	// adviceRetry is when requests to policies are repeated that failed, or whose tickets expire.
 	adviceRetry earliest
+	// reclaimAt is no later than the first time at which a task may be placed on an upstream that is
+	// being vacated.
+	reclaimAt earliest
 	// summed is the backlog as of summedAt, with the jobs accepted since.
 	summed   backlog
 	summedAt time.Time
@@ -224,6 +227,9 @@
 	if t := s.adviceRetry.time; !t.IsZero() && !now.Before(t) {
 		s.adviceRetry, s.replan = earliest{}, true
 	}
+	if t := s.reclaimAt.time; !t.IsZero() && !now.Before(t) {
+		s.reclaimAt, s.replan = earliest{}, true
+	}
 	if s.replan && s.mayOrder(now) && !now.Before(s.nextPlaceTime()) {
 		s.replan = false
 		s.place(now)
@@ -281,6 +287,7 @@
 		w.add(s.past[0].endedAt.Add(s.set.StatusRetention))
 	}
 	w.add(s.adviceRetry.time)
+	w.add(s.reclaimAt.time)
 	return w.time
 }
 
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -45,8 +45,8 @@
 //	    STEP: COUNTxCPUxMEM~MS[,after=N+N][,gang][,sameRack][,longRunning][,mayMiss=N]
 //	          [,antiAffinity=N][,requires=L][,affinity=R][,checkpointing][,target=MS]
 //	          [,bestEffort][,speculative]
-//	state REF JOB [workspace=W] | pending REF QUEUE | cancel REF JOB [workspace=W]
-//	measure REF [vacate=ID,...] [evict=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]
+//	state REF JOB [workspace=W] | pending REF QUEUE | cancel REF JOB [workspace=W] [inAdvance]
+//	measure REF [vacate=ID,...] [reclaimable=ID,...] [evict=ID,...] [due=ID,...] [gone=ID[@BORN],...] [token=N] [sequence=N]
 //	    [shares=W:CPU[:REACH],... | shares=none] [owner=N] [report=N]    a request of the planner;
 //	    shares answer the owner's last report unless told otherwise;
 //	    the incarnation that is gone is by default the one that the scheduler knows
@@ -377,6 +377,9 @@
 		if v := m["vacate"]; v != "" {
 			e.Vacate = strings.Split(v, ",")
 		}
+		if v := m["reclaimable"]; v != "" {
+			e.Reclaimable = strings.Split(v, ",")
+		}
 		if v := m["evict"]; v != "" {
 			e.Evict = strings.Split(v, ",")
 		}
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -250,17 +250,21 @@
 // those that are vacant: nothing runs on them, and their results have been
 // appended, as the upstream loses these when it ends. An upstream that hasn't
 // answered this owner isn't vacant, because a former owner may have left tasks
-// there. Tasks that end by themselves run to their end, except on the upstreams in evict.
-func (s *Scheduler) vacate(now time.Time, ids, evict []string) []string {
+// there. Tasks that end by themselves run to their end, except on the upstreams to evict.
+func (s *Scheduler) vacate(now time.Time, e LoadRequested) []string {
 	var vacant []string
 	for _, h := range s.hosts.all() {
-		if !slices.Contains(ids, h.up.ID) && now.Before(h.drainedUntil) {
+		if slices.Contains(e.Vacate, h.up.ID) {
+			continue
+		}
+		h.reclaimable, h.reportedVacant = false, false
+		if now.Before(h.drainedUntil) {
 			h.drainedUntil = time.Time{}
 			h.touch()
 			s.replan = true
 		}
 	}
-	for _, id := range ids {
+	for _, id := range e.Vacate {
 		h := s.hosts.get(id)
 		if h == nil {
 			// Neither the list nor the former owners' records have this upstream.
@@ -270,12 +274,18 @@
 			continue
 		}
 		h.drainedUntil = now.Add(_vacateLease)
-		s.evacuate(now, h)
-		if slices.Contains(evict, id) {
+		evicted := slices.Contains(e.Evict, id)
+		s.evacuate(now, h, evicted)
+		if evicted {
 			s.evict(now, h)
 		}
 		if h.fenced && len(h.runs) == 0 && h.lastResult <= h.durableEnd {
 			vacant = append(vacant, id)
+			h.reportedVacant = true
+		}
+		was := h.reclaimable
+		if h.reclaimable = slices.Contains(e.Reclaimable, id) && !evicted && !h.reportedVacant; h.reclaimable && !was {
+			s.replan = true
 		}
 	}
 	return vacant
@@ -297,16 +307,29 @@
 
 // evacuate stops long-running tasks on an upstream, so that they start on others.
 // It stops no more of them than their steps allow to be unavailable. Tasks that
-// aren't long-running are left to complete.
-func (s *Scheduler) evacuate(now time.Time, h *host) {
+// aren't long-running are left to complete. Those that were placed there for want of other room
+// stay until there is some, or until the upstream has to be vacant.
+func (s *Scheduler) evacuate(now time.Time, h *host, evicted bool) {
+	p := &pass{s: s, now: now}
 	for _, r := range h.cloneRuns() {
-		if r.task.step.def.GetLongRunning() && r.state == runRunning && r.task.step.mayStop(r.task) {
-			s.stop(now, r)
-			r.keepable = true
+		if !r.task.step.def.GetLongRunning() || r.state != runRunning || !r.task.step.mayStop(r.task) {
+			continue
 		}
+		if r.reclaimed && !evicted && !p.roomElsewhere(r) {
+			continue
+		}
+		s.stop(now, r)
+		r.keepable = true
 	}
 }
 
+// roomElsewhere reports whether another upstream has room for the task of a run.
+func (p *pass) roomElsewhere(r *run) bool {
+	return slices.ContainsFunc(p.s.hosts.order, func(h *host) bool {
+		return h != r.host && h.usable(p.now) && p.allowed(r.task, h) && fitsIn(r.task.step.def, h.free())
+	})
+}
+
 // leaveDueHosts stops long-running tasks on hosts that a wave will take down, as far as others
 // have room for them and their steps allow it. A step whose tasks have to move one after the other
 // may need most of the wave's time limit for that.
--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -228,7 +228,7 @@
 				return scheduler.LoadRequested{
 					Ref: r, Token: p.token, Sequence: n, Arrivals: q.GetArrivals(),
 					Ahead:  time.Duration(q.GetAheadMs()) * time.Millisecond,
-					Vacate: q.GetVacate(), Evict: q.GetEvict(), Due: q.GetDue(), Gone: q.GetGone(),
+					Vacate: q.GetVacate(), Evict: q.GetEvict(), Reclaimable: q.GetReclaimable(), Due: q.GetDue(), Gone: q.GetGone(),
 					Shares: q.GetShares(), SharesOwner: q.GetSharesOwner(), SharesReport: q.GetSharesReport(),
 				}
 			}, func(a *link.Answer) { answer(a.GetLoad(), nil) })
