standin/emulator: a planner whose records are refused as fenced gives up, as in an entry

An entry whose append for host orders is refused as fenced gives up the partition under that token and gains it anew (term.appendNumbered, pools.losePlanner). The emulated planner didn't: it went on with a token that every order was refused with, and kept the hosts closed that it wanted to order. It also noted a later owner twice for one token, after which nobody planned any more.

The checks are unchanged.

--- a/standin/emulator/shift.go
+++ b/standin/emulator/shift.go
@@ -93,7 +93,7 @@
 		switch {
 		case !p.isCurrent():
 		case err != nil:
-			p.numbering.Answered(err)
+			p.answered(err)
 			p.entry.after(_planInterval, p.load)
 		default:
 			for _, r := range l {
@@ -296,7 +296,7 @@
 		if err == nil && r.Status != 0 {
 			err = &platform.Error{Status: r.Status, Reason: r.Reason, Expected: r.Expected}
 		}
-		p.numbering.Answered(err)
+		p.answered(err)
 		p.appending = false
 		done(err)
 		if len(p.queue) > 0 {
@@ -307,6 +307,21 @@
 	})
 }
 
+// answered handles the store's answer to an append. A later planner has had one refused as fenced.
+func (p *planner) answered(err error) {
+	p.numbering.Answered(err)
+	if platform.Reason(err) == platform.ReasonFenced {
+		p.lose()
+	}
+}
+
+// lose gives up the partition if it is held under the planner's token.
+func (p *planner) lose() {
+	if p.entry.partitions.Token(_plannerPartition) == p.token {
+		p.entry.partitions.NoteLaterOwner(_plannerPartition)
+	}
+}
+
 // sendOrder sends an order to the cloud interface, unless it could not be recorded or the
 // entry's membership is no longer confirmed.
 func (p *planner) sendOrder(op hostplan.Op, recorded error) {
@@ -339,7 +354,7 @@
 		p.record([]platform.Record{{Key: fmt.Sprintf("%d/%s", wave, name), Value: []byte{1}}}, func(error) {})
 	case err == nil:
 	case platform.Reason(err) == platform.ReasonFence:
-		p.entry.partitions.NoteLaterOwner(_plannerPartition)
+		p.lose()
 		r = hostplan.Unknown
 	case platform.Status(err) == http.StatusConflict:
 		r = hostplan.Busy
