hostplan: a pool without hosts gets some when it has work

What callers would see: no job of a pool ends, while hosts rest in the standby pool, until the planner changes and has seen a host in the pool.

Cause: how large a pool's hosts are, each planner learns from the hosts that it has seen in the pool. One that begins while the pool has none counted zero hosts as needed.

Fix: for a pool with work, the smallest of all hosts counts until the pool has had one.

--- a/entry/hostplan/pool.go
+++ b/entry/hostplan/pool.go
@@ -1,6 +1,7 @@
 package hostplan
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -37,7 +38,8 @@
 	// answered the last request.
 	load    *link.PoolLoad
 	current bool
-	// hostCPU is the capacity of one host, in thousandths of a core.
+	// hostCPU is the capacity of one host, in thousandths of a core. It is
+	// zero until the pool has had one.
 	hostCPU float64
 	// hosts is the number of hosts that are in the pool or moving to it. Hosts in the
 	// state MachineDown don't count.
@@ -105,11 +107,15 @@
 			delete(p.pools, name)
 		}
 	}
+	least := 0.0
 	for _, m := range p.view.Machines {
 		p.countHost(m)
+		if c := float64(m.Capacity.MilliCPU); c > 0 && (least == 0 || c < least) {
+			least = c
+		}
 	}
 	for _, s := range p.pools {
-		s.updateNeed(now, p.settings.MoveTime)
+		s.updateNeed(now, p.settings.MoveTime, least)
 	}
 }
 
@@ -134,9 +140,13 @@
 }
 
 // updateNeed computes how many hosts the pool should have; move is how long a host
-// takes to move.
-func (s *poolState) updateNeed(now time.Time, move time.Duration) {
-	if s.standby || s.load == nil || s.hostCPU <= 0 {
+// takes to move, and least the least capacity of all hosts.
+func (s *poolState) updateNeed(now time.Time, move time.Duration, least float64) {
+	hostCPU := s.hostCPU
+	if s.hasWork() {
+		hostCPU = cmp.Or(hostCPU, least)
+	}
+	if s.standby || s.load == nil || hostCPU <= 0 {
 		s.need = 0
 		return
 	}
@@ -144,7 +154,7 @@
 	expected = max(expected, s.cycle.forecast(now, move+_forecastLead)*_cycleHeadroom)
 	present := float64(s.load.GetBusy()) + float64(s.load.GetWaiting())/_waitingTargetS
 	longRunning := float64(s.load.GetLasting())
-	s.need = int(math.Ceil((longRunning + max(expected, present)) / s.hostCPU))
+	s.need = int(math.Ceil((longRunning + max(expected, present)) / hostCPU))
 	longRunningHosts := 0
 	for _, h := range s.load.GetHosts() {
 		if h.GetLasting() > 0 {
@@ -164,6 +174,12 @@
 	}
 }
 
+// hasWork reports whether the pool has jobs, or gets some.
+func (s *poolState) hasWork() bool {
+	l := s.load
+	return l.GetBacklog() > 0 || l.GetDemand() > 0 || l.GetExpected() > 0 || l.GetLasting() > 0
+}
+
 // leastHosts returns how many hosts the pool needs to spread the tasks of each step over them.
 func (s *poolState) leastHosts() int { return max(int(s.load.GetSpread()), _minHosts) }
 
