scheduler: a job that is cancelled before its owner knows of it never runs

Cause, as far as it can be shown: an entry answers a DELETE with 410 "no such job" although the job runs, or will: - An attempt to submit it is on its way, and is accepted afterwards. - The owner that is asked has a successor that it doesn't know of, and the successor has accepted the job. An owner that has lost the store, or was suspended, goes on for up to 6 s.

Fix: the owner records the cancellation of a job that it doesn't know, for as long as that of any other, and answers 410 once that is durable. A job that is submitted later is accepted as cancelled. A former owner's append is refused by the store, so that it can't give that answer; its caller gets 502 and asks again.

The checks were blind to it: the soak and the emulator judged only cancels that were answered with OK. Both count a 410 now. The site judges every start: by a task that was submitted, with the spec that the caller sent, and with a checkpoint that a run of the task reported. Its upstreams report checkpoints, and specs have characters that encodings change. The ledger script unasked shows that each of these is found.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -228,7 +228,7 @@
 
 func (f *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, c call, id string) {
 	m := c.link()
-	m.Body = &link.Call_Cancel{Cancel: &link.Cancel{Id: id, Workspace: c.workspace}}
+	m.Body = &link.Call_Cancel{Cancel: &link.Cancel{Id: id, Workspace: c.workspace, InAdvance: true}}
 	a := f.callAnyOwner(ctx, m)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
 		writeJSON(w, []byte("{}"))
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -186,7 +186,9 @@
 	case *link.Call_State:
 		return scheduler.StateRequested{Ref: r, ID: b.State.GetId(), Workspace: b.State.GetWorkspace()}
 	case *link.Call_Cancel:
-		return scheduler.CancelRequested{Ref: r, ID: b.Cancel.GetId(), Workspace: b.Cancel.GetWorkspace()}
+		return scheduler.CancelRequested{
+			Ref: r, ID: b.Cancel.GetId(), Workspace: b.Cancel.GetWorkspace(), InAdvance: b.Cancel.GetInAdvance(),
+		}
 	case *link.Call_Pending:
 		return scheduler.PendingRequested{Ref: r, Queue: b.Pending.GetQueue()}
 	case *link.Call_Load:
--- a/entry/scheduler/commit.go
+++ b/entry/scheduler/commit.go
@@ -216,11 +216,16 @@
 	}
 }
 
-// dropQueued forgets a job that is in no append, and answers its callers.
+// dropQueued forgets a job whose record is in no append, and answers its callers.
 func (s *Scheduler) dropQueued(j *job, a *link.Answer) {
-	delete(s.jobs, j.def.GetId())
 	s.active = removeJob(s.active, j)
-	s.past = removeJob(s.past, j)
+	if j.durableState == link.JobState_JOB_STATE_UNSPECIFIED {
+		delete(s.jobs, j.def.GetId())
+		s.past = removeJob(s.past, j)
+	} else {
+		// The job stays cancelled, should it be submitted again.
+		j.durable = true
+	}
 	for _, r := range slices.Concat(j.acceptWaiters, j.cancelWaiters) {
 		s.reply(r, a)
 	}
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -66,6 +66,9 @@
 	ID  string
 	// Workspace is the caller's, as in StateRequested.
 	Workspace string
+	// InAdvance has the cancellation recorded if there is no such job, so that the job never runs
+	// if it is submitted later.
+	InAdvance bool
 }
 
 // LoadRequested is the planner's request for the pool's load. It also carries the
--- a/entry/scheduler/journal.go
+++ b/entry/scheduler/journal.go
@@ -340,14 +340,14 @@
 		if state == link.JobState_JOB_STATE_UNSPECIFIED {
 			continue
 		}
-		if j.durableState != state {
+		if j.durableState != state && !j.cancelledInAdvance() {
 			s.count(j, endedAs(now, j))
 			s.logNote("Job ended.", j.def.GetId(), "state", state.String(), "afterMs", now.Sub(j.arrived).Milliseconds(),
 				"objectiveMs", j.objective.Milliseconds(), "predictedMs", j.predicted.Milliseconds())
 		}
 		j.durableState = state
 		for _, r := range j.cancelWaiters {
-			s.reply(r, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, State: state})
+			s.reply(r, j.cancelAnswer())
 		}
 		j.cancelWaiters = nil
 	}
@@ -377,6 +377,9 @@
 		}
 		id := j.def.GetId()
 		delete(s.jobs, id)
+		if j.cancelledInAdvance() {
+			s.inAdvance--
+		}
 		s.deleteRecords(now, JobKey(s.set.Pool, id), ProgressKey(s.set.Pool, id))
 		for _, first := range j.parts {
 			s.deleteRecords(now, partKey(s.set.Pool, id, first))
--- a/entry/scheduler/progress.go
+++ b/entry/scheduler/progress.go
@@ -95,6 +95,9 @@
 	switch {
 	case j.over():
 		m.EndedUnixMs = j.endedAt.UnixMilli()
+		if j.cancelledInAdvance() {
+			m.Workspace = j.def.GetWorkspace()
+		}
 	case j.size() <= s.partTasks():
 		for _, o := range j.occurrences {
 			m.Occurrences = append(m.Occurrences, occurrenceProgress(o))
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -18,8 +18,10 @@
 	active []*job
 	// upcoming are the durable jobs with occurrences that aren't due yet.
 	upcoming []*job
-	// past are the ended jobs, in the order in which they expire.
-	past []*job
+	// past are the ended jobs, in the order in which they expire, and inAdvance the number of those
+	// that were cancelled before they were submitted.
+	past      []*job
+	inAdvance int
 
 	// loaded is set once the journal has been loaded, at loadedAt.
 	loaded bool
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -367,7 +367,7 @@
 	case "pending":
 		p.step(PendingRequested{Ref: ref(), Queue: f[2]})
 	case "cancel":
-		p.step(CancelRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"]})
+		p.step(CancelRequested{Ref: ref(), ID: f[2], Workspace: m["workspace"], InAdvance: slices.Contains(rest, "inAdvance")})
 	case "measure":
 		e := LoadRequested{Ref: ref(), Token: p.number(m["token"]), Sequence: p.number(m["sequence"])}
 		if m["sequence"] == "" {
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +41,11 @@
 			s.upcoming = append(s.upcoming, j)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(e.Progress)) {
+		if s.jobs[id] == nil {
+			s.restoreWithoutJob(now, id, e.Progress[id])
+		}
+	}
 	for _, u := range e.Hosts {
 		s.unpolled[u.ID] = now.Add(_formerOwnerTimeout)
 		if s.hosts.get(u.ID) == nil {
@@ -96,6 +102,10 @@
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_DENIED})
 			return
 		}
+		if j.cancelledInAdvance() {
+			s.acceptCancelled(now, j, e)
+			return
+		}
 		if j.durable {
 			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
 			return
@@ -178,7 +188,7 @@
 // replyState replies with the state of a job.
 func (s *Scheduler) replyState(e StateRequested) {
 	j := s.jobs[e.ID]
-	if j == nil || j.def.GetWorkspace() != e.Workspace {
+	if j == nil || j.def.GetWorkspace() != e.Workspace || j.cancelledInAdvance() {
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	}
@@ -193,11 +203,14 @@
 func (s *Scheduler) cancel(now time.Time, e CancelRequested) {
 	j := s.jobs[e.ID]
 	switch {
+	case j == nil && e.InAdvance:
+		s.cancelInAdvance(now, e)
+		return
 	case j == nil || j.def.GetWorkspace() != e.Workspace:
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	case j.durableState != link.JobState_JOB_STATE_UNSPECIFIED:
-		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK, State: j.durableState})
+		s.reply(e.Ref, j.cancelAnswer())
 		return
 	}
 	j.cancelWaiters = append(j.cancelWaiters, e.Ref)
--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -221,7 +221,7 @@
 func (w *World) cancel(j *jobRecord) {
 	j.cancelRequested = true
 	w.callOwner(j.def.GetPool(), func(r scheduler.Ref) scheduler.Event {
-		return scheduler.CancelRequested{Ref: r, ID: j.def.GetId(), Workspace: j.def.GetWorkspace()}
+		return scheduler.CancelRequested{Ref: r, ID: j.def.GetId(), Workspace: j.def.GetWorkspace(), InAdvance: true}
 	}, func(a *link.Answer, _ bool) {
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_OK:
@@ -229,6 +229,10 @@
 				j.cancelled = w.now
 			}
 		case link.Outcome_OUTCOME_GONE:
+			// None of its tasks starts, even if an attempt to submit it arrives later.
+			if j.cancelled == 0 {
+				j.cancelled = w.now
+			}
 		default:
 			w.after(_pollInterval, func() { w.cancel(j) })
 		}
--- a/standin/site/keys.go
+++ b/standin/site/keys.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// askOne requests the state of a job from one entry, and returns the status.
-func (s *Site) askOne(entry, queue, job string) string {
+// askOne requests the state of a job from one entry, or sends another request about it, and returns
+// the status.
+func (s *Site) askOne(entry, queue, job string, method ...string) string {
 	q := s.Queue(queue)
-	_, text := s.callEntry(entry, http.MethodGet, q.Host, q.Prefix+job, "")
+	_, text := s.callEntry(entry, append(method, http.MethodGet)[0], q.Host, q.Prefix+job, "")
 	return text
 }
--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -27,7 +27,12 @@
 	// gangDone is set once a member of the task's gang is done.
 	gangDone bool
 	policy   bool
-	current  []runRecord
+	spec     string
+	// checkpointing is set if its runs report checkpoints; those so far, of all members of its gang, are
+	// in checkpoints.
+	checkpointing bool
+	checkpoints   map[string]bool
+	current       []runRecord
 	// runCount counts all runs, done those that completed.
 	runCount, done int
 	// ends are the ends of completed runs.
@@ -182,22 +187,48 @@
 		return d
 	}
 	j := s.jobs[n.Job]
-	if j == nil || n.Step >= len(j.Steps) {
+	if j == nil || n.Step >= len(j.Steps) || n.Index >= int(j.Steps[n.Step].GetCount()) || n.Occurrence >= max(1, int(j.GetOccurrences())) {
 		return nil
 	}
 	p := j.Steps[n.Step]
 	d := &taskRecord{
-		name: n, behaviour: j.behaviour, longRunning: p.GetLongRunning(), policy: j.policy,
+		name: n, behaviour: j.behaviour, spec: j.spec, checkpointing: p.GetCheckpointing(), checkpoints: make(map[string]bool), longRunning: p.GetLongRunning(), policy: j.policy,
 		antiAffinity: int(p.GetAntiAffinity()), mayMiss: int(p.GetMayMiss()),
 		size: platform.Capacity{MilliCPU: p.GetMilliCpu(), MemoryMB: p.GetMemoryMb()},
 	}
 	if p.GetGang() {
 		d.gang = int(p.GetCount())
+		for _, o := range s.tasks {
+			if o.isOfStep(d) {
+				d.checkpoints = o.checkpoints
+			}
+		}
 	}
 	s.tasks[name] = d
 	return d
 }
 
+// checkAsked checks an order to start a task, whose record is nil if no caller has submitted it.
+func (s *Site) checkAsked(d *taskRecord, entry string, o platform.Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case d == nil:
+		s.addViolation("%s/%d was ordered by %s, but no caller has submitted it", o.Task, o.Run, entry)
+	case o.Spec != d.spec:
+		s.addViolation("%s/%d was ordered by %s with another spec: %q", o.Task, o.Run, entry, o.Spec)
+	case o.Checkpoint != "" && !d.checkpoints[o.Checkpoint]:
+		s.addViolation("%s/%d was ordered by %s with the checkpoint %q, which no run of it has reported", o.Task, o.Run, entry, o.Checkpoint)
+	}
+}
+
+// recordCheckpoint records that a run reports a checkpoint.
+func (s *Site) recordCheckpoint(task, checkpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tasks[task].checkpoints[checkpoint] = true
+}
+
 // recordEnd records the end of a run.
 func (s *Site) recordEnd(e *endRecord) {
 	s.mu.Lock()
--- a/standin/site/ledger_test.go
+++ b/standin/site/ledger_test.go
@@ -25,6 +25,9 @@
 //	                                        or until they are stopped if mayMiss is positive
 //	start HOST INDEX RUN LEASE              start a run with a lease of LEASE ms
 //	stop HOST INDEX RUN                     stop a run
+//	checkpointing MS                        the tasks report checkpoints, and work for so long
+//	ask HOST INDEX RUN [SPEC [CHECKPOINT]]  order a start, which may be refused; - is no SPEC
+//	resume HOST INDEX RUN                   order it with the checkpoint that the upstream listed last
 //	hold HOST ACKED LEASE                   poll an upstream
 //	rebirth HOST, dark HOST                 as in a session
 //	cancel                                  a caller cancels the job
@@ -71,6 +74,26 @@
 		u := s.upstreams[f[1]]
 		r := u.start("", platform.Start{Task: testTask(f[2]), Run: n(3), DeadlineMs: u.clock() + n(4)})
 		assert.Equal(t, r.Status, 0, line)
+	case "checkpointing":
+		j := s.jobs[_testJob]
+		j.Steps[0].Checkpointing, j.behaviour.Millis = true, int(n(1))
+	case "ask":
+		u := s.upstreams[f[1]]
+		o := platform.Start{Task: testTask(f[2]), Run: n(3), DeadlineMs: u.clock() + _maxLease.Milliseconds()}
+		if len(f) > 4 {
+			o.Spec = strings.TrimPrefix(f[4], "-")
+		}
+		if len(f) > 5 {
+			o.Checkpoint = f[5]
+		}
+		u.start("e1", o)
+	case "resume":
+		u := s.upstreams[f[1]]
+		l := u.status()
+		u.stop(testTask(f[2]), n(3)-1, 0)
+		u.start("e1", platform.Start{
+			Task: testTask(f[2]), Run: n(3), DeadlineMs: u.clock() + _maxLease.Milliseconds(), Checkpoint: l.Running[0].Checkpoint,
+		})
 	case "stop":
 		r := s.upstreams[f[1]].stop(testTask(f[2]), n(3), 0)
 		assert.Equal(t, r.Status, 0, line)
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -72,7 +72,7 @@
 //	publish                  write a new version of the configuration
 //	keys WORKSPACE=KEY,... ...    write one with workspaces and their keys; calls need one then
 //	as KEY                   callers send a key from now on; none for -
-//	one NAME QUEUE JOB       request the state of a job from one entry
+//	one NAME QUEUE JOB [METHOD]   request the state of a job from one entry, or send it another request
 //	cut NAME PEER DIRECTION  cut the path of an entry to a host's upstream, or to the store, which
 //	                         is also the default. DIRECTION is requests (held up until mend),
 //	                         answers (lost; the default) or both
@@ -124,7 +124,7 @@
 	case "working":
 		return "", s.awaitWork(f)
 	case "one":
-		return s.askOne(f[1], f[2], f[3]), nil
+		return s.askOne(f[1], f[2], f[3], f[4:]...), nil
 	case "launch":
 		return "", s.LaunchEntry(f[1])
 	case "keys":
@@ -279,7 +279,7 @@
 	if err != nil {
 		return fmt.Errorf("decode job: %w", err)
 	}
-	d := &submitted{Job: j, policy: q.Advice.Needed()}
+	d := &submitted{Job: j, spec: string(spec), policy: q.Advice.Needed()}
 	if err := json.Unmarshal(spec, &d.behaviour); err != nil {
 		return fmt.Errorf("decode spec: %w", err)
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -40,6 +40,8 @@
 type submitted struct {
 	*work.Job
 	behaviour Behaviour
+	// spec is the one that the caller sent.
+	spec string
 	// policy is set if starts need a ticket of the advice service.
 	policy bool
 	// cancelling is set once a caller has sent a request to cancel the job.
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -20,6 +20,8 @@
 	Millis int `json:"ms"`
 	// Fails is the number of runs of each task that fail before one completes.
 	Fails int `json:"fails"`
+	// Note is a text without meaning.
+	Note string `json:"note,omitempty"`
 }
 
 // Upstream emulates an upstream: it runs tasks under a lease and a fencing token.
@@ -59,8 +61,10 @@
 	duration    time.Duration
 	fails       bool
 	longRunning bool
-	checkpoint  string
-	size        platform.Capacity
+	// checkpoint is the one that the run began with, checkpointing is set if it reports further ones.
+	checkpoint    string
+	checkpointing bool
+	size          platform.Capacity
 	// gang is set for a member of a gang, which works once all members have started.
 	gang *gang
 }
@@ -78,6 +82,18 @@
 	return t != nil
 }
 
+// _checkpointInterval is the time of work between two checkpoints.
+const _checkpointInterval = 100 * time.Millisecond
+
+// report returns the run's latest checkpoint, which is recorded with the site.
+func (r *running) report(s *Site) string {
+	if n := time.Since(r.began) / _checkpointInterval; r.checkpointing && r.working() && n > 0 {
+		r.checkpoint = fmt.Sprintf("%s/%d@%d", r.task, r.run, n)
+		s.recordCheckpoint(r.task, r.checkpoint)
+	}
+	return r.checkpoint
+}
+
 func newUpstream(s *Site, machine string) *Upstream {
 	return &Upstream{
 		site: s, machine: machine, wake: make(chan struct{}), began: time.Now(),
@@ -172,11 +188,12 @@
 		Spec       string `json:"spec"`
 		DeadlineMs int64  `json:"deadlineMs"`
 		Token      int64  `json:"fencingToken"`
+		Checkpoint string `json:"checkpoint"`
 	}
 	if json.Unmarshal(body, &s) != nil || r.Header.Get("Expect-Instance") != u.id() || !u.isIncarnation(began) {
 		return
 	}
-	f := u.start(entry, platform.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, DeadlineMs: s.DeadlineMs, Token: s.Token})
+	f := u.start(entry, platform.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, DeadlineMs: s.DeadlineMs, Token: s.Token, Checkpoint: s.Checkpoint})
 	u.site.addEvent("late order of %s: %s", s.Task, refusal(f))
 }
 
@@ -224,6 +241,7 @@
 		return conflict(platform.ReasonLate)
 	}
 	d := u.site.task(s.Task)
+	u.site.checkAsked(d, entry, s)
 	if d == nil {
 		return serve.Refusal{Status: http.StatusBadRequest}
 	}
@@ -236,7 +254,8 @@
 	}
 	r := &running{
 		task: s.Task, run: s.Run, began: time.Now(), duration: time.Duration(d.behaviour.Millis) * time.Millisecond,
-		fails: d.recordStart(u, entry, s.Run), longRunning: d.longRunning, checkpoint: s.Checkpoint, size: d.size,
+		fails: d.recordStart(u, entry, s.Run), longRunning: d.longRunning, size: d.size,
+		checkpoint: s.Checkpoint, checkpointing: d.checkpointing,
 	}
 	u.extendLease(s.DeadlineMs)
 	u.runs[s.Task] = r
@@ -284,7 +303,7 @@
 	delete(u.runs, r.task)
 	u.highestFinished[r.task] = max(u.highestFinished[r.task], r.run)
 	u.lastEndNumber++
-	e := &endRecord{Ended: platform.Ended{Number: u.lastEndNumber, Task: r.task, Run: r.run, End: how}, upstream: u}
+	e := &endRecord{Ended: platform.Ended{Number: u.lastEndNumber, Task: r.task, Run: r.run, End: how, Checkpoint: r.report(u.site)}, upstream: u}
 	u.ended = append(u.ended, e)
 	u.site.recordEnd(e)
 	close(u.wake)
@@ -370,7 +389,7 @@
 		if !r.longRunning && r.duration > 0 {
 			p = int(time.Since(r.began) * 100 / r.duration)
 		}
-		l.Running = append(l.Running, platform.Running{Task: r.task, Run: r.run, Percent: p})
+		l.Running = append(l.Running, platform.Running{Task: r.task, Run: r.run, Checkpoint: r.report(u.site), Percent: p})
 	}
 	return l
 }
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -211,7 +211,8 @@
 			continue
 		}
 		j.mu.Lock()
-		if j.cancelled.IsZero() && a.status == http.StatusOK {
+		// An entry that knows of no such job promises that none starts later.
+		if j.cancelled.IsZero() {
 			j.cancelled = time.Now()
 		}
 		j.mu.Unlock()
--- a/standin/soak/job.go
+++ b/standin/soak/job.go
@@ -44,15 +44,17 @@
 
 // step is a step in the body of a job.
 type step struct {
-	Count        int   `json:"count"`
-	CPU          int   `json:"cpu"`
-	MemMB        int   `json:"memMb"`
-	EstimateMs   int   `json:"estimateMs,omitempty"`
-	After        []int `json:"after,omitempty"`
-	Gang         bool  `json:"gang,omitempty"`
-	LongRunning  bool  `json:"longRunning,omitempty"`
-	AntiAffinity int   `json:"antiAffinity,omitempty"`
-	MayMiss      int   `json:"mayMiss,omitempty"`
+	Count       int   `json:"count"`
+	CPU         int   `json:"cpu"`
+	MemMB       int   `json:"memMb"`
+	EstimateMs  int   `json:"estimateMs,omitempty"`
+	After       []int `json:"after,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
+	LongRunning bool  `json:"longRunning,omitempty"`
+	// Checkpointing is set for about half of the jobs that end by themselves.
+	Checkpointing bool `json:"checkpointing,omitempty"`
+	AntiAffinity  int  `json:"antiAffinity,omitempty"`
+	MayMiss       int  `json:"mayMiss,omitempty"`
 }
 
 // jobBody is the body of a job.
@@ -119,8 +121,15 @@
 	return recordJob(s, id, queue, site.Behaviour{Millis: 100}, jobBody{Phases: []step{p}})
 }
 
+// _note has characters that are escaped, or are several bytes long, in one encoding or another.
+const _note = "\"<&>\" \\ \u2028 \u00e9 \ufffd \U0001f600\x7f"
+
 // recordJob records a job with the site, which then knows how its tasks behave.
 func recordJob(s *site.Site, id, queue string, v site.Behaviour, b jobBody) (*job, error) {
+	v.Note = _note
+	for i := range b.Phases {
+		b.Phases[i].Checkpointing = !b.Phases[i].LongRunning && id[len(id)-1]%2 == 1
+	}
 	spec, err := json.Marshal(v)
 	if err != nil {
 		return nil, fmt.Errorf("encode spec: %w", err)
