--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -372,7 +372,9 @@
 	task   *task
 	host   *host
 	number int64
-	state  runState
+	// checkpoint is the one that the run resumes from.
+	checkpoint string
+	state      runState
 	// ordered is when the start was sent, and started when the upstream confirmed
 	// it.
 	ordered time.Time
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -20,7 +20,10 @@
 // a doubted task, is sent once the journal has it.
 func (s *Scheduler) startAs(now time.Time, t *task, h *host, n int64, trial time.Duration) {
 	st := t.step
-	r := &run{task: t, number: n, state: runOrdered, ordered: now, percent: -1, progressedAt: now, pace: 100, trial: trial}
+	r := &run{
+		task: t, number: n, checkpoint: t.checkpoint, state: runOrdered, ordered: now, percent: -1, progressedAt: now,
+		pace: 100, trial: trial,
+	}
 	t.lastRun = n
 	if h.states[runOrdered] == 0 {
 		h.awaitingSince = now
@@ -48,7 +51,7 @@
 	t, h := r.task, r.host
 	o := platform.Start{
 		Task: t.name, Run: r.number, Spec: t.step.occurrence.job.def.GetSpec(), Token: s.set.Token,
-		DeadlineMs: h.extendLease(now, s.leaseTime()), Checkpoint: t.checkpoint,
+		DeadlineMs: h.extendLease(now, s.leaseTime()), Checkpoint: r.checkpoint,
 	}
 	if t.step.tickets.byHost != nil {
 		o.Ticket = t.step.tickets.byHost[h.up.ID]
