standin/emulator: a task of a cancelled job that runs on breaks a guarantee, and so does a 410 for an accepted job

Our proof looked at cancelled jobs at the start of a task only, and took a cancellation for acknowledged only if the job was shown as cancelled. The ledger now judges a task that runs on 3.4 s into a calm stretch after any acknowledgement, OK or GONE, and an answer that an accepted job is unknown.

--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"sync"
@@ -28,6 +29,7 @@
 			&cli.IntFlag{Name: "workers", Value: 2, Usage: "simulations that run at the same time"},
 			&cli.BoolFlag{Name: "recovery", Usage: "kill the pool's owner in each simulation, and print the time until the pool starts jobs again"},
 			&cli.BoolFlag{Name: "splits", Usage: "add splits of the network into two sides, and tasks that run for seconds"},
+			&cli.BoolFlag{Name: "cancels", Usage: "have half of the jobs cancelled, while their tasks run for seconds"},
 			&cli.BoolFlag{Name: "trace", Usage: "print the trace of the first seed's simulation, and run no other"},
 			&cli.StringFlag{Name: "load", Usage: "replay the load in this file with each seed, and print the results"},
 		},
@@ -40,9 +42,11 @@
 	if f := c.String("load"); f != "" {
 		return replay(f, from, c.Uint64("seeds"), c.Bool("trace"))
 	}
-	splits := c.Bool("splits")
+	world := func(seed uint64, trace io.Writer) *emulator.World {
+		return emulator.New(emulator.Settings{Seed: seed, Splits: c.Bool("splits"), Cancels: c.Bool("cancels"), Trace: trace})
+	}
 	if c.Bool("trace") {
-		return report(from, emulator.New(emulator.Settings{Seed: from, Splits: splits, Trace: os.Stdout}).Run())
+		return report(from, world(from, os.Stdout).Run())
 	}
 	if c.Bool("recovery") {
 		return recovery(from, c.Uint64("seeds"))
@@ -55,7 +59,7 @@
 		done.Go(func() {
 			var all error
 			for seed := range next {
-				all = errors.Join(all, report(seed, emulator.New(emulator.Settings{Seed: seed, Splits: splits}).Run()))
+				all = errors.Join(all, report(seed, world(seed, nil).Run()))
 			}
 			failed <- all
 		})
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -67,6 +67,20 @@
 // plays more.
 const _splitSeeds = 40
 
+// TestCancelledJobRunsOn plays histories in which half of the jobs are cancelled while their tasks run.
+// Tasks of cancelled jobs ran on after a former owner had answered that there is no such job.
+func TestCancelledJobRunsOn(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{Cancels: true}, _cancelSeeds)
+}
+
+// TestCancelledJobRunsOnBesideFormerOwner does the same with splits of the network.
+func TestCancelledJobRunsOnBesideFormerOwner(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{Cancels: true, Splits: true}, _cancelSeeds)
+}
+
+// _cancelSeeds is how many histories with cancellations a test plays at most.
+const _cancelSeeds = 20
+
 // TestSmallRecords plays histories in which the store takes only small records and appends.
 func TestSmallRecords(t *testing.T) {
 	playSeedsUpTo(t, emulator.Settings{SmallRecords: true}, _smallRecordSeeds)
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -30,7 +30,8 @@
 //	         again after an acknowledged completion, or, by an entry in touch with the
 //	         platform, after its job was shown as completed
 //	ORDER    a task starts after the steps it depends on, and not before it is due
-//	UNASKED  only tasks of submitted jobs start, and none long after a cancellation
+//	UNASKED  only tasks of submitted jobs start, and none starts or runs on long after a
+//	         cancellation; an accepted job isn't unknown to who cancels it
 //	REFUSED  a job doesn't run if all attempts to submit it were refused
 //	BUDGET   a task fails no more often than its queue allows, and is started at most twice
 //	         more after three upstreams have crashed under it
--- a/standin/emulator/ledger_test.go
+++ b/standin/emulator/ledger_test.go
@@ -34,6 +34,9 @@
 //	longRunning COUNT MAYMISS
 //	                      job J has one step of COUNT long-running tasks, of which
 //	                      MAYMISS may be unavailable
+//	late TASK RUN         its start was executed late
+//	gone MS               a caller that cancelled the job at that time is told that there is none
+//	calm MS               the check of cancelled jobs, when the last fault has ended at that time
 //	check                 the checks at the end of a history
 func TestLedger(t *testing.T) {
 	text, err := os.ReadFile("testdata/ledger.txt")
@@ -128,6 +131,12 @@
 		}
 	case "unknown":
 		l.recordStart(l.task(f[1], "s"), p.w.at("m0"), 1, "e0")
+	case "late":
+		p.runs[f[1]+"/"+f[2]].late = true
+	case "gone":
+		l.checkGone(p.job, time.Duration(p.number(f[1]))*time.Millisecond)
+	case "calm":
+		l.checkCancelled(time.Duration(p.number(f[1])) * time.Millisecond)
 	case "check":
 		l.checkAtEnd()
 	}
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -33,6 +33,8 @@
 	Crashing bool
 	// Splits adds splits of the network into two sides, and tasks that run for seconds.
 	Splits bool
+	// Cancels has half of the jobs cancelled, while their tasks run for seconds.
+	Cancels bool
 	// SmallRecords has the store refuse all but small records and appends, so that the progress of
 	// most jobs has several records.
 	SmallRecords bool
@@ -112,6 +114,8 @@
 	crashes *crashes
 	// splits draws the splits of the network, or is nil.
 	splits *splits
+	// cancels draws which jobs are cancelled, or is nil.
+	cancels *rand.Rand
 }
 
 // listEntry is an upstream's report with its time.
@@ -163,6 +167,9 @@
 	if s.Splits {
 		w.splits = &splits{rand.New(rand.NewPCG(s.Seed, 5))}
 	}
+	if s.Cancels {
+		w.cancels = newCancels(s.Seed)
+	}
 	return w
 }
 
@@ -214,6 +221,7 @@
 		})
 	}
 	w.checkIdleTasks()
+	w.checkCancelledJobs()
 	end := w.settings.SubmitPeriod + _drainTime
 	if w.splits != nil {
 		end += _longDrain
@@ -274,6 +282,7 @@
 	if w.rand.IntN(6) == 0 {
 		w.after(at+w.between(0, 3*time.Second), func() { w.cancel(j) })
 	}
+	w.planCancel(j, at)
 }
 
 // planUniform draws a job for a world in which all jobs are alike.
