--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -231,6 +231,8 @@
 	m.Body = &link.Call_Cancel{Cancel: &link.Cancel{Id: id, Workspace: c.workspace, InAdvance: true}}
 	a := f.callAnyOwner(ctx, m)
 	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
+		f.Log("Cancellation was acknowledged.", "path", r.URL.Path, "job", id, "pool", c.queue.Pool,
+			"state", a.GetState().String())
 		writeJSON(w, []byte("{}"))
 		return
 	}
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -48,6 +48,7 @@
 func (s *Scheduler) adoptRun(now time.Time, h *host, n platform.Running) *run {
 	t := s.findTask(n.Task)
 	if t == nil {
+		s.logNote("Upstream has a run of a job that isn't known; stopping it.", "", "task", n.Task, "run", n.Run, "upstream", h.up.ID)
 		s.emit(Stop{
 			Host: h.up.ID, Target: h.target, Task: n.Task, Run: n.Run, Token: s.set.Token,
 			Permit: permit.New(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
@@ -61,6 +62,8 @@
 	duplicate := len(t.runs) > 0
 	s.attach(r, h)
 	if t.done || t.step.occurrence.job.over() || duplicate {
+		s.logNote("Upstream has a run that its task doesn't need; stopping it.", t.step.occurrence.job.def.GetId(), "task", t.name,
+			"run", n.Run, "upstream", h.up.ID, "jobOver", t.step.occurrence.job.over(), "done", t.done)
 		s.stop(now, r)
 	}
 	return r
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -210,6 +210,7 @@
 		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_GONE})
 		return
 	case j.durableState != link.JobState_JOB_STATE_UNSPECIFIED:
+		s.logNote("Job has ended before it is cancelled.", e.ID, "state", j.durableState.String(), "runs", s.countRuns(j))
 		s.reply(e.Ref, j.cancelAnswer())
 		return
 	}
@@ -217,7 +218,7 @@
 	if !j.over() {
 		j.cancelled = true
 		s.endJob(now, j)
-		s.logNote("Job cancelled.", e.ID, "queue", j.def.GetQueue())
+		s.logNote("Job cancelled.", e.ID, "queue", j.def.GetQueue(), "runs", s.countRuns(j))
 	}
 	s.markEnded(now, j, _acceptDelay)
 }
@@ -242,6 +243,17 @@
 	s.replan = true
 }
 
+// countRuns counts the runs of a job that haven't been confirmed to have ended.
+func (s *Scheduler) countRuns(j *job) int {
+	n := 0
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			n += st.running
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) stopAll(now time.Time, t *task) {
 	for _, r := range t.runs {
 		s.stop(now, r)
