scheduler: a stop that has no effect, or whose answer is lost, is repeated

What callers see: a task of a cancelled job, or one that was to be moved, works on to its end. A stop was sent once: it was repeated after a refusal or a time-out, but neither if the answer got lost within the entry, nor if an upstream lists the run on though it has confirmed the stop. Each poll renewed the lease of the run meanwhile. Found by reading and in review; no run of entries has shown it.

A poll that lists a run now decides: its stop is repeated StopTimeout and a margin after it was confirmed, and after the time from which a start without any outcome counts as unanswered.

--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -384,7 +384,8 @@
 	// owner may have stopped it.
 	adoptedAt time.Time
 	// stopped is when a stop was confirmed; zero before.
-	stopped  time.Time
+	stopped time.Time
+	// stopDue is when a stop is to be sent, or was sent last if stopSent is set.
 	stopSent bool
 	stopDue  time.Time
 	// stopTried is set once a stop may have been sent. A keepable run goes on if its stop
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -102,7 +102,7 @@
 }
 
 func (s *Scheduler) sendStop(now time.Time, r *run) {
-	r.stopSent = true
+	r.stopSent, r.stopDue = true, now
 	r.host.touch()
 	s.emit(Stop{
 		Host: r.host.up.ID, At: now, Target: r.host.target, Task: r.task.name, Run: r.number, Token: s.set.Token,
@@ -122,6 +122,21 @@
 	}
 }
 
+// repeatStop has a run stopped again that is listed by a poll although its stop must have taken effect, or
+// has had no answer by then. The poll was sent at some time.
+func (s *Scheduler) repeatStop(now time.Time, r *run, sent time.Time) {
+	due := r.stopDue.Add(_orderLost)
+	if !r.stopped.IsZero() {
+		due = r.stopped.Add(s.set.StopTimeout + _stopMargin)
+	}
+	if !r.stopSent || sent.Before(due) {
+		return
+	}
+	s.logNote("Run goes on after its stop; stopping it again.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
+		"run", r.number, "upstream", r.host.up.ID, "answered", !r.stopped.IsZero(), "sentMsAgo", now.Sub(r.stopDue).Milliseconds())
+	r.stopped, r.stopSent, r.stopDue = time.Time{}, false, now
+}
+
 // orderAnswered handles the answer to a start, stop or pace.
 func (s *Scheduler) orderAnswered(now time.Time, e Ordered) {
 	switch o := e.Op.(type) {
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// _orderLost is the age from which a start without any outcome counts as unanswered. It is
+// _orderLost is the age from which a start or a stop without any outcome counts as unanswered. It is
 // above the permit and the longest timeout of an order.
 const _orderLost = 4 * time.Second
 
@@ -105,6 +105,9 @@
 		r.percent, r.progressedAt = n.Percent, now
 	}
 	r.gauge = n.Gauge
+	if r.state == runStopping {
+		s.repeatStop(now, r, e.Sent)
+	}
 	if r.state == runRunning && s.stuck(now, r) {
 		s.logNote("Run makes no progress; stopping it.", r.task.step.occurrence.job.def.GetId(), "task", r.task.name,
 			"upstream", r.host.up.ID, "percent", r.percent, "sinceMs", now.Sub(r.progressedAt).Milliseconds())
