owner: the result of an operation isn't dropped while the queue of events is full

What callers see: a run that was to be stopped goes on to its end, and its leases are renewed; an upstream isn't polled any more, or tasks aren't placed on it. The scheduler waits for the result of each operation. When its queue of 8,192 events was full, the result was dropped with a log line, so that the stop was never repeated.

The goroutine that carries out an operation now waits for room. There are no more of them than open operations, and each result names the time at which it was asked for.

--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -23,6 +23,7 @@
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/scheduler"
 	"fescuelanding/fleet/permit"
+	"fescuelanding/fleet/wait"
 	"fescuelanding/platform"
 )
 
@@ -32,6 +33,8 @@
 	// _adviceTimeout limits a call to the advice service. The service decides about one
 	// pool at a time, so a response includes the wait for other pools' decisions.
 	_adviceTimeout = 1500 * time.Millisecond
+	// _fullRetryDelay is the pause before a result is queued again.
+	_fullRetryDelay = 5 * time.Millisecond
 )
 
 // Clients are the services that an owner calls.
@@ -131,6 +134,16 @@
 	}
 }
 
+// deliver queues the result of an operation. While the queue is full, it waits: the scheduler neither
+// repeats an operation whose result is missing nor gives it up.
+func (o *Owner) deliver(e scheduler.Event) {
+	for errors.Is(o.duty.Post(e), duty.ErrFull) {
+		if !wait.For(o.ctx, _fullRetryDelay) {
+			return
+		}
+	}
+}
+
 // Call passes a call to the scheduler and waits for its answer. It returns
 // OUTCOME_NOT_OWNER after Stop, OUTCOME_UNAVAILABLE if the call is of unknown kind, and
 // OUTCOME_UNKNOWN if the event queue is full or ctx ends first: a job that the call submits
@@ -293,7 +306,7 @@
 		o.cancel()
 		return
 	}
-	o.Post(l)
+	o.deliver(l)
 	for {
 		select {
 		case <-o.ctx.Done():
@@ -303,7 +316,7 @@
 			if err != nil {
 				o.log.Warn("Append of a batch to the journal failed; its submissions are not accepted.", "pool", o.pool, "batch", a.Batch, "err", err)
 			}
-			o.Post(scheduler.Appended{Batch: a.Batch, Took: took, Err: err})
+			o.deliver(scheduler.Appended{Batch: a.Batch, Took: took, Err: err})
 		}
 	}
 }
@@ -313,33 +326,33 @@
 func (o *Owner) pollHost(l scheduler.Poll, sent time.Time) {
 	v := platform.Sending{Permit: l.Permit, Timeout: l.Timeout}
 	a, err := o.clients.Upstreams.Hold(o.ctx, v, l.Target, l.Hold)
-	o.Post(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Wait: l.Hold.Wait, Sent: sent, Result: a, Err: err})
+	o.deliver(scheduler.Polled{Host: l.Host, Concurrent: l.Concurrent, Wait: l.Hold.Wait, Sent: sent, Result: a, Err: err})
 }
 
 func (o *Owner) start(s scheduler.Start) {
 	ms, err := o.clients.Upstreams.Start(o.ctx, platform.Sending{Permit: s.Permit, Timeout: s.Timeout}, s.Target, s.Order)
-	o.Post(scheduler.Ordered{Op: s, ClockMs: ms, Err: err})
+	o.deliver(scheduler.Ordered{Op: s, ClockMs: ms, Err: err})
 }
 
 func (o *Owner) stop(s scheduler.Stop) {
 	v := platform.Sending{Permit: s.Permit, Timeout: s.Timeout}
 	err := o.clients.Upstreams.Stop(o.ctx, v, s.Target, s.Task, s.Run, s.Token)
-	o.Post(scheduler.Ordered{Op: s, Err: err})
+	o.deliver(scheduler.Ordered{Op: s, Err: err})
 }
 
 func (o *Owner) pace(p scheduler.Pace) {
 	v := platform.Sending{Permit: p.Permit, Timeout: p.Timeout}
 	err := o.clients.Upstreams.Pace(o.ctx, v, p.Target, p.Task, p.Run, p.Token, p.Percent)
-	o.Post(scheduler.Ordered{Op: p, Err: err})
+	o.deliver(scheduler.Ordered{Op: p, Err: err})
 }
 
 func (o *Owner) advise(a scheduler.Advise) {
 	if o.clients.Adviser == nil {
-		o.Post(scheduler.Advised{Step: a.Step, Err: errors.New("no advice service is configured")})
+		o.deliver(scheduler.Advised{Step: a.Step, Err: errors.New("no advice service is configured")})
 		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, _adviceTimeout)
 	defer cancel()
 	t, err := o.clients.Adviser.Advise(ctx, a.Step, a.Hosts)
-	o.Post(scheduler.Advised{Step: a.Step, Tickets: t, Hosts: a.Hosts, Err: err})
+	o.deliver(scheduler.Advised{Step: a.Step, Tickets: t, Hosts: a.Hosts, Err: err})
 }
