--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fescuelanding/entry/link"
 	"fescuelanding/platform"
 )
 
@@ -168,6 +169,20 @@
 	s.replan = true
 }
 
+// endIncarnations ends the incarnations that the planner reports as ended.
+func (s *Scheduler) endIncarnations(now time.Time, gone []*link.Gone) {
+	for _, g := range gone {
+		h := s.hosts.get(g.GetUpstream())
+		if h == nil || h.gone || h.born != g.GetStartUnixMs() {
+			continue
+		}
+		s.endIncarnation(now, h, "planner reported its end")
+		h.listed = false
+		s.endedIncarnations[h.up.ID] = h.born
+		s.dropIfUnused(now, h)
+	}
+}
+
 // dropIfUnused drops an upstream that isn't listed and runs nothing, and deletes its
 // record.
 func (s *Scheduler) dropIfUnused(now time.Time, h *host) {
