crowd: callers that stop short of their end; failing

Callers that we don't control ended an entry: it ran out of memory. limits.memoryMb of the boot file is read and not used, limits.maxFds isn't read, and nothing bounds the connections or the bytes of the requests that are being read.

standin/crowd plays such callers against entry processes whose boot files have limits of 96 MiB and 600 descriptors: ten cases, one script each. Checked are that the entry doesn't end, VmHWM, open descriptors, Retry-After of 429 and 503, and that an ordinary caller and the load balancer are answered while the crowd stands and after it has gone. Two calm cases, a slow body and a large header, pass and have to go on passing.

--- a/standin/site/entries.go
+++ b/standin/site/entries.go
@@ -36,7 +36,11 @@
 		s.boots[name] = b
 	}
 	file := filepath.Join(s.dir, name+".conf")
-	if err := os.WriteFile(file, []byte(serve.Boot(b)), _fileMode); err != nil {
+	text := serve.Boot(b)
+	for _, l := range s.bootLines {
+		text += l + "\n"
+	}
+	if err := os.WriteFile(file, []byte(text), _fileMode); err != nil {
 		return fmt.Errorf("write boot file: %w", err)
 	}
 	program := s.entry
@@ -106,6 +110,12 @@
 // Address returns the address on which an entry serves callers.
 func (s *Site) Address(name string) netip.AddrPort { return s.bootOf(name).CallerAddress }
 
+// ReadyAddress returns the address of an entry for health checks of the load balancer.
+func (s *Site) ReadyAddress(name string) netip.AddrPort { return s.bootOf(name).ReadyAddress }
+
+// PID returns the process ID of the current process of an entry.
+func (s *Site) PID(name string) int { return s.process(name).PID() }
+
 // Exited returns a channel that is closed once the current process of an entry has exited.
 func (s *Site) Exited(name string) <-chan struct{} { return s.process(name).Done() }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -67,8 +67,10 @@
 	// runsOld has the entries whose next process is one of the old build.
 	runsOld map[string]bool
 	// boots holds the boot settings of each entry.
-	boots  map[string]platform.Boot
-	config platform.Config
+	boots map[string]platform.Boot
+	// bootLines are further lines of all boot files.
+	bootLines []string
+	config    platform.Config
 	// workspaces is nil as long as calls need no key. keys are those of each workspace, usedKey
 	// the one that callers send.
 	workspaces []platform.Workspace
@@ -110,6 +112,14 @@
 // SetOldEntry sets the path of an old build of the entry's program, which runs beside the other.
 func (s *Site) SetOldEntry(path string) { s.oldEntry = path }
 
+// SetBootLines sets further lines of the boot files of entries that are started from now on.
+// A line of a key that a boot file has already replaces its value.
+func (s *Site) SetBootLines(lines ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bootLines = lines
+}
+
 // useOld makes the next processes of some entries run the old build, or the other again.
 func (s *Site) useOld(entries []string, old bool) error {
 	if s.oldEntry == "" {
