front: bodies are charged to their connection, and have the time of their request

io.ReadAll grew by doubling, and a body without an end stayed open as long as its caller liked. A body is read in chunks until the request's own time is over. A connection that was given up is answered 503 with Retry-After and closed. Before a call goes to an owner, it is marked as passed on.

Log lines have at most 256 bytes of a path, and a copy of it: 4,096 lines may wait, and each kept the first line of its request, of up to 16 KiB, in memory.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -13,17 +13,19 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"fescuelanding/entry/access"
+	"fescuelanding/entry/internal/intake"
 	"fescuelanding/entry/link"
+	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
 
@@ -34,6 +36,8 @@
 	_replyMargin = 150 * time.Millisecond
 	// _defaultBodyBytes limits the request body if the configuration sets no limit.
 	_defaultBodyBytes = 256 << 10
+	// _maxLoggedText limits the part of a method or path in a log line. Lines wait in a queue.
+	_maxLoggedText = 256
 )
 
 // Handler serves callers' requests. All fields must be set, except for MaxJobBytes.
@@ -122,21 +126,26 @@
 	ctx, cancel := context.WithTimeout(r.Context(), b)
 	defer cancel()
 	rest := r.URL.Path[len(q.Prefix):]
-	if rest == "" && r.Method == http.MethodGet {
-		f.pending(ctx, w, r, c)
-		return
-	}
 	id, ok := platform.ParseJobID(rest)
-	if !ok {
+	isPrefix := rest == "" && r.Method == http.MethodGet
+	if !ok && !isPrefix {
 		f.writeError(w, r, http.StatusNotFound, 0, "not the ID of a job")
 		return
 	}
-	switch r.Method {
-	case http.MethodPost:
+	if r.Method == http.MethodPost {
 		f.submit(ctx, w, r, c, id, b)
-	case http.MethodGet:
+		return
+	}
+	if err := intake.From(ctx).Pass(); err != nil {
+		f.writeGivenUp(w, r)
+		return
+	}
+	switch {
+	case isPrefix:
+		f.pending(ctx, w, r, c)
+	case r.Method == http.MethodGet:
 		f.state(ctx, w, r, c, id)
-	case http.MethodDelete:
+	case r.Method == http.MethodDelete:
 		f.cancel(ctx, w, r, c, id)
 	default:
 		w.Header().Set("Allow", "GET, POST, DELETE")
@@ -159,42 +168,55 @@
 func (f *Handler) submit(
 	ctx context.Context, w http.ResponseWriter, r *http.Request, c call, id string, b time.Duration,
 ) {
+	j, ok := f.readJob(ctx, w, r, c, id)
+	if !ok {
+		return
+	}
+	if err := intake.From(ctx).Pass(); err != nil {
+		f.writeGivenUp(w, r)
+		return
+	}
+	m := c.link()
+	m.Body = &link.Call_Submit{Submit: &link.Submit{Job: j, BudgetMs: b.Milliseconds()}}
+	a := f.CallOwner(ctx, m)
+	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
+		writeJSON(w, []byte("{}"))
+		return
+	}
+	f.writeOutcome(w, r, a)
+}
+
+// readJob reads and decodes the job that a caller submits. If ok is false, the request was
+// refused.
+func (f *Handler) readJob(
+	ctx context.Context, w http.ResponseWriter, r *http.Request, c call, id string,
+) (j *work.Job, ok bool) {
 	limit := f.Limits().BodyBytes
 	if limit <= 0 {
 		limit = _defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// The context has a deadline.
+	deadline, _ := ctx.Deadline()
+	body, err := intake.ReadBody(w, r, limit, deadline)
 	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			f.writeError(w, r, http.StatusRequestEntityTooLarge, 0, "body is too large")
-			return
-		}
-		f.writeError(w, r, http.StatusBadRequest, 0, "body can't be read")
-		return
+		f.writeBodyError(w, r, err)
+		return nil, false
 	}
-	j, err := platform.DecodeJob(id, c.queue.Name, c.queue.Pool, body)
+	j, err = platform.DecodeJob(id, c.queue.Name, c.queue.Pool, body)
 	if errors.Is(err, platform.ErrSpec) {
 		f.writeError(w, r, http.StatusRequestEntityTooLarge, 0, err.Error())
-		return
+		return nil, false
 	}
 	if err != nil {
 		f.writeError(w, r, http.StatusBadRequest, 0, err.Error())
-		return
+		return nil, false
 	}
 	j.Workspace = c.workspace
 	if f.MaxJobBytes > 0 && proto.Size(j) > f.MaxJobBytes {
 		f.writeError(w, r, http.StatusRequestEntityTooLarge, 0, "job is too large")
-		return
-	}
-	m := c.link()
-	m.Body = &link.Call_Submit{Submit: &link.Submit{Job: j, BudgetMs: b.Milliseconds()}}
-	a := f.CallOwner(ctx, m)
-	if a.GetOutcome() == link.Outcome_OUTCOME_OK {
-		writeJSON(w, []byte("{}"))
-		return
+		return nil, false
 	}
-	f.writeOutcome(w, r, a)
+	return j, true
 }
 
 // callAnyOwner sends a call about a submitted job to the owner of its pool, and if
@@ -270,6 +292,28 @@
 	}
 }
 
+// writeBodyError responds to a request whose body wasn't read.
+func (f *Handler) writeBodyError(w http.ResponseWriter, r *http.Request, err error) {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		f.writeError(w, r, http.StatusRequestEntityTooLarge, 0, "body is too large")
+	case errors.Is(err, intake.ErrGivenUp):
+		f.writeGivenUp(w, r)
+	case errors.Is(err, intake.ErrLate):
+		w.Header().Set("Connection", "close")
+		f.writeError(w, r, http.StatusServiceUnavailable, time.Second, "body took too long")
+	default:
+		f.writeError(w, r, http.StatusBadRequest, 0, "body can't be read")
+	}
+}
+
+// writeGivenUp responds on a connection that was given up.
+func (f *Handler) writeGivenUp(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	f.writeError(w, r, http.StatusServiceUnavailable, time.Second, "callers' connections hold too much memory")
+}
+
 // writeError responds with a status code and an error message, and logs both.
 func (f *Handler) writeError(w http.ResponseWriter, r *http.Request, code int, retry time.Duration, why string) {
 	if retry > 0 {
@@ -278,10 +322,19 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
 	_, _ = w.Write([]byte(`{"error":` + strconv.Quote(why) + `}`)) // Fails only if the caller has disconnected.
-	f.Log("Request refused.", "method", r.Method, "path", r.URL.Path, "status", code,
+	f.Log("Request refused.", "method", loggedText(r.Method), "path", loggedText(r.URL.Path), "status", code,
 		"retryAfterMs", retry.Milliseconds(), "why", why)
 }
 
+// loggedText returns what is logged of a caller's text. It is a copy, since a part of the text
+// would keep the request's first line in memory.
+func loggedText(s string) string {
+	if len(s) > _maxLoggedText {
+		return s[:_maxLoggedText] + "..."
+	}
+	return strings.Clone(s)
+}
+
 func writeJSON(w http.ResponseWriter, body []byte) {
 	w.Header()["Content-Type"] = _contentTypeJSON
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
