node: callers get a share of the boot file's memory and descriptors

limits.memoryMb was read and not used, limits.maxFds wasn't read. A quarter of the memory and half of the descriptors that aren't reserved bound callers' connections; the garbage collector works harder from three quarters on. The health check's listener has a budget of its own, so that a crowd of callers doesn't delay it. The kernel's buffer for unread bytes is limited to 64 KiB a connection.

--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -18,6 +18,7 @@
 	"fescuelanding/entry/internal/duty"
 	"fescuelanding/entry/internal/front"
 	"fescuelanding/entry/internal/group"
+	"fescuelanding/entry/internal/intake"
 	"fescuelanding/entry/internal/logging"
 	"fescuelanding/entry/internal/owner"
 	"fescuelanding/entry/link"
@@ -33,12 +34,6 @@
 	// _orderConns limits the connections for orders to an upstream. The platform charges
 	// for connections, and an order takes only a few milliseconds.
 	_orderConns = 2
-	// _headerTimeout and _idleTimeout apply to connections of callers.
-	_headerTimeout = 3 * time.Second
-	_idleTimeout   = 30 * time.Second
-	// _maxHeaderBytes limits the size of a request's headers. 16 KiB is the operator's
-	// usual limit.
-	_maxHeaderBytes = 16 << 10
 	// _graceMargin is the part of the time between SIGTERM and SIGKILL that shutdown
 	// does not use.
 	_graceMargin = 1500 * time.Millisecond
@@ -105,8 +100,11 @@
 // Run serves until ctx ends, and then releases the pools and completes the requests
 // in progress. It fails if a listener can't be opened.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Info("Entry is starting.", "host", n.boot.Host, "dataCentre", n.boot.DataCentre, "peer", n.self)
-	ls, err := n.listen()
+	l := limitsOf(n.boot)
+	l.limitHeap()
+	n.log.Info("Entry is starting.", "host", n.boot.Host, "dataCentre", n.boot.DataCentre, "peer", n.self,
+		"heapBytes", l.heap, "callerBytes", l.callerBytes, "callerConnections", l.callerConns)
+	ls, err := n.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -114,10 +112,10 @@
 	defer stop()
 	s := &link.Server{Handle: n.handle}
 	go func() { n.logServeError("link", s.Serve(work, ls.link)) }()
-	callers := n.callerServer()
-	go func() { n.logServeError("callers", callers.Serve(ls.callers)) }()
-	balancer := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: _headerTimeout}
-	go func() { n.logServeError("ready", balancer.Serve(ls.ready)) }()
+	callers, balancer := n.callerServer(), n.readyServer()
+	callerBudget, readyBudget := l.callers(n.log), l.ready(n.log)
+	go func() { n.logServeError("callers", callerBudget.Serve(callers, ls.callers)) }()
+	go func() { n.logServeError("ready", readyBudget.Serve(balancer, ls.ready)) }()
 
 	joined, leave := context.WithCancel(work)
 	go n.operatorFeed().Run(work)
@@ -139,10 +137,11 @@
 // listeners are the listeners of an entry.
 type listeners struct{ callers, ready, link net.Listener }
 
-func (n *Node) listen() (listeners, error) {
+func (n *Node) listen(ctx context.Context) (listeners, error) {
 	var l listeners
 	var err error
-	if l.callers, err = net.Listen("tcp", n.boot.CallerAddress.String()); err != nil {
+	warn := func(err error) { n.log.Warn("Kernel's buffers for callers aren't limited.", "err", err) }
+	if l.callers, err = intake.Listen(ctx, n.boot.CallerAddress.String(), warn); err != nil {
 		return l, fmt.Errorf("listen for callers: %w", err)
 	}
 	if l.ready, err = net.Listen("tcp", n.boot.ReadyAddress.String()); err != nil {
@@ -154,6 +153,13 @@
 	return l, nil
 }
 
+func (n *Node) readyServer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout,
+		MaxHeaderBytes: _maxReadyHeaderBytes,
+	}
+}
+
 // serveReady answers the load balancer's health check and serves the metrics.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/metrics" {
