intake: a large request is passed on if it is the only one; long answers have a deadline for each part

A body that may be longer than an eighth of the limit was never passed on, also in calm. An answer of some MB that a slow caller reads would have been cut after 5 s.

--- a/entry/internal/intake/account.go
+++ b/entry/internal/intake/account.go
@@ -55,6 +55,8 @@
 	held      int64
 	// last is the cost of what was read last, which may be the header of the next request.
 	last int64
+	// large is set if the request was passed on and isn't a small one.
+	large bool
 	// complete is set when the body of the request has been read to its end.
 	complete bool
 	// interrupted is set if the connection was given up while a handler ran.
@@ -70,7 +72,7 @@
 }
 
 // Pass notes that the request is about to be passed on. From then on it isn't given up. The
-// error is ErrGivenUp if it already was, or there is no room for another such request.
+// error is ErrGivenUp if it already was, or there is no room for another large one.
 func (a *Account) Pass() error {
 	if a == nil {
 		return nil
@@ -81,12 +83,15 @@
 	if a.givenUp.Load() || a.closed {
 		return ErrGivenUp
 	}
-	if b.MaxBytes > 0 && !a.small() && b.passed+a.held > b.MaxBytes/_passedShare {
+	large := !a.small()
+	if b.MaxBytes > 0 && large && b.passed > 0 && b.passed+a.held > b.MaxBytes/_passedShare {
 		b.giveUp(a, _reasonBytes)
 		return ErrGivenUp
 	}
-	a.phase = _passed
-	b.passed += a.held
+	a.phase, a.large = _passed, large
+	if large {
+		b.passed += a.held
+	}
 	return nil
 }
 
@@ -105,10 +110,10 @@
 	if a.closed {
 		return a.complete
 	}
-	if a.phase == _passed && !a.givenUp.Load() {
+	if a.large {
 		b.passed -= a.held
 	}
-	a.phase = _idle
+	a.phase, a.large = _idle, false
 	b.add(a, _connBytes+a.last-a.held)
 	b.moments++
 	a.idleSince = b.moments
--- a/entry/internal/intake/budget.go
+++ b/entry/internal/intake/budget.go
@@ -16,8 +16,8 @@
 	// _leavingShare is the inverse of the share of each limit that may be held by connections
 	// that were given up.
 	_leavingShare = 4
-	// _passedShare is the inverse of the share of the bytes that may be held by requests that
-	// have been passed on.
+	// _passedShare is the inverse of the share of the bytes that may be held by large requests
+	// that have been passed on.
 	_passedShare = 2
 	// _roomShare is the inverse of the share of the bytes that is made free at once, so that
 	// not each read has to look for a connection to give up.
@@ -43,7 +43,7 @@
 	// of connections that were given up and aren't closed yet.
 	held, leaving       int64
 	conns, leavingConns int
-	// passed is the part of held that requests hold that have been passed on.
+	// passed is the part of held that large requests hold that have been passed on.
 	passed int64
 	// moments counts what happened to connections, and tells which came first.
 	moments uint64
@@ -133,7 +133,7 @@
 	}
 	b.held += n
 	a.origin.held += n
-	if a.phase == _passed {
+	if a.large {
 		b.passed += n
 	}
 }
--- a/entry/internal/intake/conn.go
+++ b/entry/internal/intake/conn.go
@@ -15,8 +15,9 @@
 	// _receiveBuffer is the size of the kernel's buffer for what a caller has sent and the
 	// entry hasn't read.
 	_receiveBuffer = 64 << 10
-	// _writeTimeout limits a write to a caller that doesn't read.
+	// _writeTimeout limits the write of _writeBytes to a caller that doesn't read.
 	_writeTimeout = 5 * time.Second
+	_writeBytes   = 64 << 10
 	// _lastWriteTimeout limits the writes to a connection that was given up.
 	_lastWriteTimeout = 500 * time.Millisecond
 	// _restTimeout limits how long net/http waits for a body that the handler didn't read.
@@ -141,15 +142,22 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A long text is written in parts, each with a deadline of its own.
 func (c *conn) Write(p []byte) (int, error) {
 	d := _writeTimeout
 	if c.account.givenUp.Load() {
 		d = _lastWriteTimeout
 	}
-	// If the deadline can't be set, the connection is closed, and the write fails.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(d))
-	return c.Conn.Write(p)
+	n := 0
+	for {
+		// If the deadline can't be set, the connection is closed, and the write fails.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(d))
+		m, err := c.Conn.Write(p[n:min(len(p), n+_writeBytes)])
+		n += m
+		if err != nil || n == len(p) {
+			return n, err
+		}
+	}
 }
 
 // SetReadDeadline implements net.Conn. That of a connection that was given up stays in the past.
--- a/entry/internal/intake/conn_test.go
+++ b/entry/internal/intake/conn_test.go
@@ -283,3 +283,16 @@
 	}
 	return b.String() + "\r\n"
 }
+
+// TestLongAnswerToSlowReader has a caller begin to read an answer that doesn't fit into the buffers.
+func TestLongAnswerToSlowReader(t *testing.T) {
+	const size = 16 << 20
+	c := dial(t, serve(t, &Budget{MaxBytes: 4 << 20}, func(w http.ResponseWriter, _ *http.Request) {
+		n, err := w.Write(make([]byte, size))
+		assert.Check(t, err)
+		assert.Check(t, n == size)
+	}), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(100 * time.Millisecond)
+	_, got := answer(t, bufio.NewReader(c))
+	assert.Equal(t, len(got), size)
+}
--- a/entry/internal/intake/doc.go
+++ b/entry/internal/intake/doc.go
@@ -21,10 +21,11 @@
 // is never given up.
 //
 // A connection that was given up counts no longer, since what it holds is about to be free.
-// At most a quarter of each limit may be in that state. Beyond it no others are given up, and a
-// connection that wants more than a small request needs is given up itself. Requests that have
-// been passed on may hold half of the limit; a request beyond it is refused unless it is small.
-// The connections hold at most the limit, that quarter, and a small request each.
+// Once such connections hold a quarter of the bytes, no others are given up for them, and one
+// that wants more than a small request needs is given up itself. Of connections there are at
+// most a quarter more than their limit. Large requests that have been passed on may hold half of
+// the bytes; another one is refused, unless it is the only one. So callers hold at most the
+// limit, a quarter of it, one more request, and a small request for each connection.
 //
 // The zero Budget has no limits.
 package intake
