daemon, caller: callers' connections have a budget of memory

The own protocol's entry had the same shape as the other: nothing bounded what callers' connections hold, and a body had no time limit. [limits] memory bounds it, and twice [limits] requests the number of connections. A body has to be complete by its request's deadline (408, bodyTooLate). A caller that was given up is answered 503 (entryFull) with Retry-After. The admin address has a budget of its own, so that probes are answered beside a crowd.

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"fescuelanding/entry/internal/intake"
 )
 
 const (
@@ -18,6 +19,8 @@
 
 	_maxKeyBytes        = 256
 	_notReadyRetryAfter = time.Second
+	// _givenUpRetryAfter applies to callers whose connections were given up.
+	_givenUpRetryAfter = time.Second
 )
 
 // Handler is an http.Handler that validates requests, passes them to Serve and
@@ -91,25 +94,29 @@
 		deadline = d
 	}
 	r.deadline = now.Add(deadline)
-	b, err := h.readBody(w, q)
+	b, err := h.readBody(w, q, deadline)
 	r.body = b
 	if err != nil {
-		return r, bodyRefusal(err)
+		return r, bodyRefusal(w, err)
 	}
 	return r, NotRun{}
 }
 
-// readBody reads the whole body. net/http detects that a caller disconnected,
-// and cancels the request's context, only after the body has been read.
-func (h *Handler) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
+// readBody reads the whole body within the time until the deadline. From then on
+// the connection isn't given up. net/http detects that a caller disconnected, and
+// cancels the request's context, only after the body has been read.
+func (h *Handler) readBody(w http.ResponseWriter, q *http.Request, left time.Duration) ([]byte, error) {
 	n := h.MaxBody
 	if n == 0 {
 		n = DefaultMaxBody
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, n))
+	b, err := intake.ReadBody(w, q, n, time.Now().Add(left))
 	if err != nil {
 		return nil, fmt.Errorf("read body: %w", err)
 	}
+	if err := intake.From(q.Context()).Pass(); err != nil {
+		return nil, fmt.Errorf("pass on: %w", err)
+	}
 	return b, nil
 }
 
@@ -135,10 +142,18 @@
 	return NotRun{Status: http.StatusBadRequest, Reason: reason}
 }
 
-func bodyRefusal(err error) NotRun {
+func bodyRefusal(w http.ResponseWriter, err error) NotRun {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		return NotRun{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+	case errors.Is(err, intake.ErrGivenUp):
+		w.Header().Set("Connection", "close")
+		return NotRun{Reason: "entryFull", RetryAfter: _givenUpRetryAfter}
+	case errors.Is(err, intake.ErrLate):
+		w.Header().Set("Connection", "close")
+		return NotRun{Status: http.StatusRequestTimeout, Reason: "bodyTooLate"}
+	default:
+		return badRequest("bodyNotRead")
 	}
-	return badRequest("bodyNotRead")
 }
--- a/entry/caller/handler_test.go
+++ b/entry/caller/handler_test.go
@@ -1,9 +1,12 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"fescuelanding/entry/internal/intake"
 )
 
 func handler(serve func(context.Context, Request) End) *Handler {
@@ -130,3 +135,63 @@
 	_, err := send(t, h, "/fitting/", nil, "")
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF), "%v", err)
 }
+
+// serveBudget serves a handler on connections with a budget and returns its address.
+func serveBudget(t *testing.T, h *Handler, b *intake.Budget) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s, done := &http.Server{Handler: h}, make(chan error)
+	go func() { done <- b.Serve(s, l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, s.Close())
+		assert.Assert(t, errors.Is(<-done, http.ErrServerClosed))
+	})
+	return l.Addr().String()
+}
+
+// begin sends a request whose body lacks its last byte.
+func begin(t *testing.T, address, deadline string, size int) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(c, "POST /fitting/ HTTP/1.1\r\nHost: a\r\n%s: desk\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		TeamHeader, DeadlineHeader, deadline, size, strings.Repeat("x", size-1))
+	assert.NilError(t, err)
+	return c
+}
+
+// TestUnfinishedBodies has bodies without an end exceed the budget, and one its deadline.
+func TestUnfinishedBodies(t *testing.T) {
+	const size = 200_000
+	address := serveBudget(t, handler(func(_ context.Context, r Request) End {
+		return Answered{Status: 200, Body: r.Body()}
+	}), &intake.Budget{MaxBytes: 4 << 20})
+	var l []net.Conn
+	for range 6 {
+		l = append(l, begin(t, address, "10s", size))
+	}
+	p, err := http.ReadResponse(bufio.NewReader(l[0]), nil)
+	assert.NilError(t, err)
+	defer p.Body.Close()
+	assert.Equal(t, p.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, p.Header.Get(ReasonHeader), "entryFull")
+	assert.Equal(t, p.Header.Get("Retry-After"), "1")
+	assert.Assert(t, p.Close)
+
+	_, err = io.WriteString(l[5], "x")
+	assert.NilError(t, err)
+	p, err = http.ReadResponse(bufio.NewReader(l[5]), nil)
+	assert.NilError(t, err)
+	defer p.Body.Close()
+	assert.Equal(t, p.StatusCode, http.StatusOK)
+	assert.Equal(t, p.ContentLength, int64(size))
+
+	p, err = http.ReadResponse(bufio.NewReader(begin(t, address, "100ms", 10)), nil)
+	assert.NilError(t, err)
+	defer p.Body.Close()
+	assert.Equal(t, p.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, p.Header.Get(ReasonHeader), "bodyTooLate")
+}
--- a/entry/internal/daemon/admin.go
+++ b/entry/internal/daemon/admin.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"fescuelanding/entry/internal/intake"
 	"fescuelanding/entry/internal/slots"
 	"fescuelanding/entry/peer"
 )
@@ -67,9 +68,12 @@
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
-	s := &http.Server{Handler: m, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout}
+	s := &http.Server{
+		Handler: m, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxAdminHeaderBytes,
+	}
+	b := &intake.Budget{Name: "admin", MaxBytes: _adminBytes, MaxConns: _adminConns, Log: d.warn}
 	d.spawn(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := b.Serve(s, l); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("Admin server failed; probes, status and metrics are unavailable until the entry is restarted.", "err", err)
 		}
 	})
--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"fescuelanding/entry/internal/duty"
 	"fescuelanding/entry/internal/follow"
 	"fescuelanding/entry/internal/hold"
+	"fescuelanding/entry/internal/intake"
 	"fescuelanding/entry/internal/planner"
 	"fescuelanding/entry/internal/remote"
 	"fescuelanding/entry/internal/serve"
@@ -37,6 +38,12 @@
 	_headerTimeout     = 5 * time.Second
 	_idleTimeout       = time.Minute
 	_maxHeaderBytes    = 64 << 10
+	// _connsPerRequest is how many connections callers may have for each open request.
+	_connsPerRequest = 2
+	// _adminConns and _adminBytes limit the connections to the admin address.
+	_adminConns          = 64
+	_adminBytes          = 8 << 20
+	_maxAdminHeaderBytes = 8 << 10
 	// _loadBalancerDelay is how long a load balancer has to notice that the entry
 	// isn't ready before the shutdown goes on.
 	_loadBalancerDelay = time.Second
@@ -107,7 +114,7 @@
 // flight may finish within the settings' time-out, and the entry is
 // unregistered last. It returns an error only if it can't start.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := d.listen()
+	listeners, err := d.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -148,9 +155,10 @@
 // listeners are the sockets of an entry.
 type listeners struct{ caller, peer, admin net.Listener }
 
-func (d *Daemon) listen() (l listeners, err error) {
+func (d *Daemon) listen(ctx context.Context) (l listeners, err error) {
 	s := d.settings
-	if l.caller, err = net.Listen("tcp", s.Caller().String()); err != nil {
+	warn := func(err error) { d.log.Warn("Kernel's buffers for callers aren't limited.", "err", err) }
+	if l.caller, err = intake.Listen(ctx, s.Caller().String(), warn); err != nil {
 		return l, fmt.Errorf("listen for callers: %w", err)
 	}
 	if l.peer, err = net.Listen("tcp", s.Peer().String()); err != nil {
@@ -170,14 +178,20 @@
 	s := &http.Server{
 		Handler: d.closeWhenLeaving(h), ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeaderBytes,
 	}
+	b := &intake.Budget{
+		Name: "callers", MaxBytes: d.settings.Memory(), MaxConns: _connsPerRequest * d.settings.MaxRequests(), Log: d.warn,
+	}
 	d.spawn(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := b.Serve(s, l); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("Server for callers failed; the entry accepts no more requests until it is restarted.", "err", err)
 		}
 	})
 	return s
 }
 
+// warn logs a warning.
+func (d *Daemon) warn(message string, pairs ...any) { d.log.Warn(message, pairs...) }
+
 // closeWhenLeaving adds "Connection: close" to the responses of a leaving entry,
 // so that callers close their connections. If the entry closed idle connections
 // itself, requests that are already on their way would fail.
--- a/entry/internal/settings/keys.go
+++ b/entry/internal/settings/keys.go
@@ -23,6 +23,8 @@
 	_maxNameLength = 64
 	_maxRequests   = 100_000
 	_maxBodySize   = 64 << 20
+	_minMemory     = 1 << 20
+	_maxMemory     = 1 << 40
 )
 
 // key describes one key of the file.
@@ -49,6 +51,7 @@
 	{"platform", "timeout", "2s", _wantDuration, "Longest wait for one answer of the platform.", func(s *Settings, v string) error { return setDuration(&s.platformTimeout, v) }},
 	{"limits", "maxBodyBytes", "1048576", "a number of bytes from 1 to 67108864", "Largest request body.", setMaxBody},
 	{"limits", "requests", "4096", "a number from 1 to 100000", "Most requests open at once; more are refused, not run.", setRequests},
+	{"limits", "memory", "268435456", "a number of bytes from 1048576 to 1099511627776", "Memory that callers' connections may hold; eight of the largest bodies at least. Beyond it those that hold most are given up.", setMemory},
 	{"log", "level", "info", "debug, info, warn or error", "Lowest level that is logged.", setLevel},
 }
 
@@ -176,6 +179,15 @@
 	return nil
 }
 
+func setMemory(s *Settings, v string) error {
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < _minMemory || n > _maxMemory {
+		return fmt.Errorf("parse memory %q", v)
+	}
+	s.memory = n
+	return nil
+}
+
 func setLevel(s *Settings, v string) error {
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, v) {
 		return fmt.Errorf("unknown log level %q", v)
--- a/entry/internal/settings/settings.go
+++ b/entry/internal/settings/settings.go
@@ -11,6 +11,9 @@
 	"gopkg.in/ini.v1"
 )
 
+// _minBodies is how many of the largest bodies callers' connections may hold at least.
+const _minBodies = 8
+
 // Settings holds the settings of one entry. Read and Parse fill in the defaults.
 type Settings struct {
 	name       string
@@ -25,6 +28,7 @@
 	shutdownTimeout time.Duration
 	maxBody         int64
 	maxRequests     int
+	memory          int64
 	level           string
 	seeds           []Seed
 }
@@ -83,6 +87,10 @@
 // are refused.
 func (s Settings) MaxRequests() int { return s.maxRequests }
 
+// Memory returns how much memory callers' connections may hold, in bytes. It has
+// room for a few of the largest bodies, whatever the file says.
+func (s Settings) Memory() int64 { return max(s.memory, _minBodies*s.maxBody) }
+
 // Level returns the lowest level that is logged: debug, info, warn or error.
 func (s Settings) Level() string { return s.level }
 
--- a/entry/internal/settings/settings_test.go
+++ b/entry/internal/settings/settings_test.go
@@ -44,6 +44,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Name(), "muscat1a")
 	assert.Equal(t, s.MaxRequests(), 4096)
+	assert.Equal(t, s.Memory(), int64(256<<20))
 	assert.Equal(t, len(s.Seeds()), 1)
 	assert.Equal(t, s.PeerAddress(), s.Peer())
 }
@@ -56,3 +57,14 @@
 	assert.Equal(t, s.PeerAddress().String(), "127.0.0.2:8181")
 	assert.Equal(t, s.Peer().String(), "127.0.0.1:8081")
 }
+
+func TestMemoryHasRoomForBodies(t *testing.T) {
+	b, err := os.ReadFile("testdata/right.ini")
+	assert.NilError(t, err)
+	s, err := Parse("right.ini", append(b, "[limits]\nmemory = 2000000\n"...))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Memory(), 8*s.MaxBody())
+	s, err = Parse("right.ini", append(b, "[limits]\nmemory = 2000000\nmaxBodyBytes = 1000\n"...))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Memory(), int64(2000000))
+}
