--- a/entry/internal/daemon/daemon.go
+++ b/entry/internal/daemon/daemon.go
@@ -114,7 +114,7 @@
 // flight may finish within the settings' time-out, and the entry is
 // unregistered last. It returns an error only if it can't start.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := d.listen(ctx)
+	listeners, err := d.listen()
 	if err != nil {
 		return err
 	}
@@ -155,10 +155,10 @@
 // listeners are the sockets of an entry.
 type listeners struct{ caller, peer, admin net.Listener }
 
-func (d *Daemon) listen(ctx context.Context) (l listeners, err error) {
+func (d *Daemon) listen() (l listeners, err error) {
 	s := d.settings
 	warn := func(err error) { d.log.Warn("Kernel's buffers for callers aren't limited.", "err", err) }
-	if l.caller, err = intake.Listen(ctx, s.Caller().String(), warn); err != nil {
+	if l.caller, err = intake.Listen(s.Caller().String(), warn); err != nil {
 		return l, fmt.Errorf("listen for callers: %w", err)
 	}
 	if l.peer, err = net.Listen("tcp", s.Peer().String()); err != nil {
--- a/entry/internal/intake/conn.go
+++ b/entry/internal/intake/conn.go
@@ -35,7 +35,7 @@
 
 // Listen listens on a TCP address for callers. warn is called if the kernel's buffers can't be
 // limited.
-func Listen(ctx context.Context, address string, warn func(error)) (net.Listener, error) {
+func Listen(address string, warn func(error)) (net.Listener, error) {
 	c := net.ListenConfig{Control: func(_, _ string, r syscall.RawConn) error {
 		var err error
 		if e := r.Control(func(fd uintptr) {
@@ -48,7 +48,7 @@
 		}
 		return nil
 	}}
-	l, err := c.Listen(ctx, "tcp", address)
+	l, err := c.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/entry/internal/intake/conn_test.go
+++ b/entry/internal/intake/conn_test.go
@@ -19,7 +19,7 @@
 // serve serves a handler with a budget and returns its address.
 func serve(t *testing.T, b *Budget, h http.HandlerFunc) string {
 	t.Helper()
-	l, err := Listen(t.Context(), "127.0.0.1:0", func(err error) { t.Error(err) })
+	l, err := Listen("127.0.0.1:0", func(err error) { t.Error(err) })
 	assert.NilError(t, err)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, MaxHeaderBytes: 16 << 10}
 	done := make(chan error)
--- a/entry/internal/intake/doc.go
+++ b/entry/internal/intake/doc.go
@@ -2,7 +2,7 @@
 // exhaust the memory or the descriptors of the entry.
 //
 //	b := &intake.Budget{Name: "callers", MaxBytes: 64 << 20, MaxConns: 1000, Log: log.Info}
-//	l, err := intake.Listen(ctx, address, warn)
+//	l, err := intake.Listen(address, warn)
 //	err = b.Serve(server, l)
 //
 // Each connection has an account. It is charged for the connection itself, for the header
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -104,7 +104,7 @@
 	l.limitHeap()
 	n.log.Info("Entry is starting.", "host", n.boot.Host, "dataCentre", n.boot.DataCentre, "peer", n.self,
 		"heapBytes", l.heap, "callerBytes", l.callerBytes, "callerConnections", l.callerConns)
-	ls, err := n.listen(ctx)
+	ls, err := n.listen()
 	if err != nil {
 		return err
 	}
@@ -137,11 +137,11 @@
 // listeners are the listeners of an entry.
 type listeners struct{ callers, ready, link net.Listener }
 
-func (n *Node) listen(ctx context.Context) (listeners, error) {
+func (n *Node) listen() (listeners, error) {
 	var l listeners
 	var err error
 	warn := func(err error) { n.log.Warn("Kernel's buffers for callers aren't limited.", "err", err) }
-	if l.callers, err = intake.Listen(ctx, n.boot.CallerAddress.String(), warn); err != nil {
+	if l.callers, err = intake.Listen(n.boot.CallerAddress.String(), warn); err != nil {
 		return l, fmt.Errorf("listen for callers: %w", err)
 	}
 	if l.ready, err = net.Listen("tcp", n.boot.ReadyAddress.String()); err != nil {
