--- a/entry/internal/intake/conn.go
+++ b/entry/internal/intake/conn.go
@@ -151,7 +151,7 @@
 	n := 0
 	for {
 		// If the deadline can't be set, the connection is closed, and the write fails.
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(d))
+		_ = c.SetWriteDeadline(time.Now().Add(d))
 		m, err := c.Conn.Write(p[n:min(len(p), n+_writeBytes)])
 		n += m
 		if err != nil || n == len(p) {
--- a/entry/internal/intake/conn_test.go
+++ b/entry/internal/intake/conn_test.go
@@ -48,15 +48,15 @@
 	assert.NilError(t, err)
 }
 
-// answer reads a response with its body.
-func answer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+// answer reads a response and returns its status and body.
+func answer(t *testing.T, r *bufio.Reader) (status int, body string) {
 	t.Helper()
 	p, err := http.ReadResponse(r, nil)
 	assert.NilError(t, err)
 	b, err := io.ReadAll(p.Body)
 	assert.NilError(t, err)
 	assert.NilError(t, p.Body.Close())
-	return p, string(b)
+	return p.StatusCode, string(b)
 }
 
 // assertEnds waits until the other side ends a connection.
@@ -145,8 +145,8 @@
 
 func TestLateBodyEndsTheConnection(t *testing.T) {
 	c := dial(t, serve(t, &Budget{}, echo(100*time.Millisecond)), post(100, "abc"))
-	p, got := answer(t, bufio.NewReader(c))
-	assert.Equal(t, p.StatusCode, http.StatusServiceUnavailable)
+	status, got := answer(t, bufio.NewReader(c))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, got, ErrLate.Error())
 	assertEnds(t, c)
 }
@@ -163,8 +163,8 @@
 		l = append(l, dial(t, address, post(len(body)+1, body)))
 		askOnce(t, address)
 	}
-	p, got := answer(t, bufio.NewReader(l[0]))
-	assert.Equal(t, p.StatusCode, http.StatusServiceUnavailable)
+	status, got := answer(t, bufio.NewReader(l[0]))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, got, ErrGivenUp.Error())
 	assertEnds(t, l[0])
 
--- a/entry/internal/intake/metrics_test.go
+++ b/entry/internal/intake/metrics_test.go
@@ -16,7 +16,8 @@
 // one when a second has passed without any.
 func TestEpisodeIsLogged(t *testing.T) {
 	lines := make(chan string, 10)
-	b := &Budget{Name: "logged", MaxBytes: 120_000, MaxConns: 3, Log: func(message string, pairs ...any) {
+	name := fmt.Sprint("logged", time.Now().UnixNano())
+	b := &Budget{Name: name, MaxBytes: 120_000, MaxConns: 3, Log: func(message string, pairs ...any) {
 		lines <- fmt.Sprint(message, pairs)
 	}}
 	b.register()
@@ -33,21 +34,21 @@
 	b.refuse()
 	begin := time.Now()
 	line := <-lines
-	assert.Assert(t, strings.HasPrefix(line, "Connections are given up.[for logged why memory bytes "), line)
+	assert.Assert(t, strings.HasPrefix(line, "Connections are given up.[for "+name+" why memory bytes "), line)
 	line = <-lines
 	assert.Assert(t, time.Since(begin) > _calmTime/2)
 	assert.Assert(t, strings.HasPrefix(line,
-		"Connections are no longer given up.[for logged forMemory 1 forConnections 1 refused 1 tookMs "), line)
+		"Connections are no longer given up.[for "+name+" forMemory 1 forConnections 1 refused 1 tookMs "), line)
 	assert.Equal(t, len(lines), 0)
 
 	var out bytes.Buffer
 	metrics.WritePrometheus(&out, false)
 	for _, want := range []string{
-		`entry_intake_given_up_total{listener="logged",reason="memory"} 1`,
-		`entry_intake_given_up_total{listener="logged",reason="connections"} 1`,
-		`entry_intake_given_up_total{listener="logged",reason="refused"} 1`,
-		fmt.Sprintf(`entry_intake_connections{listener="logged"} %d`, b.Conns()),
-		fmt.Sprintf(`entry_intake_bytes{listener="logged"} %d`, b.Held()),
+		fmt.Sprintf(`entry_intake_given_up_total{listener=%q,reason="memory"} 1`, name),
+		fmt.Sprintf(`entry_intake_given_up_total{listener=%q,reason="connections"} 1`, name),
+		fmt.Sprintf(`entry_intake_given_up_total{listener=%q,reason="refused"} 1`, name),
+		fmt.Sprintf(`entry_intake_connections{listener=%q} %d`, name, b.Conns()),
+		fmt.Sprintf(`entry_intake_bytes{listener=%q} %d`, name, b.Held()),
 	} {
 		assert.Assert(t, strings.Contains(out.String(), want), want)
 	}
