node: a job that is unknown when it is cancelled runs in no pool

What callers see: a DELETE is answered 410, and the job runs nevertheless. The owner of the queue's pool records the cancellation of a job that it doesn't know; those of the other pools, which the entry asks too, answered at once from what they knew. If the queue had been moved to another pool, and the entry didn't know that yet, the job was accepted there afterwards. The same answer came from a former owner of another pool, without any check whether it still is the owner.

All owners that are asked record the cancellation now, and answer once it is durable. A former owner's append is refused, so that the caller gets 502 and asks again.

Each DELETE of an unknown job costs an append in each pool.

--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -291,20 +291,15 @@
 }
 
 // locate sends a call about a job to the owners of all other pools, since its queue
-// may have been moved to another pool. It returns GONE only if all of them responded
-// that they have no such job.
+// may have been moved to another pool, which this entry may not know yet. It returns GONE only if
+// all of them responded that they have no such job. Each of them has recorded a cancellation by then.
 func (n *Node) locate(ctx context.Context, q *link.Call) *link.Answer {
 	out := &link.Answer{Outcome: link.Outcome_OUTCOME_GONE}
 	for pool := range n.config.Load().partition {
 		if pool == q.GetPool() {
 			continue
 		}
-		x := &link.Call{Pool: pool, Credential: q.GetCredential(), Body: q.GetBody()}
-		if c := q.GetCancel(); c != nil {
-			// Only the queue's own pool records the cancellation of an unknown job.
-			x.Body = &link.Call_Cancel{Cancel: &link.Cancel{Id: c.GetId(), Workspace: c.GetWorkspace()}}
-		}
-		a := n.callOwner(ctx, x)
+		a := n.callOwner(ctx, &link.Call{Pool: pool, Credential: q.GetCredential(), Body: q.GetBody()})
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_OK:
 			return a
--- a/entry/scheduler/advance.go
+++ b/entry/scheduler/advance.go
@@ -10,8 +10,9 @@
 // A caller may cancel a job that its owner doesn't know: an attempt to submit it is still on its way, in
 // a process that was suspended or behind a path that was cut, or was accepted by an owner that this one
 // hasn't heard of yet. The caller is told that there is no such job, so that the job must not run from
-// then on. The cancellation is therefore recorded like that of any other job. Its append also shows that
-// no later owner has accepted the job.
+// then on. The cancellation is therefore recorded like that of any other job, in all pools, because the
+// job's queue may have been moved to another one. Its append also shows that no later owner has accepted
+// the job.
 
 // _maxInAdvance limits the number of jobs that are cancelled in advance.
 const _maxInAdvance = 10_000
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -70,6 +70,7 @@
 //	down STATUS              make the store answer all calls with an HTTP status
 //	up                       end the fault of down
 //	publish                  write a new version of the configuration
+//	route QUEUE POOL         write one in which another pool runs the jobs of a queue
 //	keys WORKSPACE=KEY,... ...    write one with workspaces and their keys; calls need one then
 //	as KEY                   callers send a key from now on; none for -
 //	one NAME QUEUE JOB [METHOD]   request the state of a job from one entry, or send it another request
@@ -177,6 +178,8 @@
 		s.store.Compact()
 	case "publish":
 		s.publish()
+	case "route":
+		s.moveQueue(f[1], f[2])
 	case "old", "new":
 		return s.useOld(f[1:], f[0] == "old")
 	case "cut", "mend":
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -71,6 +71,8 @@
 	// bootLines are further lines of all boot files.
 	bootLines []string
 	config    platform.Config
+	// moved has the pools of the queues that were moved to another one.
+	moved map[string]string
 	// workspaces is nil as long as calls need no key. keys are those of each workspace, usedKey
 	// the one that callers send.
 	workspaces []platform.Workspace
@@ -103,6 +105,7 @@
 		entries: make(map[string]*process.Process), runsOld: make(map[string]bool), boots: make(map[string]platform.Boot),
 		jobs: make(map[string]*submitted), tasks: make(map[string]*taskRecord),
 		gangs:  make(map[string]*gang),
+		moved:  make(map[string]string),
 		waves:  make(map[int64]*waveRecord),
 		paths:  make(map[string]map[string]*path),
 		orders: make(map[string]platform.Holder), stop: make(chan struct{}),
@@ -174,6 +177,14 @@
 	return nil
 }
 
+// moveQueue has another pool run the jobs of a queue.
+func (s *Site) moveQueue(name, pool string) {
+	s.mu.Lock()
+	s.moved[name] = pool
+	s.mu.Unlock()
+	s.publish()
+}
+
 // publish writes a new version of the configuration to the store.
 func (s *Site) publish() {
 	q := func(name, prefix, pool string, p int) platform.Queue {
@@ -186,9 +197,15 @@
 	policy.Advice = platform.Advice{DecideTime: 2 * time.Millisecond, TimePerUpstream: time.Millisecond, Valid: 3 * time.Second}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	queues := []platform.Queue{q("sizes", "/sizes/", "fitting", 0), q("deposits", "/deposits/", "returns", 1), policy}
+	for i := range queues {
+		if p := s.moved[queues[i].Name]; p != "" {
+			queues[i].Pool = p
+		}
+	}
 	s.config = platform.Config{
 		Version: s.config.Version + 3,
-		Queues:  []platform.Queue{q("sizes", "/sizes/", "fitting", 0), q("deposits", "/deposits/", "returns", 1), policy},
+		Queues:  queues,
 		Pools: []platform.Pool{
 			{Name: "fitting", ChecksCapacity: true}, {Name: "returns", ChecksCapacity: true}, {Name: "standby", ChecksCapacity: true, Standby: true},
 		},
