standin/emulator: a job that was cancelled before it was accepted may be unknown to a former owner

Trace: e2 records the cancellation of the unknown job at 9.292, durable. e1, its successor, accepts the job as cancelled at 12.722. e2, frozen until 17.278, answers a second cancellation with 410. The job runs nowhere, which is what a 410 promises. So the check counts jobs that were first cancelled after they had been accepted.

--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -66,6 +66,8 @@
 	// unknown, refused when an attempt is refused, and cancelRequested when a caller
 	// sends a cancellation. lastState is the last state that a caller received, first at shownAt.
 	accepted, cancelled time.Duration
+	// cancelSent is when a caller first sent a cancellation.
+	cancelSent time.Duration
 	maybeAccepted       bool
 	refused             bool
 	cancelRequested     bool
