site: a task of a cancelled job that runs on in quiet is a violation

Whether the tasks of a cancelled job end was seen only by package soak, once, at the end of a soak, when leases had lapsed long ago.

The site now knows which of its faults are in force and when the last one ended, and judges all the time: no run of a job that an answer 200 or 410 said to be cancelled is at work after 3.4 s (cancel and stop), and 0.25 s for the machine, without a fault. That time begins after the answer, and 3 s after the last fault. Faults are: kills, SIGTERM, SIGSTOP and starts of entries, cuts, an unreachable or reborn upstream, outages of the store, held and lost appends, a start that is carried out late (until then). Moves, upkeeps, new assignments and configurations are none.

Scripts of the ledger show that the check finds a planted fault: a task that runs on (after 200 and after 410), one in time, one with a fault within the time, one whose start was carried out late. Task says whether its last start was carried out late.

--- a/standin/site/entries.go
+++ b/standin/site/entries.go
@@ -49,6 +49,9 @@
 		return fmt.Errorf("start entry: %w", err)
 	}
 	s.entries[name] = p
+	s.faults.strike()
+	s.faults.end("process " + name)
+	s.faults.end("stop " + name)
 	return nil
 }
 
@@ -74,7 +77,7 @@
 		},
 		Cloud: platform.CloudSettings{Address: s.cloudAt, CallsPerS: 64, OrdersPerS: 64},
 		Bounds: platform.Bounds{
-			MaxLease: _maxLease, StopTimeout: 400 * time.Millisecond, GangTimeout: _gangTimeout,
+			MaxLease: _maxLease, StopTimeout: _stopTime, GangTimeout: _gangTimeout,
 			Grace: 6 * time.Second, StatusRetention: 2 * time.Minute, RemoteFactor: 2, MoveTime: _moveTime, UpkeepTime: _upkeepTime,
 			HolderLease: 500 * time.Millisecond, StrictRevocation: true, RevocationTime: _revocationTime,
 		},
@@ -110,11 +113,28 @@
 func (s *Site) Exited(name string) <-chan struct{} { return s.process(name).Done() }
 
 // Kill kills the process of an entry.
-func (s *Site) Kill(name string) { s.process(name).Kill() }
+func (s *Site) Kill(name string) {
+	s.faults.begin("process " + name)
+	s.process(name).Kill()
+}
 
 // Terminate stops an entry in an orderly way. It returns an error if the entry doesn't
 // exit within _stopTimeout.
-func (s *Site) Terminate(name string) error { return s.process(name).Stop(_stopTimeout) }
+func (s *Site) Terminate(name string) error {
+	s.faults.begin("process " + name)
+	return s.process(name).Stop(_stopTimeout)
+}
 
 // Signal sends a signal to the process of an entry.
-func (s *Site) Signal(name string, v syscall.Signal) error { return s.process(name).Signal(v) }
+func (s *Site) Signal(name string, v syscall.Signal) error {
+	if v == syscall.SIGTERM {
+		s.faults.begin("process " + name)
+	}
+	if v == syscall.SIGSTOP {
+		s.faults.begin("stop " + name)
+	}
+	if v == syscall.SIGCONT {
+		defer s.faults.end("stop " + name)
+	}
+	return s.process(name).Signal(v)
+}
--- a/standin/site/keys.go
+++ b/standin/site/keys.go
@@ -39,7 +39,13 @@
 // askOne requests the state of a job from one entry, or sends another request about it, and returns
 // the status.
 func (s *Site) askOne(entry, queue, job string, method ...string) string {
-	q := s.Queue(queue)
-	_, text := s.callEntry(entry, append(method, http.MethodGet)[0], q.Host, q.Prefix+job, "")
+	q, m := s.Queue(queue), append(method, http.MethodGet)[0]
+	if m == http.MethodDelete {
+		s.RecordCancel(job)
+	}
+	code, text := s.callEntry(entry, m, q.Host, q.Prefix+job, "")
+	if m == http.MethodDelete {
+		s.RecordCancelAnswer(job, entry, code)
+	}
 	return text
 }
--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -41,6 +41,8 @@
 	startedAt, endedAt time.Time
 	// startedBy is the entry that ordered the last run.
 	startedBy string
+	// late is set if the upstream carried out the last start late.
+	late bool
 	// removed is set if the last run ended because the system moved it.
 	removed bool
 }
@@ -66,6 +68,8 @@
 	// name is TASK/RUN.
 	name     string
 	upstream *Upstream
+	// judged is set once it has been said that the run goes on after its job was cancelled.
+	judged bool
 }
 
 // endRecord is the end of a run, which its upstream lists until it is acknowledged.
@@ -170,11 +174,20 @@
 	}
 	u.site.log(fmt.Sprintf("%s starts on %s, ordered by %s", name, u.machine, entry))
 	d.runCount++
-	d.startedAt, d.startedBy, d.removed = now, entry, false
+	d.startedAt, d.startedBy, d.late, d.removed = now, entry, false, false
 	d.current = append(d.current, runRecord{name: name, upstream: u})
 	return d.runCount <= d.behaviour.Fails
 }
 
+// recordLate records that a start was carried out late, at a time. The run may have been there before.
+func (s *Site) recordLate(task string, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d := s.tasks[task]; d != nil && !d.startedAt.Before(at) {
+		d.late = true
+	}
+}
+
 // task returns the record of a task by its name, or nil if no submitted job has it.
 func (s *Site) task(name string) *taskRecord {
 	n, ok := platform.ParseTaskName(name)
@@ -376,6 +389,8 @@
 	StartedAt, EndedAt time.Time
 	// StartedBy is the entry that ordered the last run.
 	StartedBy string
+	// Late is set if the upstream carried out the last start late.
+	Late bool
 }
 
 // Tasks returns the tasks of a job that have started.
@@ -387,7 +402,7 @@
 		if d.name.Job == job && d.runCount > 0 {
 			l = append(l, Task{
 				Name: d.name.String(), Runs: d.runCount, Done: d.done > 0 || d.gangDone, Running: d.running(now),
-				StartedAt: d.startedAt, EndedAt: d.endedAt, StartedBy: d.startedBy,
+				StartedAt: d.startedAt, EndedAt: d.endedAt, StartedBy: d.startedBy, Late: d.late,
 			})
 		}
 	}
--- a/standin/site/ledger_test.go
+++ b/standin/site/ledger_test.go
@@ -1,7 +1,10 @@
 package site
 
 import (
+	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -30,7 +33,9 @@
 //	resume HOST INDEX RUN                   order it with the checkpoint that the upstream listed last
 //	hold HOST ACKED LEASE                   poll an upstream
 //	rebirth HOST, dark HOST                 as in a session
+//	startLate HOST INDEX RUN LEASE          carry out a start late
 //	cancel                                  a caller cancels the job
+//	cancelled STATUS                        an entry answers it so
 //	wave HOSTS N                            declare a wave, at most one host of which may be down
 //	upkeep HOST N HOLDER TOKEN              order the upkeep of a host
 //	waved N                                 the system says that a wave is completed
@@ -101,8 +106,17 @@
 		u := s.upstreams[f[1]]
 		_, r := u.hold(platform.Hold{Acked: n(2), DeadlineMs: u.clock() + n(3)})
 		assert.Equal(t, r.Status, 0, line)
+	case "startLate":
+		u := s.upstreams[f[1]]
+		r := httptest.NewRequest(http.MethodPost, "/api/run-start", nil)
+		r.Header.Set("Expect-Instance", u.id())
+		u.site.faults.begin(lateFault(r))
+		b := fmt.Sprintf(`{"task":%q,"run":%d,"deadlineMs":%d}`, testTask(f[2]), n(3), u.clock()+n(4))
+		u.startLate("e1", r, []byte(b), 0, u.beganAt())
 	case "cancel":
 		s.RecordCancel(_testJob)
+	case "cancelled":
+		s.RecordCancelAnswer(_testJob, "e1", int(n(1)))
 	case "upkeep":
 		s.order(platform.Holder{Name: f[3], Token: n(4)}, f[1], "", n(2))
 	case "waved":
--- a/standin/site/path.go
+++ b/standin/site/path.go
@@ -206,10 +206,13 @@
 	if p == nil {
 		return fmt.Errorf("no path from %q to %q: %w", words[0], peer, ErrCommand)
 	}
+	fault := "cut " + words[0] + " " + peer
 	if verb == "mend" {
 		p.mend()
+		s.faults.end(fault)
 		return nil
 	}
+	s.faults.begin(fault)
 	switch d := direction(words[2]); d {
 	case "":
 		p.cut(_answers)
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -150,31 +150,20 @@
 		n, _ = strconv.Atoi(f[len(f)-1]) // A word that isn't a number counts as zero.
 	}
 	switch f[0] {
-	case "lose":
-		s.store.set(func() { s.store.loseAppends = n })
-	case "hold":
-		s.store.set(func() { s.store.hold = make(chan struct{}) })
-	case "release":
-		s.store.set(func() { close(s.store.hold); s.store.hold = nil })
-	case "down":
-		s.store.set(func() { s.store.downStatus = n })
-	case "up":
-		s.calmAt = time.Now()
-		s.store.set(func() { s.store.downStatus = 0 })
+	case "lose", "hold", "release", "down", "up", "rebalance", "compact":
+		s.changeStore(f[0], n)
 	case "late":
 		s.upstreams[f[1]].set(func(u *Upstream) { u.startDelay = time.Duration(n) * time.Millisecond })
 	case "dark":
 		s.upstreams[f[1]].setDown()
 	case "light":
 		s.upstreams[f[1]].set(func(u *Upstream) { u.down = false })
+		s.faults.end("dark " + f[1])
 	case "rebirth":
 		u := s.upstreams[f[1]]
 		u.reboot()
+		s.faults.strike()
 		u.sendHeartbeat()
-	case "rebalance":
-		s.store.Rebalance()
-	case "compact":
-		s.store.Compact()
 	case "publish":
 		s.publish()
 	case "old", "new":
@@ -189,6 +178,31 @@
 	return nil
 }
 
+// changeStore changes the store or injects a fault into it.
+func (s *Site) changeStore(verb string, n int) {
+	switch verb {
+	case "lose":
+		s.store.set(func() { s.store.loseAppends = n })
+	case "hold":
+		s.faults.begin("hold")
+		s.store.set(func() { s.store.hold = make(chan struct{}) })
+	case "release":
+		s.store.set(func() { close(s.store.hold); s.store.hold = nil })
+		s.faults.end("hold")
+	case "down":
+		s.faults.begin("down")
+		s.store.set(func() { s.store.downStatus = n })
+	case "up":
+		s.calmAt = time.Now()
+		s.store.set(func() { s.store.downStatus = 0 })
+		s.faults.end("down")
+	case "rebalance":
+		s.store.Rebalance()
+	case "compact":
+		s.store.Compact()
+	}
+}
+
 func (s *Store) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -289,15 +303,6 @@
 	return nil
 }
 
-// RecordCancel records that a caller is about to cancel a job.
-func (s *Site) RecordCancel(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if j := s.jobs[id]; j != nil {
-		j.cancelling = true
-	}
-}
-
 // callAnyEntry sends a request to one entry after the other until an entry answers with a
 // status other than 502, 503 and 504, for at most _waitLimit.
 func (s *Site) callAnyEntry(method, host, path, body string) (string, error) {
@@ -310,6 +315,9 @@
 				last = fmt.Sprintf("%d %s", code, text)
 				continue
 			}
+			if method == http.MethodDelete {
+				s.RecordCancelAnswer(path[strings.LastIndex(path, "/")+1:], name, code)
+			}
 			return fmt.Sprintf("%d %s", code, text), nil
 		}
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -46,6 +46,10 @@
 	policy bool
 	// cancelling is set once a caller has sent a request to cancel the job.
 	cancelling bool
+	// cancelledAt is when a caller was first told that it is cancelled, by the entry cancelledBy; zero
+	// before that.
+	cancelledAt time.Time
+	cancelledBy string
 }
 
 // Site is an emulated platform with its entries.
@@ -59,6 +63,7 @@
 	store     *Store
 	upstreams map[string]*Upstream
 	servers   []*http.Server
+	faults    faults
 	cloudAt   string
 	adviceAt  string
 
@@ -96,7 +101,7 @@
 // New returns a site that runs the entry program at a path and writes files to dir. The
 // output of the entries goes to out.
 func New(entry, dir string, out io.Writer) *Site {
-	return &Site{
+	s := &Site{
 		entry: entry, dir: dir, out: out, store: NewStore(), upstreams: make(map[string]*Upstream),
 		entries: make(map[string]*process.Process), runsOld: make(map[string]bool), boots: make(map[string]platform.Boot),
 		jobs: make(map[string]*submitted), tasks: make(map[string]*taskRecord),
@@ -105,6 +110,8 @@
 		paths:  make(map[string]map[string]*path),
 		orders: make(map[string]platform.Holder), stop: make(chan struct{}),
 	}
+	s.store.lost = s.faults.strike
+	return s
 }
 
 // SetOldEntry sets the path of an old build of the entry's program, which runs beside the other.
@@ -161,6 +168,7 @@
 	}
 	s.publish()
 	go s.sendHeartbeats()
+	go s.judgeCancelled()
 	return nil
 }
 
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -25,6 +25,8 @@
 	// loseAppends is how many of the next appends to the topic of jobs get no answer. They
 	// are executed.
 	loseAppends int
+	// lost is called when one of them gets no answer; nil for nothing.
+	lost func()
 	// hold delays appends to the topic of jobs until it is closed; nil for no delay.
 	hold chan struct{}
 	// recordBytes and callBytes limit the size of a record and of an append, in bytes.
@@ -112,6 +114,9 @@
 	if lose {
 		h := &serve.Store{Append: s.Append}
 		h.ServeHTTP(discardResponse{}, r)
+		if s.lost != nil {
+			s.lost()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return false
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -170,6 +170,7 @@
 		q := r.Clone(r.Context())
 		var b json.RawMessage
 		if json.NewDecoder(r.Body).Decode(&b) == nil {
+			u.site.faults.begin(lateFault(q))
 			go u.startLate(entry, q, b, late, began)
 		}
 		<-r.Context().Done()
@@ -181,6 +182,7 @@
 // startLate executes the order to start a run after a delay, when the caller no longer
 // waits for it, unless a new incarnation has begun.
 func (u *Upstream) startLate(entry string, r *http.Request, body []byte, after time.Duration, began time.Time) {
+	defer u.site.faults.end(lateFault(r))
 	time.Sleep(after)
 	var s struct {
 		Task       string `json:"task"`
@@ -193,10 +195,15 @@
 	if json.Unmarshal(body, &s) != nil || r.Header.Get("Expect-Instance") != u.id() || !u.isIncarnation(began) {
 		return
 	}
+	begin := time.Now()
 	f := u.start(entry, platform.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, DeadlineMs: s.DeadlineMs, Token: s.Token, Checkpoint: s.Checkpoint})
+	u.site.recordLate(s.Task, begin)
 	u.site.addEvent("late order of %s: %s", s.Task, refusal(f))
 }
 
+// lateFault returns the name of the fault of a start that is carried out late.
+func lateFault(r *http.Request) string { return fmt.Sprintf("late start %p", r) }
+
 func refusal(f serve.Refusal) string {
 	if f.Status == 0 {
 		return "carried out"
@@ -208,6 +215,7 @@
 func (u *Upstream) setDown() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.site.faults.begin("dark " + u.machine)
 	u.down = true
 	close(u.wake)
 	u.wake = make(chan struct{})
@@ -453,6 +461,7 @@
 	}
 	u.runs, u.highestFinished, u.ended = make(map[string]*running), make(map[string]int64), nil
 	u.token, u.lastEndNumber, u.deadline, u.began, u.down = 0, 0, 0, time.Now(), false
+	u.site.faults.end("dark " + u.machine)
 	u.lapse.Store(nil)
 	u.report.ID, u.report.Pool, u.report.StartUnixMs = id, pool, time.Now().UnixMilli()
 	close(u.wake)
