soak: pauses without faults, and jobs that are cancelled at work

In most soaks all tasks but lasting ones ended by themselves within 0.8 s.

Once in 20 s of a schedule, at a random time, all faults end for 8 s. Schedules are drawn as before; what follows a pause is moved. Three more callers submit jobs whose tasks last or work for 4 to 12 s, some in gangs, some failing, and cancel them within 4 s. They and the pauses have random streams of their own.

checkJobs took a start that the upstream carried out late for one that an entry had ordered 3 s after the answer. It leaves them out; that their tasks end is judged by the site.

--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -87,9 +87,9 @@
 	case x < 12 && j != nil && j.open():
 		c.attempt(j)
 	case x < 15 && c.soak.submitting.Load() && c.soak.openLongRunning() < _maxLongRunning:
-		c.submitNew(now, true)
+		c.submitNew(now, _longRunning)
 	case x < 40 && c.soak.submitting.Load() && c.soak.openJobs() < _maxOpenJobs:
-		c.submitNew(now, false)
+		c.submitNew(now, _anyKind)
 	case j != nil:
 		c.look(j)
 	}
@@ -151,13 +151,15 @@
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
-func (c *caller) submitNew(now time.Time, longRunning bool) {
-	j, err := c.soak.newJob(c.r, now, longRunning)
+// submitNew submits a new job and returns it, or nil if there is none.
+func (c *caller) submitNew(now time.Time, kind jobKind) *job {
+	j, err := c.soak.newJob(c.r, now, kind)
 	if err != nil {
 		c.soak.violate("%v", err)
-		return
+		return nil
 	}
 	c.submit(j)
+	return j
 }
 
 // submit submits a job until it is accepted, and gives up after some attempts.
@@ -210,6 +212,7 @@
 			time.Sleep(min(a.retryAfter, _maxRetryAfter))
 			continue
 		}
+		c.soak.site.RecordCancelAnswer(j.id, a.entry.name, a.status)
 		j.mu.Lock()
 		// An entry that knows of no such job promises that none starts later.
 		if j.cancelled.IsZero() {
--- a/standin/soak/job.go
+++ b/standin/soak/job.go
@@ -42,6 +42,15 @@
 	endAt time.Time
 }
 
+// jobKind is a kind of job that a caller asks for. Most callers leave it to the draw.
+type jobKind int
+
+const (
+	_anyKind jobKind = iota
+	_longRunning
+	_cancelledSoon
+)
+
 // step is a step in the body of a job.
 type step struct {
 	Count       int   `json:"count"`
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -129,10 +129,10 @@
 		callers.Go(func() { k.newCaller(uint64(2 + i)).run(stop) })
 	}
 	callers.Go(func() { k.tryWithdrawnKeys(stop) })
-	k.inject(s)
-	if err := k.restore(); err != nil {
-		k.violate("%v", err)
+	for i := range _cancellers {
+		callers.Go(func() { k.cancelWorkingJobs(_cancelSeed+uint64(i), stop) })
 	}
+	k.injectAll(s)
 	calm := time.Now()
 	k.log("calm")
 	time.Sleep(_drain)
@@ -184,6 +184,26 @@
 	return nil
 }
 
+// length is how long faults are injected, with the pauses.
+func (k *Soak) length() time.Duration {
+	return k.Faults + time.Duration(len(drawPauses(k.Seed, k.Faults)))*_pause
+}
+
+// injectAll executes the events of a schedule, with pauses.
+func (k *Soak) injectAll(s Schedule) {
+	pauses := drawPauses(k.Seed, k.Faults)
+	for i, p := range s.phases(pauses) {
+		k.inject(p)
+		if err := k.restore(); err != nil {
+			k.violate("%v", err)
+		}
+		if i < len(pauses) {
+			k.log("pause")
+			time.Sleep(_pause)
+		}
+	}
+}
+
 // inject executes the events of a schedule. A target that is late keeps the intervals
 // between its events.
 func (k *Soak) inject(s Schedule) {
@@ -287,7 +307,7 @@
 }
 
 // newJob draws and records a job. Most jobs go to the same queue for some time.
-func (k *Soak) newJob(r *rand.Rand, now time.Time, longRunning bool) (*job, error) {
+func (k *Soak) newJob(r *rand.Rand, now time.Time, kind jobKind) (*job, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	id := fmt.Sprintf("%08x%08x", uint32(k.Seed), len(k.jobs)+1)
@@ -298,9 +318,11 @@
 	var j *job
 	var err error
 	switch {
-	case longRunning:
+	case kind == _longRunning:
 		j, err = newLongRunningJob(r, k.site, id, q)
-	case k.Splits && now.Sub(k.begin) < k.Faults*3/4 && r.IntN(_longEvery) == 0:
+	case kind == _cancelledSoon:
+		j, err = newCancelledJob(r, k.site, id, q)
+	case k.Splits && now.Sub(k.begin) < k.length()*3/4 && r.IntN(_longEvery) == 0:
 		j, err = newLongJob(r, k.site, id, q)
 	default:
 		j, err = newJob(r, k.site, id, q, now, k.failShare)
