site: sessions in which a job is cancelled while its owner, or the owner's way to an upstream, is lost

Six orders of events with real processes: the owner loses one upstream, in both directions or only answers; it is killed right after its answer; it is killed after its answer while no entry reaches the upstream; the same with an upstream that left the list meanwhile; it loses its upstreams, answers, and then loses the store.

--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -43,6 +43,10 @@
 // store goes on giving orders beside its successor.
 func TestFormerOwnerBesideItsSuccessor(t *testing.T) { playAll(t, "formerOwner") }
 
+// TestCancelledTasksEnd plays sessions in which jobs are cancelled while an owner, or its way to an
+// upstream, is lost.
+func TestCancelledTasksEnd(t *testing.T) { playAll(t, "cancelled") }
+
 // playAll plays the sessions of a directory within testdata.
 func playAll(t *testing.T, dir string) {
 	entry := filepath.Join(t.TempDir(), "entry")
