--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -67,12 +67,12 @@
 	// sends a cancellation. lastState is the last state that a caller received, first at shownAt.
 	accepted, cancelled time.Duration
 	// cancelSent is when a caller first sent a cancellation.
-	cancelSent time.Duration
-	maybeAccepted       bool
-	refused             bool
-	cancelRequested     bool
-	lastState           link.JobState
-	shownAt             time.Duration
+	cancelSent      time.Duration
+	maybeAccepted   bool
+	refused         bool
+	cancelRequested bool
+	lastState       link.JobState
+	shownAt         time.Duration
 	// crashing is its task that crashes upstreams, or nil.
 	crashing *crashing
 	// runTimes are the mean run times of its tasks by step, if a load is replayed; took is
