--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -87,12 +86,6 @@
 	return e.void || !e.acked && e.upstream.lapsed(now)
 }
 
-// waveRecord is a declared wave and the hosts whose upkeep has begun.
-type waveRecord struct {
-	platform.Wave
-	begun []string
-}
-
 // addViolation records a violation. The caller holds the lock.
 func (s *Site) addViolation(format string, a ...any) {
 	t := fmt.Sprintf(format, a...)
@@ -323,60 +316,6 @@
 	u.site.addViolation("%s started beside %d others of its step", d.name, n)
 }
 
-func (s *Site) recordWave(w platform.Wave) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.waves[w.Number] = &waveRecord{Wave: w}
-}
-
-// recordUpkeep records that the upkeep of a host begins, and checks that not too many are
-// down for the wave. The caller holds the lock.
-func (s *Site) recordUpkeep(wave int64, machine string) {
-	w := s.waves[wave]
-	if w == nil {
-		s.addViolation("upkeep of %s for the undeclared wave %d", machine, wave)
-		return
-	}
-	n := 0
-	for _, m := range s.machines {
-		if m.State == platform.MachineUpkeep && slices.Contains(w.Machines, m.Name) {
-			n++
-		}
-	}
-	if n >= w.MaxDown {
-		s.addViolation("upkeep of %s began while %d hosts of wave %d were down", machine, n, wave)
-	}
-	w.begun = append(w.begun, machine)
-}
-
-// checkWaves checks that the upkeep of each host has begun in the waves that are said to
-// be completed.
-func (s *Site) checkWaves() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for n, w := range s.waves {
-		if !s.waveCompleted(n) {
-			continue
-		}
-		for _, m := range w.Machines {
-			if !slices.Contains(w.begun, m) {
-				s.addViolation("wave %d completed without the upkeep of %s", n, m)
-			}
-		}
-	}
-}
-
-// waveCompleted reports whether the system says that a wave is completed.
-func (s *Site) waveCompleted(n int64) bool {
-	k := platform.KeyWavePrefix + strconv.FormatInt(n, 10)
-	v, ok := s.store.Get(platform.TopicStatus, k)
-	if !ok {
-		return false
-	}
-	_, done := platform.DecodeWaveStatus(platform.Record{Key: k, Value: v})
-	return done
-}
-
 // Task is what the upstreams saw of a task.
 type Task struct {
 	Name string
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -1,11 +1,8 @@
 package site
 
 import (
-	"encoding/json"
 	"fmt"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,75 +149,6 @@
 	return t == nil || !now.Before(*t)
 }
 
-// intercept aborts calls to an upstream that is down or whose host is off, and delays a
-// start if that fault is set. It never answers a call itself.
-func (u *Upstream) intercept(entry string, r *http.Request) bool {
-	u.mu.Lock()
-	down, late, began := u.down || u.report.ID == "", u.startDelay, u.began
-	if late > 0 && r.URL.Path == "/api/run-start" {
-		u.startDelay = 0
-	} else {
-		late = 0
-	}
-	u.mu.Unlock()
-	if down {
-		panic(http.ErrAbortHandler)
-	}
-	if late > 0 {
-		q := r.Clone(r.Context())
-		var b json.RawMessage
-		if json.NewDecoder(r.Body).Decode(&b) == nil {
-			u.site.faults.begin(lateFault(q))
-			go u.startLate(entry, q, b, late, began)
-		}
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	return false
-}
-
-// startLate executes the order to start a run after a delay, when the caller no longer
-// waits for it, unless a new incarnation has begun.
-func (u *Upstream) startLate(entry string, r *http.Request, body []byte, after time.Duration, began time.Time) {
-	defer u.site.faults.end(lateFault(r))
-	time.Sleep(after)
-	var s struct {
-		Task       string `json:"task"`
-		Run        int64  `json:"run"`
-		Spec       string `json:"spec"`
-		DeadlineMs int64  `json:"deadlineMs"`
-		Token      int64  `json:"fencingToken"`
-		Checkpoint string `json:"checkpoint"`
-	}
-	if json.Unmarshal(body, &s) != nil || r.Header.Get("Expect-Instance") != u.id() || !u.isIncarnation(began) {
-		return
-	}
-	begin := time.Now()
-	f := u.start(entry, platform.Start{Task: s.Task, Run: s.Run, Spec: s.Spec, DeadlineMs: s.DeadlineMs, Token: s.Token, Checkpoint: s.Checkpoint})
-	u.site.recordLate(s.Task, begin)
-	u.site.addEvent("late order of %s: %s", s.Task, refusal(f))
-}
-
-// lateFault returns the name of the fault of a start that is carried out late.
-func lateFault(r *http.Request) string { return fmt.Sprintf("late start %p", r) }
-
-func refusal(f serve.Refusal) string {
-	if f.Status == 0 {
-		return "carried out"
-	}
-	return "refused (" + f.Reason + ")"
-}
-
-// setDown makes the upstream unreachable. Waiting polls end without an answer.
-func (u *Upstream) setDown() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.site.faults.begin("dark " + u.machine)
-	u.down = true
-	close(u.wake)
-	u.wake = make(chan struct{})
-}
-
 // fenced reports whether a fencing token is lower than the highest one so far. A higher
 // token becomes the highest.
 func (u *Upstream) fenced(token int64) bool {
@@ -422,51 +350,5 @@
 	u.site.store.Put(platform.TopicUpstreams, serve.Report(u.report))
 }
 
-// restart ends all runs and begins a new incarnation under an ID in a pool.
-func (u *Upstream) restart(id, pool string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.lockedRestart(id, pool)
-}
-
-// reboot is restart with the same ID in the same pool.
-func (u *Upstream) reboot() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.lockedRestart(u.report.ID, u.report.Pool)
-}
-
-// takeDown ends all runs for a move or upkeep of the host.
-func (u *Upstream) takeDown(pool string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.endFinishedRuns()
-	for _, n := range slices.Sorted(maps.Keys(u.runs)) {
-		u.site.recordOrder(n, u.down)
-		u.crash(u.runs[n])
-	}
-	u.lockedRestart("", pool)
-}
-
-// crash ends a run that nothing is reported of.
-func (u *Upstream) crash(r *running) {
-	delete(u.runs, r.task)
-	u.site.recordEnd(&endRecord{Ended: platform.Ended{Task: r.task, Run: r.run, End: "crashed"}, upstream: u})
-}
-
-func (u *Upstream) lockedRestart(id, pool string) {
-	u.site.voidEnds(u.ended)
-	for _, r := range u.runs {
-		u.crash(r)
-	}
-	u.runs, u.highestFinished, u.ended = make(map[string]*running), make(map[string]int64), nil
-	u.token, u.lastEndNumber, u.deadline, u.began, u.down = 0, 0, 0, time.Now(), false
-	u.site.faults.end("dark " + u.machine)
-	u.lapse.Store(nil)
-	u.report.ID, u.report.Pool, u.report.StartUnixMs = id, pool, time.Now().UnixMilli()
-	close(u.wake)
-	u.wake = make(chan struct{})
-}
-
 // ticket returns the ticket by which the advice service admits a step to an upstream.
 func ticket(step, upstream string) string { return fmt.Sprintf("%s@%s", step, upstream) }
