--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -58,6 +58,8 @@
 	sched *scheduler.Scheduler
 	// steppedAt is the time of the last event.
 	steppedAt time.Time
+	// workers runs the calls to upstreams.
+	workers workers
 	// appends has capacity for the one batch that may be in progress.
 	appends chan scheduler.Append
 	// timer posts scheduler.Woken at wakeAt, when the scheduler must run next.
@@ -117,6 +119,7 @@
 	}
 	o.cancel()
 	o.timer.Stop()
+	o.workers.close()
 	go o.duty.Stop()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -263,13 +266,14 @@
 	case scheduler.Append:
 		o.appends <- op
 	case scheduler.Poll:
-		go o.pollHost(op, time.Now())
+		now := time.Now()
+		o.workers.run(func() { o.pollHost(op, now) })
 	case scheduler.Start:
-		go o.start(op)
+		o.workers.run(func() { o.start(op) })
 	case scheduler.Stop:
-		go o.stop(op)
+		o.workers.run(func() { o.stop(op) })
 	case scheduler.Pace:
-		go o.pace(op)
+		o.workers.run(func() { o.pace(op) })
 	case scheduler.Advise:
 		go o.advise(op)
 	case scheduler.Count:
