scheduler: the sum of a backlog no longer costs the same for each arrival however large it is

Admission summed all accepted jobs, tasks and runs up to 100 times a second: 11% of an owner's time in BenchmarkTurn, and more as work waits. The sum is now kept the longer the more runs and jobs there are, at most 100 ms, and visits only the tasks of steps that have runs. A round of placement doesn't visit all runs for one on trial, unless the upstream has some that started so.

--- a/entry/scheduler/admit.go
+++ b/entry/scheduler/admit.go
@@ -181,14 +181,31 @@
 	return at.Sub(now) + time.Duration(left/room*float64(time.Second)), true
 }
 
-// _backlogAge is how long a crowded pool uses a sum of its backlog. The time to sum it grows
-// with the jobs, and the wait that follows from it changes by no more than its age.
-const _backlogAge = 10 * time.Millisecond
+// _backlogAge is how long a crowded pool uses a sum of its backlog: so long for each _manyRuns runs
+// and each _manyOccurrences jobs, over which the time to sum it grows. The wait that follows from the
+// sum changes by no more than its age.
+const (
+	_backlogAge    = 10 * time.Millisecond
+	_manyRuns      = 500
+	_maxBacklogAge = 100 * time.Millisecond
+)
+
+// backlogAge returns how long a sum of the backlog is used.
+func (s *Scheduler) backlogAge() time.Duration {
+	if !s.crowded() {
+		return 0
+	}
+	n := 0
+	for _, c := range s.hosts.states {
+		n += c
+	}
+	return min(_backlogAge*time.Duration(1+n/_manyRuns+len(s.active)/_manyOccurrences), _maxBacklogAge)
+}
 
-// recentBacklog returns the backlog as of at most _backlogAge ago, with the jobs that were
+// recentBacklog returns the backlog as of at most backlogAge ago, with the jobs that were
 // accepted since.
 func (s *Scheduler) recentBacklog(now time.Time) backlog {
-	if !s.crowded() || now.Sub(s.summedAt) >= _backlogAge {
+	if now.Sub(s.summedAt) >= s.backlogAge() {
 		s.summed, s.summedAt = s.backlog(now), now
 	}
 	return s.summed
@@ -245,6 +262,9 @@
 	}
 	b.busy += float64(st.running) * cpu
 	b.waiting += float64(max(0, st.left-st.running)) * cpu * d.Seconds()
+	if st.running == 0 {
+		return
+	}
 	for i := range st.tasks {
 		for _, r := range st.tasks[i].runs {
 			rest := r.rest(now, d)
@@ -262,6 +282,9 @@
 func (s *Scheduler) expectedDuration(st *step) time.Duration {
 	sum, n := st.took.mean*float64(st.took.n), st.took.n
 	for i := range st.tasks {
+		if st.running == 0 {
+			break
+		}
 		for _, r := range st.tasks[i].runs {
 			if d, ok := r.whole(); ok {
 				sum, n = sum+float64(d)/s.remoteFactor(st, r.host), n+1
--- a/entry/scheduler/crash.go
+++ b/entry/scheduler/crash.go
@@ -101,7 +101,7 @@
 }
 
 // onTrial reports whether a run on the upstream is on trial.
-func (h *host) onTrial() bool { return slices.ContainsFunc(h.runs, (*run).onTrial) }
+func (h *host) onTrial() bool { return h.tried > 0 && slices.ContainsFunc(h.runs, (*run).onTrial) }
 
 // settled reports whether all runs on the upstream have lasted for a time.
 func (h *host) settled(d time.Duration) bool {
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -64,6 +64,8 @@
 
 	used platform.Capacity
 	runs []*run
+	// tried counts the runs that started on trial, whether or not they are settled.
+	tried int
 	// expired are the runs whose leases lapsed last while the upstream was unreachable. It may
 	// prove to have crashed.
 	expired []*run
@@ -346,6 +348,9 @@
 	h.runs = append(h.runs, r)
 	r.host = h
 	h.count(r.state, 1)
+	if r.trial > 0 {
+		h.tried++
+	}
 	h.charge(r.task.step, 1)
 }
 
@@ -357,6 +362,9 @@
 	h.touch()
 	h.runs = slices.Delete(h.runs, i, i+1)
 	h.count(r.state, -1)
+	if r.trial > 0 {
+		h.tried--
+	}
 	h.charge(r.task.step, -1)
 }
 
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -116,7 +116,7 @@
 // place runs one round of placement over the waiting tasks.
 func (s *Scheduler) place(now time.Time) {
 	s.placedAt, s.suspectWaits = now, false
-	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
+	p := &pass{s: s, now: now, reserved: make(map[*host]bool), hosts: make([]*host, 0, len(s.hosts.order))}
 	for _, h := range s.hosts.order {
 		switch {
 		case h.unresponsive(now, s.flow.delay):
