scheduler: placing a step no longer compares all upstreams for each of its tasks

Tasks of a step are alike, and each that starts on an upstream makes it cheaper for the next: the upstream chosen last is the best again while it has room. Otherwise an upstream is left out at once if the CPU that would stay free makes it dearer than the best so far. Without waiting tasks, a round visits no upstream.

--- a/entry/scheduler/cost.go
+++ b/entry/scheduler/cost.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"fescuelanding/platform"
+)
 
 // Costs of placing a task on an upstream. The method cost adds them to the share
 // of the upstream's CPU that would stay free, a number from zero to one.
@@ -36,8 +40,8 @@
 // an upstream that runs one can't leave the pool. But long-running tasks of one
 // step are spread over upstreams and racks.
 func (p *pass) cost(t *task, h *host) float64 {
-	st, f := t.step, h.free()
-	c := float64(f.MilliCPU-st.def.GetMilliCpu()) / float64(max(1, h.up.Capacity.MilliCPU))
+	st := t.step
+	c := freeShare(t, h, h.free())
 	if st.def.GetLongRunning() {
 		if h.longRunning() == 0 {
 			c += _costFirstLongRunning
@@ -62,6 +66,11 @@
 	return c
 }
 
+// freeShare returns the share of an upstream's CPU that stays free beside a task, given its free capacity.
+func freeShare(t *task, h *host, f platform.Capacity) float64 {
+	return float64(f.MilliCPU-t.step.def.GetMilliCpu()) / float64(max(1, h.up.Capacity.MilliCPU))
+}
+
 // countOnRack returns the number of runs of a step on a rack.
 func (p *pass) countOnRack(st *step, rack string) int {
 	n := 0
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -116,7 +116,12 @@
 // place runs one round of placement over the waiting tasks.
 func (s *Scheduler) place(now time.Time) {
 	s.placedAt, s.suspectWaits = now, false
-	p := &pass{s: s, now: now, reserved: make(map[*host]bool), hosts: make([]*host, 0, len(s.hosts.order))}
+	p := &pass{s: s, now: now, reserved: make(map[*host]bool)}
+	all := p.waiting()
+	if len(all) == 0 {
+		return
+	}
+	p.hosts = make([]*host, 0, len(s.hosts.order))
 	for _, h := range s.hosts.order {
 		switch {
 		case h.unresponsive(now, s.flow.delay):
@@ -132,7 +137,6 @@
 	if len(p.hosts)+len(p.drained) == 0 {
 		return
 	}
-	all := p.waiting()
 	p.findOpen(all)
 	slices.SortStableFunc(all, func(a, b ranked) int { return a.rank.compare(b.rank) })
 	s.takeTurns(all)
@@ -214,6 +218,9 @@
 	// held are the workspaces of which no further tasks start, because one has waited long
 	// for room in the share.
 	held map[string]bool
+	// last is the upstream that pick chose last, for a task of the step lastStep.
+	last     *host
+	lastStep *step
 }
 
 // findOpen sets the upstreams with enough free CPU.
@@ -314,7 +321,32 @@
 
 // pick returns the best upstream for a task, or nil. A non-empty rack restricts
 // the choice.
-func (p *pass) pick(t *task, rack string) *host { return p.pickFrom(p.open, t, rack) }
+func (p *pass) pick(t *task, rack string) *host {
+	if rack == "" && p.lastStillBest(t) {
+		return p.last
+	}
+	h := p.pickFrom(p.open, t, rack)
+	p.last, p.lastStep = h, t.step
+	if !p.plain(t) {
+		p.last = nil
+	}
+	return h
+}
+
+// plain reports whether the cost of an upstream is the same for a task as for all others of its step, and
+// falls with each of them that starts there.
+func (p *pass) plain(t *task) bool {
+	d := t.step.def
+	return t.avoid == "" && !d.GetLongRunning() && !d.GetFills() && p.trial(t) == 0
+}
+
+// lastStillBest reports whether the upstream chosen last is also the best one for a task. The tasks of
+// a step are alike, and each that starts there lowers the cost of the next.
+func (p *pass) lastStillBest(t *task) bool {
+	h := p.last
+	return h != nil && p.lastStep == t.step && p.plain(t) && !p.reserved[h] && !h.onTrial() &&
+		p.allowed(t, h) && fitsIn(t.step.def, h.free())
+}
 
 // _reclaimAfter is how long a task waits for room before it is placed on an upstream that is being
 // vacated. It leaves the time until a long-running task has to be at work again to the start.
@@ -351,7 +383,12 @@
 		return nil
 	}
 	for _, h := range hosts {
-		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !fitsIn(t.step.def, h.free()) || !p.admits(t, h, d) {
+		f := h.free()
+		// Nothing lowers the cost below the share of the CPU that stays free.
+		if best != nil && freeShare(t, h, f) >= low || !fitsIn(t.step.def, f) {
+			continue
+		}
+		if p.reserved[h] || rack != "" && h.rack != rack || !p.allowed(t, h) || !p.admits(t, h, d) {
 			continue
 		}
 		c := p.cost(t, h)
