owner: events that are waiting are handled together

After each event the scheduler looked for work that is due, sorted the upstreams concerned and set its timer. An owner that is behind now handles up to 16 waiting events at once, callers' and the planner's first as before.

--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -53,9 +53,11 @@
 	log     *logging.Log
 	ctx     context.Context
 	cancel  context.CancelFunc
-	// duty is the actor that runs step. Only step uses sched, steppedAt and wakeAt.
+	// duty is the actor that runs step. Only step uses sched, batch, steppedAt and wakeAt.
 	duty  *duty.Duty[scheduler.Event]
 	sched *scheduler.Scheduler
+	// batch are the events that the scheduler handles next.
+	batch []scheduler.Event
 	// steppedAt is the time of the last event.
 	steppedAt time.Time
 	// workers runs the calls to upstreams.
@@ -218,14 +220,24 @@
 	return nil
 }
 
-// step processes one event; it runs on the actor.
+// _maxBatch is the number of events that the scheduler handles at once while more are waiting.
+const _maxBatch = 16
+
+// step processes an event; it runs on the actor. Events that are waiting are handled together, so that
+// the work that is due after them is looked for once.
 func (o *Owner) step(now time.Time, e scheduler.Event) {
+	o.batch = append(o.batch, e)
+	if len(o.batch) < _maxBatch && o.duty.Waiting() > 0 {
+		return
+	}
 	if d := permit.Suspended(o.steppedAt, now); !o.steppedAt.IsZero() && d > _minSuspension {
 		o.log.Warn("Process was suspended, or its time of day was set forward.", "pool", o.pool, "forMs", d.Milliseconds())
 		o.run(now, scheduler.Suspended{For: d})
 	}
 	o.steppedAt = now
-	o.run(now, e)
+	o.run(now, o.batch...)
+	clear(o.batch)
+	o.batch = o.batch[:0]
 	if o.sched.Lost() {
 		// Another owner has fenced this one off.
 		o.cancel()
@@ -243,9 +255,9 @@
 // suspension. Below, it may be due to the wall clock's slewing.
 const _minSuspension = 50 * time.Millisecond
 
-// run passes an event to the scheduler and executes the operations that it returns.
-func (o *Owner) run(now time.Time, e scheduler.Event) {
-	for _, op := range o.sched.Step(now, e) {
+// run passes events to the scheduler and executes the operations that it returns.
+func (o *Owner) run(now time.Time, events ...scheduler.Event) {
+	for _, op := range o.sched.Step(now, events...) {
 		o.execute(op)
 	}
 }
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -107,14 +107,16 @@
 // Jobs returns the number of jobs that haven't ended.
 func (s *Scheduler) Jobs() int { return len(s.active) }
 
-// Step handles an event and returns the ops to carry out.
-func (s *Scheduler) Step(now time.Time, e Event) []Op {
+// Step handles events in their order and returns the ops to carry out.
+func (s *Scheduler) Step(now time.Time, events ...Event) []Op {
 	s.ops = nil
-	if s.lost {
-		s.refuseNotOwner(e)
-		return s.ops
+	for _, e := range events {
+		if s.lost {
+			s.refuseNotOwner(e)
+		} else {
+			s.handle(now, e)
+		}
 	}
-	s.handle(now, e)
 	if !s.lost {
 		s.doDueWork(now)
 	}
--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -30,6 +30,7 @@
 			&cli.BoolFlag{Name: "recovery", Usage: "kill the pool's owner in each simulation, and print the time until the pool starts jobs again"},
 			&cli.BoolFlag{Name: "splits", Usage: "add splits of the network into two sides, and tasks that run for seconds"},
 			&cli.BoolFlag{Name: "cancels", Usage: "have half of the jobs cancelled, while their tasks run for seconds"},
+			&cli.BoolFlag{Name: "batches", Usage: "have owners fall behind their events, and handle several at once"},
 			&cli.BoolFlag{Name: "trace", Usage: "print the trace of the first seed's simulation, and run no other"},
 			&cli.StringFlag{Name: "load", Usage: "replay the load in this file with each seed, and print the results"},
 		},
@@ -43,7 +44,9 @@
 		return replay(f, from, c.Uint64("seeds"), c.Bool("trace"))
 	}
 	world := func(seed uint64, trace io.Writer) *emulator.World {
-		return emulator.New(emulator.Settings{Seed: seed, Splits: c.Bool("splits"), Cancels: c.Bool("cancels"), Trace: trace})
+		return emulator.New(emulator.Settings{
+			Seed: seed, Splits: c.Bool("splits"), Cancels: c.Bool("cancels"), Batches: c.Bool("batches"), Trace: trace,
+		})
 	}
 	if c.Bool("trace") {
 		return report(from, world(from, os.Stdout).Run())
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -89,6 +89,16 @@
 // _smallRecordSeeds is how many histories with small records the test plays at most.
 const _smallRecordSeeds = 40
 
+// TestBusyOwners plays histories in which owners fall behind their events, and handle several at once.
+func TestBusyOwners(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{Batches: true}, _busySeeds)
+	playSeedsUpTo(t, emulator.Settings{Batches: true, Splits: true}, _splitSeeds)
+}
+
+// _busySeeds is how many histories with busy owners the test plays at most. The command play --batches
+// plays more.
+const _busySeeds = 80
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -36,6 +36,8 @@
 	pastWakes int
 	sequence  scheduler.AppendSequence
 	// lastRef numbers the requests, waiting holds the callbacks of those without an answer.
+	// batch are the events that the scheduler handles together with the next one.
+	batch   []scheduler.Event
 	lastRef scheduler.Ref
 	waiting map[scheduler.Ref]func(*link.Answer)
 }
@@ -81,18 +83,43 @@
 	o.post(scheduler.Listed{Upstreams: l})
 }
 
-// post passes an event to the scheduler, executes the operations that it returns and
-// schedules its next wake.
+// post passes an event to the scheduler, at once or in a batch.
 func (o *owner) post(ev scheduler.Event) {
 	if !o.isCurrent() || o.ended {
 		return
 	}
+	o.batch = append(o.batch, ev)
+	if o.entry.world.settings.Batches && len(o.batch) < _maxBatch && o.entry.world.batches.IntN(2) == 0 {
+		// The entry is busy, and gets to the event when others have come.
+		if len(o.batch) == 1 {
+			o.entry.after(time.Duration(o.entry.world.batches.IntN(_busyMs))*time.Millisecond, o.flush)
+		}
+		return
+	}
+	o.flush()
+}
+
+// In histories with batches, an event waits up to _busyMs milliseconds for others, of which up to
+// _maxBatch are handled at once.
+const (
+	_maxBatch = 16
+	_busyMs   = 20
+)
+
+// flush passes the batch to the scheduler, executes the operations that it returns and schedules its
+// next wake.
+func (o *owner) flush() {
+	if !o.isCurrent() || o.ended || len(o.batch) == 0 {
+		return
+	}
+	batch := o.batch
+	o.batch = nil
 	now := o.entry.time()
 	if d := o.entry.missed - o.missed; d > 0 {
 		o.missed = o.entry.missed
 		o.step(now, scheduler.Suspended{For: d})
 	}
-	o.step(now, ev)
+	o.step(now, batch...)
 	next := o.sched.Next(now)
 	if next.IsZero() || next.Equal(o.nextWake) && o.nextWake.After(now) {
 		return
@@ -112,8 +139,8 @@
 	})
 }
 
-func (o *owner) step(now time.Time, ev scheduler.Event) {
-	for _, op := range o.sched.Step(now, ev) {
+func (o *owner) step(now time.Time, events ...scheduler.Event) {
+	for _, op := range o.sched.Step(now, events...) {
 		o.do(op)
 	}
 }
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -38,6 +38,8 @@
 	// SmallRecords has the store refuse all but small records and appends, so that the progress of
 	// most jobs has several records.
 	SmallRecords bool
+	// Batches has owners fall behind their events at times, and handle several at once.
+	Batches bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -116,6 +118,8 @@
 	splits *splits
 	// cancels draws which jobs are cancelled, or is nil.
 	cancels *rand.Rand
+	// batches draws which events wait for others.
+	batches *rand.Rand
 }
 
 // listEntry is an upstream's report with its time.
@@ -139,7 +143,7 @@
 func New(s Settings) *World {
 	s = s.withDefaults()
 	w := &World{
-		settings: s, rand: rand.New(rand.NewPCG(s.Seed, 0)), trace: s.Trace, store: site.NewStore(), listing: make(map[string]listEntry),
+		settings: s, rand: rand.New(rand.NewPCG(s.Seed, 0)), batches: rand.New(rand.NewPCG(s.Seed, 7)), trace: s.Trace, store: site.NewStore(), listing: make(map[string]listEntry),
 		gangs: make(map[gangKey]*gang), pools: []string{_pool},
 		queues: map[string]platform.Queue{_pool: {Name: "sizes", Pool: _pool, Attempts: 3, Stretch: 50, Target: time.Minute}},
 	}
