scheduler: while answers are slow, a poll collects the ends of several runs

An owner sent a poll for almost each run that ended. The pause before an upstream is polled again now grows from the time at which answers show that the entry is busy (6 ms), up to 60 ms, where a quarter of the ends come with another one; from 60 ms on it is the delay of the answers, as before from 50 ms.

--- a/entry/scheduler/flow.go
+++ b/entry/scheduler/flow.go
@@ -26,6 +26,11 @@
 	// _limitMemory is how long admission counts with the rate of starts after placement was
 	// last held up by the window.
 	_limitMemory = 500 * time.Millisecond
+	// Answers that take longer than _idleAnswer show that the entry is busy. From there on the pause
+	// between polls grows by _gatherFactor times as much, up to _gatherGap.
+	_idleAnswer   = 6 * time.Millisecond
+	_gatherFactor = 3
+	_gatherGap    = 60 * time.Millisecond
 	// _maxPollGap limits the pause between polls of an upstream while answers are slow.
 	_maxPollGap = 200 * time.Millisecond
 	// _maxDelay limits the delay by which timeouts are extended.
@@ -117,11 +122,12 @@
 // If the answers of all upstreams are late, then this entry is.
 func (f *flow) timeout(d time.Duration) time.Duration { return d + 2*min(f.delay, _maxDelay) }
 
-// pollGap returns the pause before an upstream is polled again. While answers are slow, the
-// ends of several runs are collected in one.
+// pollGap returns the pause before an upstream is polled again. The slower answers are, the more ends are
+// collected in one. An upstream in use ends some runs a second, so that a pause of _gatherGap spares a
+// quarter of the polls.
 func (f *flow) pollGap() time.Duration {
 	if f.delay < _quickAnswer {
-		return 0
+		return min(_gatherGap, _gatherFactor*max(0, f.delay-_idleAnswer))
 	}
-	return min(f.delay, _maxPollGap)
+	return min(max(f.delay, _gatherGap), _maxPollGap)
 }
