owner: metrics of what an owner handles and orders

Events and operations by kind, and the events that wait, on the address of ready. The processor time of the process was served there before.

--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -62,6 +62,7 @@
 	steppedAt time.Time
 	// workers runs the calls to upstreams.
 	workers workers
+	load    *load
 	// appends has capacity for the one batch that may be in progress.
 	appends chan scheduler.Append
 	// timer posts scheduler.Woken at wakeAt, when the scheduler must run next.
@@ -82,7 +83,7 @@
 	o := &Owner{
 		pool: set.Pool, token: set.Token, clients: p, log: g, ctx: ctx, cancel: cancel,
 		sched: scheduler.New(set), appends: make(chan scheduler.Append, 1),
-		pending: make(map[scheduler.Ref]chan *link.Answer),
+		pending: make(map[scheduler.Ref]chan *link.Answer), load: newLoad(set.Pool),
 	}
 	name := fmt.Sprintf("owner.%s.%d", set.Pool, set.Token)
 	d, err := duty.Spawn(sys, name, _maxEvents, duty.Refuse, o.step, duty.WithUrgent(isUrgent))
@@ -227,9 +228,11 @@
 // the work that is due after them is looked for once.
 func (o *Owner) step(now time.Time, e scheduler.Event) {
 	o.batch = append(o.batch, e)
-	if len(o.batch) < _maxBatch && o.duty.Waiting() > 0 {
+	waiting := o.duty.Waiting()
+	if len(o.batch) < _maxBatch && waiting > 0 {
 		return
 	}
+	o.load.handled(o.batch, waiting)
 	if d := permit.Suspended(o.steppedAt, now); !o.steppedAt.IsZero() && d > _minSuspension {
 		o.log.Warn("Process was suspended, or its time of day was set forward.", "pool", o.pool, "forMs", d.Milliseconds())
 		o.run(now, scheduler.Suspended{For: d})
@@ -272,6 +275,7 @@
 // execute executes an operation. Slow ones run in the background and post an event
 // with their result.
 func (o *Owner) execute(op scheduler.Op) {
+	o.load.ordered(op)
 	switch op := op.(type) {
 	case scheduler.Reply:
 		o.reply(op)
