--- a/entry/scheduler/place_test.go
+++ b/entry/scheduler/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,10 +39,7 @@
 			}
 			o := newOccurrence(&job{def: &work.Job{Id: fmt.Sprintf("%016d", i), Steps: []*work.Step{d}}}, 0)
 			st := o.steps[0]
-			p.least, p.open = 0, nil
-			for _, h := range p.hosts {
-				p.open = append(p.open, h)
-			}
+			p.least, p.open = 0, slices.Clone(p.hosts)
 			for x := range st.tasks {
 				c := &st.tasks[x]
 				c.avoid = rapid.SampledFrom([]string{"", "", "", "u00", "u01"}).Draw(t, "avoid")
