scheduler: a checkpoint no longer keeps its upstream's whole answer in memory

A task keeps its last checkpoint as long as the state of its job is kept, two minutes, so that each could have held about a kilobyte. TestCheckpointLeavesAnswer fails before.

--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"time"
 
 	"fescuelanding/platform"
@@ -80,9 +81,11 @@
 // saveCheckpoint stores the checkpoint from which a task resumes. All members of
 // a gang resume from the same checkpoint.
 func (s *Scheduler) saveCheckpoint(t *task, checkpoint string) {
-	if !t.step.def.GetCheckpointing() {
+	if !t.step.def.GetCheckpointing() || t.checkpoint == checkpoint {
 		return
 	}
+	// The text is part of the whole answer of the upstream.
+	checkpoint = strings.Clone(checkpoint)
 	t.checkpoint = checkpoint
 	if t.step.def.GetGang() {
 		for i := range t.step.tasks {
