--- a/entry/internal/owner/workers.go
+++ b/entry/internal/owner/workers.go
@@ -7,7 +7,9 @@
 
 // workers runs functions concurrently. It reuses goroutines, because a call to an upstream needs more stack
 // than a new goroutine has, and growing it costs as much as the call. Their number is that of
-// the functions that run, and at most _maxIdleWorkers more. The zero value is ready for use.
+// the functions that run, and at most _maxIdleWorkers more. The scheduler bounds the functions: two polls for each
+// upstream, a window of starts, and a stop or a pace for each run. What they send is as old as its permit allows, however
+// long they wait for a connection. The zero value is ready for use.
 type workers struct {
 	mu sync.Mutex
 	// idle are the goroutines that wait for a function, the last one used last.
