--- a/entry/internal/owner/metrics.go
+++ b/entry/internal/owner/metrics.go
@@ -24,3 +24,8 @@
 func countGivenUp(pool string, c scheduler.CountGivenUp) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("entry_runs_given_up_total{pool=%q,why=%q}", pool, c.Why)).Add(c.Runs)
 }
+
+// countStop counts a stop by its reason.
+func countStop(pool string, c scheduler.CountStop) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("entry_stops_total{pool=%q,why=%q}", pool, c.Why)).Inc()
+}
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -298,6 +298,8 @@
 		countCrash(o.pool, op)
 	case scheduler.CountGivenUp:
 		countGivenUp(o.pool, op)
+	case scheduler.CountStop:
+		countStop(o.pool, op)
 	case scheduler.Note:
 		o.log.Note(o.pool, op)
 	}
--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -122,7 +122,7 @@
 		// shortest and would bias the estimate.
 		s.learned.add(j.def.GetQueue(), st.def, st.took.mean, st.longest)
 	}
-	s.stopAll(now, t)
+	s.stopAll(now, t, stopTaskDone)
 	s.replan = true
 	if j.allDone() {
 		j.completed = true
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -286,6 +286,12 @@
 // CountCrash counts an upstream that crashed, and the runs that were lost with it.
 type CountCrash struct{ Runs int }
 
+// CountStop counts a stop that is sent, for the first time or again.
+type CountStop struct {
+	// Why is one of a few fixed texts.
+	Why string
+}
+
 func (Start) op()        {}
 func (Stop) op()         {}
 func (Pace) op()         {}
@@ -297,3 +303,4 @@
 func (Count) op()        {}
 func (CountCrash) op()   {}
 func (CountGivenUp) op() {}
+func (CountStop) op()    {}
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -92,15 +92,44 @@
 }
 
 // stop stops a run. Its task isn't placed again before the stop is confirmed.
-func (s *Scheduler) stop(now time.Time, r *run) {
+func (s *Scheduler) stop(now time.Time, r *run, why stopReason) {
 	if r.state == runStopping {
 		return
 	}
+	s.noteStop(now, r, why)
 	r.setState(runStopping)
 	r.stopDue = now
 	s.sendStop(now, r)
 }
 
+// stopReason is why a run is stopped, for the log and the metrics.
+type stopReason string
+
+const (
+	stopTaskDone    stopReason = "taskDone"
+	stopJobOver     stopReason = "jobOver"
+	stopSurplus     stopReason = "surplus"
+	stopUnconfirmed stopReason = "startUnconfirmed"
+	stopStuck       stopReason = "stuck"
+	stopEvacuated   stopReason = "evacuated"
+	stopHostDue     stopReason = "hostDue"
+	stopEvicted     stopReason = "evicted"
+	stopGang        stopReason = "gangIncomplete"
+	stopRepeated    stopReason = "repeated"
+)
+
+// noteStop counts a stop, and logs it if the step bounds its missing tasks.
+func (s *Scheduler) noteStop(now time.Time, r *run, why stopReason) {
+	s.emit(CountStop{Why: string(why)})
+	st := r.task.step
+	if st.def.GetMayMiss() == 0 || st.occurrence.job.over() {
+		return
+	}
+	s.logNote("Run of a step that bounds its missing tasks is stopped.", st.occurrence.job.def.GetId(), "task", r.task.name,
+		"run", r.number, "upstream", r.host.up.ID, "why", string(why), "missing", st.countUnavailable(r.task),
+		"mayMiss", st.def.GetMayMiss(), "confirmed", !r.started.IsZero(), "orderedMsAgo", now.Sub(r.ordered).Milliseconds())
+}
+
 func (s *Scheduler) sendStop(now time.Time, r *run) {
 	r.stopSent, r.stopDue = true, now
 	r.host.touch()
@@ -117,6 +146,7 @@
 	}
 	for _, r := range h.runs {
 		if r.state == runStopping && !r.stopSent && !now.Before(r.stopDue) {
+			s.noteStop(now, r, stopRepeated)
 			s.sendStop(now, r)
 		}
 	}
@@ -260,7 +290,7 @@
 	s.release(now, r)
 	if r.task.step.def.GetGang() {
 		for i := range r.task.step.tasks {
-			s.stopAll(now, &r.task.step.tasks[i])
+			s.stopAll(now, &r.task.step.tasks[i], stopGang)
 		}
 	}
 }
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -64,7 +64,7 @@
 	if t.done || t.step.occurrence.job.over() || duplicate {
 		s.logNote("Upstream has a run that its task doesn't need; stopping it.", t.step.occurrence.job.def.GetId(), "task", t.name,
 			"run", n.Run, "upstream", h.up.ID, "jobOver", t.step.occurrence.job.over(), "done", t.done)
-		s.stop(now, r)
+		s.stop(now, r, stopSurplus)
 	}
 	return r
 }
@@ -113,7 +113,7 @@
 			"upstream", r.host.up.ID, "percent", r.percent, "sinceMs", now.Sub(r.progressedAt).Milliseconds())
 		r.task.avoid = r.host.up.ID
 		r.host.health.eject(now)
-		s.stop(now, r)
+		s.stop(now, r, stopStuck)
 	}
 }
 
@@ -146,7 +146,7 @@
 		// The start may still be carried out late. The stop rules that out, so that
 		// the task can be placed again.
 		if r.ordered.Before(sent) {
-			s.stop(now, r)
+			s.stop(now, r, stopUnconfirmed)
 		}
 	case runOrdered:
 		// The start may still be on its way. Its answer is an event of its own, which may be
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -229,7 +229,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for i := range st.tasks {
-				s.stopAll(now, &st.tasks[i])
+				s.stopAll(now, &st.tasks[i], stopJobOver)
 			}
 		}
 	}
@@ -254,9 +254,9 @@
 	return n
 }
 
-func (s *Scheduler) stopAll(now time.Time, t *task) {
+func (s *Scheduler) stopAll(now time.Time, t *task, why stopReason) {
 	for _, r := range t.runs {
-		s.stop(now, r)
+		s.stop(now, r, why)
 	}
 }
 
--- a/entry/scheduler/vacate.go
+++ b/entry/scheduler/vacate.go
@@ -63,7 +63,7 @@
 		if r.reclaimed && !evicted && !p.roomElsewhere(r) {
 			continue
 		}
-		s.stop(now, r)
+		s.stop(now, r, stopEvacuated)
 		r.keepable = true
 	}
 }
@@ -87,7 +87,7 @@
 		for _, r := range h.cloneRuns() {
 			t := r.task
 			if t.step.def.GetLongRunning() && r.state == runRunning && t.step.mayMove(t) && p.roomOffWave(t) {
-				s.stop(now, r)
+				s.stop(now, r, stopHostDue)
 				r.keepable = true
 			}
 		}
@@ -112,11 +112,11 @@
 		s.logNote("Task is stopped, because its host is due.", st.occurrence.job.def.GetId(), "task", r.task.name,
 			"run", r.number, "upstream", h.up.ID, "ranMs", now.Sub(r.started).Milliseconds())
 		if !st.def.GetGang() {
-			s.stop(now, r)
+			s.stop(now, r, stopEvicted)
 			continue
 		}
 		for i := range st.tasks {
-			s.stopAll(now, &st.tasks[i])
+			s.stopAll(now, &st.tasks[i], stopEvicted)
 		}
 	}
 }
