scheduler: stop no task that its step can't miss to rule out a late start

Cause: a start without an answer was ruled out by a stop as soon as a poll didn't list the run, whatever else of the step was unavailable. The stop, or a repeat of it, met the run after the upstream had carried the start out late, and ended a task at work. Repeats didn't ask either, so that a stop that was allowed at first went on after others had become unavailable.

Change: each stop of a run asks when it is sent, also again (retains). A retained start is sent again under its number, which upstreams take for the same one, until it is answered, listed or too late; a retained stop is withdrawn. A refusal of a repeated start says nothing of the first one, and in a new incarnation it is unconfirmed again.

--- a/entry/scheduler/doc.go
+++ b/entry/scheduler/doc.go
@@ -47,6 +47,12 @@
 // that a further crash has one cause; a task that is to blame is given up. What is known of
 // crashes is in the progress of the job, and is durable before the task starts again.
 //
+// # Tasks that a step can't miss
+//
+// A long-running step may bound how many of its tasks are unavailable by the owner's doing. Each stop of
+// one asks for that when it is sent, also when it is sent again. A stop that isn't allowed any more is
+// withdrawn, and a start without an answer is sent again under its number rather than ruled out.
+//
 // # Limits of workspaces
 //
 // A workspace's limit holds over all pools. The planner gives each pool a share of it. A
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -383,6 +383,10 @@
 	// once the run has been listed for longer than a stop takes, because a former
 	// owner may have stopped it.
 	adoptedAt time.Time
+	// deadlineMs is the upstream's clock from which it rejects the start, repeated whether the start was
+	// sent again because it had no answer.
+	deadlineMs int64
+	repeated   bool
 	// stopped is when a stop was confirmed; zero before.
 	stopped time.Time
 	// stopDue is when a stop is to be sent, or was sent last if stopSent is set.
--- a/entry/scheduler/lives.go
+++ b/entry/scheduler/lives.go
@@ -86,6 +86,9 @@
 // confirmed after the poll was sent.
 func (s *Scheduler) restartUpstream(now, sent time.Time, h *host, l platform.UpstreamStatus) {
 	s.logNote("Upstream restarted under its ID.", "", "upstream", h.up.ID, "runs", len(h.runs), "was", h.born, "born", l.StartUnixMs)
+	for _, r := range h.runs {
+		r.doubtStart(l)
+	}
 	// A start without an answer counts too, although it may still reach the new incarnation: the
 	// upstream may have crashed while it carried it out.
 	hopeless := s.recordCrash(now, h, "upstream restarted", slices.DeleteFunc(h.cloneRuns(), func(r *run) bool {
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -56,6 +56,7 @@
 	if t.step.tickets.byHost != nil {
 		o.Ticket = t.step.tickets.byHost[h.up.ID]
 	}
+	r.deadlineMs = o.DeadlineMs
 	s.emit(Start{
 		Host: h.up.ID, Target: h.target, Order: o,
 		Permit: s.ownerPermit(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
@@ -146,6 +147,10 @@
 	}
 	for _, r := range h.runs {
 		if r.state == runStopping && !r.stopSent && !now.Before(r.stopDue) {
+			if s.retains(r) {
+				s.withdrawStop(now, r)
+				continue
+			}
 			s.noteStop(now, r, stopRepeated)
 			s.sendStop(now, r)
 		}
@@ -285,8 +290,15 @@
 }
 
 // releaseUnstarted ends a run that never began. The other members of its gang, which would
-// wait for it in vain, are stopped.
+// wait for it in vain, are stopped. Of a start that was sent before without an answer, the
+// refusal says nothing.
 func (s *Scheduler) releaseUnstarted(now time.Time, r *run) {
+	if r.repeated {
+		if r.state == runOrdered {
+			r.setState(runUnconfirmed)
+		}
+		return
+	}
 	s.release(now, r)
 	if r.task.step.def.GetGang() {
 		for i := range r.task.step.tasks {
@@ -317,6 +329,7 @@
 	case platform.ReasonOld:
 		// The upstream has already seen this run number or a higher one.
 		r.task.lastRun += _runNumberGap
+		r.repeated = false
 	case platform.ReasonTicket:
 		r.task.step.tickets = tickets{}
 	case platform.ReasonRoom:
--- a/entry/scheduler/runs.go
+++ b/entry/scheduler/runs.go
@@ -29,7 +29,7 @@
 		// If the list is full, the end of a missing run may be on the next one. Starts without an answer
 		// are ruled out nevertheless, because no end is acknowledged before, and the list stays full.
 		if !listed[r] && (!full || r.state == runUnconfirmed || r.state == runOrdered) {
-			s.reconcileMissing(now, r, e.Sent)
+			s.reconcileMissing(now, r, e)
 		}
 	}
 }
@@ -132,7 +132,8 @@
 }
 
 // reconcileMissing handles a run that a poll doesn't list.
-func (s *Scheduler) reconcileMissing(now time.Time, r *run, sent time.Time) {
+func (s *Scheduler) reconcileMissing(now time.Time, r *run, e Polled) {
+	sent := e.Sent
 	switch r.state {
 	case runRunning:
 		if r.started.Before(sent) {
@@ -143,10 +144,8 @@
 			s.release(now, r)
 		}
 	case runUnconfirmed:
-		// The start may still be carried out late. The stop rules that out, so that
-		// the task can be placed again.
 		if r.ordered.Before(sent) {
-			s.stop(now, r, stopUnconfirmed)
+			s.settleStart(now, r, e)
 		}
 	case runOrdered:
 		// The start may still be on its way. Its answer is an event of its own, which may be
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -99,16 +99,34 @@
 // plays more.
 const _busySeeds = 80
 
+// TestAvailStopOfUnconfirmedStart plays histories in which some orders are executed late, and others in
+// time. A stop that was to rule out a late start ended a task that its step couldn't miss.
+func TestAvailStopOfUnconfirmedStart(t *testing.T) {
+	playFile(t, "testdata/lateOrders.txt", emulator.Settings{LateOrders: true})
+	playSeedsUpTo(t, emulator.Settings{LateOrders: true}, _lateSeeds)
+}
+
+// _lateSeeds is how many histories with late orders the test plays at most, besides those that failed.
+// The command play --late plays more.
+const _lateSeeds = 60
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
-	text, err := os.ReadFile("testdata/seeds.txt")
+	playFile(t, "testdata/seeds.txt", emulator.Settings{})
+}
+
+// playFile plays the seeds that a file lists.
+func playFile(t *testing.T, name string, s emulator.Settings) {
+	t.Helper()
+	text, err := os.ReadFile(name)
 	assert.NilError(t, err)
 	for line := range strings.Lines(string(text)) {
 		var seed uint64
 		if _, err := fmt.Sscan(line, &seed); err != nil {
 			continue // a comment
 		}
-		for _, v := range emulator.New(emulator.Settings{Seed: seed}).Run() {
+		s.Seed = seed
+		for _, v := range emulator.New(s).Run() {
 			t.Errorf("seed %d: %v", seed, v)
 		}
 	}
--- a/standin/emulator/idle.go
+++ b/standin/emulator/idle.go
@@ -93,7 +93,7 @@
 
 // lastFaultEnd returns when the last fault so far ends, which may be in the future.
 func (w *World) lastFaultEnd() time.Duration {
-	end := max(w.fault.lastEnd, w.crashedUntil)
+	end := max(w.fault.lastEnd, w.crashedUntil, w.lateOrders.end())
 	for _, e := range w.entries {
 		end = max(end, e.faultUntil)
 	}
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -296,7 +296,7 @@
 	w := u.world
 	switch {
 	case u.down:
-	case order && w.now < u.lateUntil || w.now < w.lateCallsUntil && w.rand.Float64() < w.lateCalls:
+	case order && (w.now < u.lateUntil || w.lateOrders.late(w.now)) || w.now < w.lateCallsUntil && w.rand.Float64() < w.lateCalls:
 		since := u.startedAt
 		w.after(w.between(200*time.Millisecond, _maxLate), func() {
 			if u.startedAt == since && !u.down {
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -35,6 +35,9 @@
 	Splits bool
 	// Cancels has half of the jobs cancelled, while their tasks run for seconds.
 	Cancels bool
+	// LateOrders has upstreams execute some orders late and others in time, with half of the jobs
+	// long-running.
+	LateOrders bool
 	// SmallRecords has the store refuse all but small records and appends, so that the progress of
 	// most jobs has several records.
 	SmallRecords bool
@@ -118,6 +121,8 @@
 	splits *splits
 	// cancels draws which jobs are cancelled, or is nil.
 	cancels *rand.Rand
+	// lateOrders draws which orders are late, or is nil.
+	lateOrders *lateOrders
 	// batches draws which events wait for others.
 	batches *rand.Rand
 }
@@ -174,6 +179,9 @@
 	if s.Cancels {
 		w.cancels = newCancels(s.Seed)
 	}
+	if s.LateOrders {
+		w.lateOrders = newLateOrders(s.Seed)
+	}
 	return w
 }
 
@@ -217,6 +225,7 @@
 		w.planLongOutage()
 		w.planListLag()
 		w.planSplits()
+		w.lateOrders.plan(w)
 	}
 	if k := w.settings.KillOwner; k > 0 {
 		w.after(k, func() {
@@ -279,6 +288,7 @@
 	}
 	w.limitJob(d)
 	w.splitJob(d)
+	w.lateOrders.planJob(d)
 	w.planCrash(j)
 	w.ledger.jobs[d.GetId()] = j
 	at := w.between(800*time.Millisecond, w.settings.SubmitPeriod)
