scheduler: send no start of a former owner again

A start without an answer is sent again where its step can't miss the task.

Such a run is stopped, as before; the upstream rejects the former owner's late start by its token.

A run's deadline is the latest of all its starts, since one that was meant for a former incarnation counts by another clock.

--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -383,8 +383,8 @@
 	// once the run has been listed for longer than a stop takes, because a former
 	// owner may have stopped it.
 	adoptedAt time.Time
-	// deadlineMs is the upstream's clock from which it rejects the start, repeated whether the start was
-	// sent again because it had no answer.
+	// deadlineMs is the upstream's clock from which it rejects all starts that were sent for the run, in any
+	// incarnation. repeated is set once the start was sent again, because it had no answer.
 	deadlineMs int64
 	repeated   bool
 	// stopped is when a stop was confirmed; zero before.
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -56,7 +56,7 @@
 	if t.step.tickets.byHost != nil {
 		o.Ticket = t.step.tickets.byHost[h.up.ID]
 	}
-	r.deadlineMs = o.DeadlineMs
+	r.deadlineMs = max(r.deadlineMs, o.DeadlineMs)
 	s.emit(Start{
 		Host: h.up.ID, Target: h.target, Order: o,
 		Permit: s.ownerPermit(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
--- a/entry/scheduler/retain.go
+++ b/entry/scheduler/retain.go
@@ -7,10 +7,11 @@
 )
 
 // retains reports whether a run must not be stopped, because its step can't miss the task now. A run
-// beside another one of its task is never retained.
+// beside another one of its task is never retained, nor is one of a former owner that no poll has listed:
+// the task may run elsewhere, and the upstream rejects that owner's starts by now.
 func (s *Scheduler) retains(r *run) bool {
 	t := r.task
-	return !t.done && len(t.runs) == 1 && !t.step.def.GetGang() && !t.step.mayStop(t)
+	return !t.done && len(t.runs) == 1 && !r.inherited && !t.step.def.GetGang() && !t.step.mayStop(t)
 }
 
 // settleStart settles a start that had no answer, and whose run a poll doesn't list. It may still be
@@ -21,9 +22,6 @@
 		s.stop(now, r, stopUnconfirmed)
 		return
 	}
-	if r.deadlineMs == 0 {
-		r.deadlineMs = e.Result.ClockMs + _lease.Milliseconds()
-	}
 	switch {
 	case e.Result.ClockMs > r.deadlineMs && len(e.Result.Ended) < _maxListedEnds:
 		// The upstream rejects the start from now on, and no end is missing from the list.
