--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -32,6 +32,7 @@
 			&cli.BoolFlag{Name: "cancels", Usage: "have half of the jobs cancelled, while their tasks run for seconds"},
 			&cli.BoolFlag{Name: "batches", Usage: "have owners fall behind their events, and handle several at once"},
 			&cli.BoolFlag{Name: "late", Usage: "have some orders executed late and others in time, with half of the jobs long-running"},
+			&cli.BoolFlag{Name: "power-loss", Usage: "cut the power of all entries at once after the other faults, while callers go on"},
 			&cli.BoolFlag{Name: "trace", Usage: "print the trace of the first seed's simulation, and run no other"},
 			&cli.StringFlag{Name: "load", Usage: "replay the load in this file with each seed, and print the results"},
 		},
@@ -47,7 +48,7 @@
 	world := func(seed uint64, trace io.Writer) *emulator.World {
 		return emulator.New(emulator.Settings{
 			Seed: seed, Splits: c.Bool("splits"), Cancels: c.Bool("cancels"), Batches: c.Bool("batches"),
-			LateOrders: c.Bool("late"), Trace: trace,
+			LateOrders: c.Bool("late"), PowerLoss: c.Bool("power-loss"), Trace: trace,
 		})
 	}
 	if c.Bool("trace") {
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -110,6 +110,16 @@
 // The command play --late plays more.
 const _lateSeeds = 60
 
+// TestRecoverAfterPowerLoss plays histories in which all entries lose power at once after the other faults.
+func TestRecoverAfterPowerLoss(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{PowerLoss: true}, _powerLossSeeds)
+	playSeedsUpTo(t, emulator.Settings{PowerLoss: true, LateOrders: true}, _powerLossSeeds)
+}
+
+// _powerLossSeeds is how many histories with each of these settings the test plays at most. The command
+// play --power-loss plays more.
+const _powerLossSeeds = 40
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	playFile(t, "testdata/seeds.txt", emulator.Settings{})
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -39,6 +39,7 @@
 //	         its long-running tasks run while the platform is calm and has room
 //	MIXED    a completed job has all its tasks done
 //	AVAIL    orders make no more tasks of a step unavailable than its mayMiss allows
+//	RECOVER  entries serve again some time after all of them have lost power
 //	LIMIT    runs don't exceed the capacity of a host, and a wave takes no more hosts
 //	         down at once than it allows
 //	QUOTA    a start doesn't bring what a workspace has running above its limit
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -38,6 +38,8 @@
 	// LateOrders has upstreams execute some orders late and others in time, with half of the jobs
 	// long-running.
 	LateOrders bool
+	// PowerLoss cuts the power of all entries at once after the other faults, while callers go on.
+	PowerLoss bool
 	// SmallRecords has the store refuse all but small records and appends, so that the progress of
 	// most jobs has several records.
 	SmallRecords bool
@@ -123,6 +125,8 @@
 	cancels *rand.Rand
 	// lateOrders draws which orders are late, or is nil.
 	lateOrders *lateOrders
+	// powerLoss draws the loss of power, or is nil.
+	powerLoss *powerLoss
 	// batches draws which events wait for others.
 	batches *rand.Rand
 }
@@ -179,6 +183,9 @@
 	if s.Cancels {
 		w.cancels = newCancels(s.Seed)
 	}
+	if s.PowerLoss {
+		w.powerLoss = newPowerLoss(s.Seed)
+	}
 	if s.LateOrders {
 		w.lateOrders = newLateOrders(s.Seed)
 	}
@@ -226,6 +233,7 @@
 		w.planListLag()
 		w.planSplits()
 		w.lateOrders.plan(w)
+		w.powerLoss.plan(w)
 	}
 	if k := w.settings.KillOwner; k > 0 {
 		w.after(k, func() {
@@ -240,6 +248,7 @@
 		end += _longDrain
 	}
 	w.run(end)
+	w.powerLoss.check(&w.ledger, w.lastFaultEnd())
 	w.ledger.checkAtEnd()
 	return w.ledger.violations
 }
