scheduler: rule out a retained start by a stop once it is too late

A retained start that can't be sent again was given up once the upstream's clock was past its deadline. A stop has to be answered now before the task is placed again; it can't end a task at work, as the start is too late.

--- a/entry/scheduler/retain.go
+++ b/entry/scheduler/retain.go
@@ -16,16 +16,13 @@
 
 // settleStart settles a start that had no answer, and whose run a poll doesn't list. It may still be
 // carried out. A stop rules that out, so that the task can be placed elsewhere, but ends the task if the
-// start is carried out before it. The start of a retained run is sent again under its number instead.
+// start is carried out before it. The start of a retained run is sent again under its number instead, unless
+// it is too late for all that were sent.
 func (s *Scheduler) settleStart(now time.Time, r *run, e Polled) {
-	if !s.retains(r) {
-		s.stop(now, r, stopUnconfirmed)
-		return
-	}
+	tooLate := e.Result.ClockMs > r.deadlineMs
 	switch {
-	case e.Result.ClockMs > r.deadlineMs && len(e.Result.Ended) < _maxListedEnds:
-		// The upstream rejects the start from now on, and no end is missing from the list.
-		s.release(now, r)
+	case tooLate || !s.retains(r):
+		s.stop(now, r, stopUnconfirmed)
 	case r.host.usable(now) && now.Sub(r.ordered) >= _repeatStartDelay:
 		s.repeatStart(now, r)
 	}
