--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -74,8 +74,27 @@
 	}
 }
 
+// TestStopsAreCountedByReason checks the reasons that scripts of testdata give for stops.
+func TestStopsAreCountedByReason(t *testing.T) {
+	for name, want := range map[string]map[string]int{
+		"mayMiss":                           {"evacuated": 2},
+		"availStopOfUnconfirmedStartInTime": {"startUnconfirmed": 1},
+		"stopWithoutEffect":                 {"jobOver": 1, "repeated": 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, playScript(t, filepath.Join("testdata", name+".txt")).stopCounts, want)
+		})
+	}
+}
+
 // runScript returns the output of a script.
 func runScript(t *testing.T, file string) string {
+	t.Helper()
+	return playScript(t, file).out.String()
+}
+
+// playScript plays a script.
+func playScript(t *testing.T, file string) *player {
 	t.Helper()
 	text, err := os.ReadFile(file)
 	assert.NilError(t, err)
@@ -88,7 +107,7 @@
 			p.do(f)
 		}
 	}
-	return p.out.String()
+	return p
 }
 
 // player drives a scheduler from a script.
@@ -105,6 +124,8 @@
 	loaded     Loaded
 	starts     map[string]Start
 	stops      map[string][]Stop
+	// stopCounts counts the stops by their reasons.
+	stopCounts map[string]int
 	batch      int64
 	// unanswered are the records of the append in flight, journal those appended so far,
 	// by key.
@@ -122,7 +143,7 @@
 func newPlayer(t *testing.T) *player {
 	p := &player{
 		t: t, now: _startTime, starts: map[string]Start{}, stops: map[string][]Stop{},
-		journal: map[string]platform.Record{},
+		stopCounts: map[string]int{}, journal: map[string]platform.Record{},
 	}
 	p.startOwner(7)
 	return p
@@ -244,6 +265,8 @@
 		if op.Workspace != "" {
 			w("count %s of %s", op.What, op.Workspace)
 		}
+	case CountStop:
+		p.stopCounts[op.Why]++
 	case Note:
 		if *_verbose {
 			w("note %s %s %v", op.What, op.Job, op.Pairs)
