--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -8,6 +8,8 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -271,6 +273,31 @@
 	return nil
 }
 
+// patience has a policy that decides in the time that its route's configuration names.
+func patience(s *site) error {
+	services := []string{"fitting"}
+	s.decide, s.each = 100*time.Millisecond, time.Millisecond
+	if s.trouble {
+		s.each = 15 * time.Millisecond
+	}
+	r := route{name: "r-outfit", prefix: "/outfit/", service: "fitting", attempts: 3, timeoutMs: 3000, advised: true}
+	if err := s.launch(120, services, r); err != nil {
+		return err
+	}
+	id := newID()
+	b := behaviour{takes: 2 * time.Second, cpu: 1000, advised: true}
+	if !s.submit("front-1", r.prefix, id, b, step{"count": 2, "cpu": b.cpu, "memMb": 512, "estimateMs": 2000}) {
+		return errNotAccepted
+	}
+	time.Sleep(time.Second)
+	s.call("front-2", http.MethodGet, r.prefix+id, nil)
+	if err := s.lostUnlessDone(id, id+".0.0", 2); err != nil {
+		return err
+	}
+	s.call("front-3", http.MethodGet, r.prefix+id, nil)
+	return nil
+}
+
 // long has a job whose work items take five minutes each, and small jobs beside it.
 func long(s *site) error {
 	services := []string{"returns"}
@@ -308,6 +335,72 @@
 	return nil
 }
 
+// _askFor is how long consumers ask for their jobs.
+const _askFor = 15 * time.Second
+
+// memory has eight scheduled jobs, and ends a process that exceeds its memory, as the platform does.
+func memory(s *site) error {
+	services := []string{"returns"}
+	r := route{name: "r-recon", prefix: "/recon/", service: "returns", attempts: 3, timeoutMs: 3000}
+	if err := s.launch(9, services, r); err != nil {
+		return err
+	}
+	go s.watchMemory()
+	times := 1500
+	if !s.trouble {
+		times = 50
+	}
+	const items, jobs = 100, 8
+	b := behaviour{takes: 2 * time.Second, cpu: 100}
+	var ids []string
+	for range jobs {
+		id := newID()
+		s.judge.expect(id, b)
+		body := map[string]any{
+			"spec": "x", "phases": []step{{"count": items, "cpu": b.cpu, "memMb": 64, "estimateMs": 2000}},
+			"repeatCount": times, "intervalMs": 60_000, "firstRunMs": time.Now().UnixMilli() - int64(times)*60_000,
+		}
+		if c, _ := s.call("front-1", http.MethodPost, r.prefix+id, body); c == http.StatusOK {
+			ids = append(ids, id)
+		}
+		time.Sleep(time.Second)
+	}
+	s.rec.printf("%d of %d jobs are accepted; the traffic has ended", len(ids), jobs)
+	time.Sleep(_finish)
+	// Each job is asked for, at the daemons in turn.
+	var known atomic.Int64
+	var asked sync.WaitGroup
+	end := time.Now().Add(_askFor)
+	for k, id := range ids {
+		asked.Go(func() {
+			for n := k; time.Now().Before(end); n++ {
+				if c, _ := s.call(fmt.Sprintf("front-%d", n%3+1), http.MethodGet, r.prefix+id, nil); c == http.StatusOK {
+					known.Add(1)
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		})
+	}
+	asked.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	often := 0
+	for n, k := range s.overMemory {
+		s.rec.printf("daemon %s exceeded its memory %d times", n, k)
+		if k >= 3 {
+			often++
+		}
+	}
+	if n := len(ids) - int(known.Load()); n > 0 {
+		s.judge.breakRule("LOST: of %d accepted jobs %d get no answer for %v, %v after the end of the traffic", len(ids), n, _askFor, _finish)
+	}
+	if often >= 2 {
+		s.judge.breakRule("Fault: %d of 3 daemons ended three times or more as they exceeded their memory, with no impairment", often)
+	}
+	return nil
+}
+
 // attempts removes the route of a job of which a work item fails, and then restarts the daemons one
 // after the other.
 func attempts(s *site) error {
--- a/review/stand-2/executor.go
+++ b/review/stand-2/executor.go
@@ -114,7 +114,7 @@
 	}
 	m.up, m.state = false, "down"
 	for _, r := range m.runs {
-		m.site.rec.printf("run ends: %s run %d on %s, lost with its executor (%s)", r.task, r.number, m.id, why)
+		m.site.rec.run("run ends: %s run %d on %s, lost with its executor (%s)", r.task, r.number, m.id, why)
 		m.site.judge.end(m.id, r.task, r.number, "lost")
 	}
 	m.runs = make(map[string]*run)
@@ -193,14 +193,14 @@
 			v["reason"] = reason
 		}
 		if status == http.StatusOK {
-			m.site.rec.printf("start of %s run %d token %d at %s: %d", o.Task, o.Run, o.Token, m.id, status)
+			m.site.rec.run("start of %s run %d token %d at %s: %d", o.Task, o.Run, o.Token, m.id, status)
 		} else if n := m.site.judge.refuse(o.Task); n <= _shownRefusals || n%_refusalStep == 0 {
 			m.site.rec.printf("start of %s run %d token %d at %s: %d %s (refusal %d of this work item)", o.Task, o.Run, o.Token, m.id, status, reason, n)
 		}
 		answer(w, status, v)
 	case "/api/run-stop":
 		m.stop(o)
-		m.site.rec.printf("stop of %s run %d token %d at %s", o.Task, o.Run, o.Token, m.id)
+		m.site.rec.run("stop of %s run %d token %d at %s", o.Task, o.Run, o.Token, m.id)
 		answer(w, http.StatusOK, map[string]any{"clockMs": m.clock()})
 	case "/api/pace":
 		answer(w, http.StatusOK, map[string]any{"clockMs": m.clock()})
@@ -247,7 +247,7 @@
 	m.extend(o.DeadlineMs)
 	m.highest[o.Task] = o.Run
 	m.runs[o.Task] = &run{task: o.Task, number: o.Run, began: time.Now(), behave: b}
-	m.site.rec.printf("run begins: %s run %d on %s (service %s)", o.Task, o.Run, m.id, m.pool)
+	m.site.rec.run("run begins: %s run %d on %s (service %s)", o.Task, o.Run, m.id, m.pool)
 	m.site.judge.begin(m.id, m.pool, o.Task, o.Run)
 	life := m.lives
 	if !b.lasts {
@@ -285,7 +285,7 @@
 	delete(m.runs, r.task)
 	m.lastEnd++
 	m.ended = append(m.ended, ended{m.lastEnd, r.task, r.number, how})
-	m.site.rec.printf("run ends: %s run %d on %s, %s", r.task, r.number, m.id, how)
+	m.site.rec.run("run ends: %s run %d on %s, %s", r.task, r.number, m.id, how)
 	m.site.judge.end(m.id, r.task, r.number, how)
 	close(m.wake)
 	m.wake = make(chan struct{})
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,7 +19,7 @@
 
 var _cases = map[string]func(*site) error{
 	"moved": moved, "crashes": crashes, "advised": advised, "attempts": attempts, "pending": pending,
-	"policy": policy, "long": long,
+	"policy": policy, "long": long, "memory": memory, "patience": patience,
 }
 
 func main() {
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -13,7 +13,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +27,24 @@
 	mu    sync.Mutex
 	f     *os.File
 	start time.Time
+	// runs counts the lines about runs, of which the first _maxRunLines are written.
+	runs int
+}
+
+const _maxRunLines = 300
+
+// run writes a line about a run.
+func (r *recorder) run(format string, a ...any) {
+	r.mu.Lock()
+	r.runs++
+	n := r.runs
+	r.mu.Unlock()
+	switch {
+	case n <= _maxRunLines:
+		r.printf(format, a...)
+	case n == _maxRunLines+1:
+		r.printf("further runs aren't listed")
+	}
 }
 
 func (r *recorder) printf(format string, a ...any) {
@@ -47,15 +67,22 @@
 	storeAt  string
 	adviceAt string
 	validMs  int64
-	entries  map[string]*entry
-	version  int
-	client   *http.Client
+	// decide is the fixed part of the time that a call for advice takes, each the part for every
+	// executor that it names. One call is handled at a time.
+	decide, each time.Duration
+	advising     sync.Mutex
+	entries      map[string]*entry
+	version      int
+	client       *http.Client
 	// standby is the service whose machines are off; empty for none.
 	standby string
 	mu      sync.Mutex
 	// allowed has the executors that the queues' policy allows; nil for all.
 	allowed []string
-	stop    chan struct{}
+	// overMemory counts, by daemon, how often it was ended because it exceeded its memory.
+	overMemory map[string]int
+	closing    bool
+	stop       chan struct{}
 }
 
 // entry is a daemon of the system.
@@ -73,6 +100,29 @@
 	advised               bool
 }
 
+// freeNetwork returns the first three numbers of loopback addresses on which the ports of the daemons
+// are free.
+func freeNetwork() (string, error) {
+	for range 20 {
+		n := fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), 1+rand.IntN(250))
+		free := true
+		for k := 1; k <= _daemons; k++ {
+			for _, port := range []int{_frontPort, _readyPort, _controlPort, _linkPort} {
+				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", n, k, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				l.Close()
+			}
+		}
+		if free {
+			return n, nil
+		}
+	}
+	return "", errors.New("no loopback addresses with free ports")
+}
+
 func newSite(record string) (*site, error) {
 	f, err := os.Create(record)
 	if err != nil {
@@ -86,11 +136,15 @@
 	if err != nil {
 		return nil, err
 	}
+	network, err := freeNetwork()
+	if err != nil {
+		return nil, err
+	}
 	r := &recorder{f: f, start: time.Now()}
 	s := &site{
 		rec: r, store: newStore(r), judge: newJudge(r), trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir,
-		net:     fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), 1+rand.IntN(250)),
-		validMs: 3000, entries: make(map[string]*entry), stop: make(chan struct{}),
+		net:     network,
+		validMs: 3000, decide: 2 * time.Millisecond, each: time.Millisecond, entries: make(map[string]*entry), stop: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	r.printf("TROUBLE=%v", s.trouble)
@@ -110,6 +164,7 @@
 		go http.Serve(l, x.h)
 	}
 	go s.beat()
+	go serveLaunches()
 	return s, nil
 }
 
@@ -155,7 +210,7 @@
 			"timeoutMs": r.timeoutMs, "targetLatencyMs": 2500, "priority": r.priority, "maxAttempts": r.attempts, "stretch": 2.2,
 		}
 		if r.advised {
-			m["advice"] = map[string]any{"decideMs": 2, "eachMs": 1, "validMs": s.validMs}
+			m["advice"] = map[string]any{"decideMs": s.decide.Milliseconds(), "eachMs": s.each.Milliseconds(), "validMs": s.validMs}
 		}
 		rs = append(rs, m)
 		s.rec.printf("operator: version %d has route %s %s -> service %s", s.version, r.name, r.prefix, r.service)
@@ -270,7 +325,15 @@
 		answer(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
-	time.Sleep(2*time.Millisecond + time.Duration(len(q.Workers))*time.Millisecond)
+	s.rec.printf("call for advice on %s for %d executors", q.Step, len(q.Workers))
+	s.advising.Lock()
+	defer s.advising.Unlock()
+	select {
+	case <-time.After(s.decide + time.Duration(len(q.Workers))*s.each):
+	case <-r.Context().Done():
+		s.rec.printf("the daemon gave up the call for advice on %s", q.Step)
+		return
+	}
 	rows := [][]string{}
 	s.mu.Lock()
 	allowed := s.allowed
@@ -290,15 +353,17 @@
 			m.mu.Unlock()
 		}
 	}
-	s.rec.printf("advice on %s for %d executors", q.Step, len(q.Workers))
+	s.rec.printf("advice on %s: %d of %d executors are admitted", q.Step, len(rows), len(q.Workers))
 	answer(w, http.StatusOK, map[string]any{"admitted": rows, "validMs": s.validMs})
 }
 
 const (
-	_frontPort, _readyPort, _controlPort = 8624, 8622, 8623
+	_frontPort, _readyPort, _controlPort, _linkPort = 8624, 8622, 8623, 7060
+	// _daemons is the number of daemons of a site.
+	_daemons = 3
 )
 
-// startEntry starts a daemon as the deploy file does.
+// startEntry starts a daemon, and waits until it is ready.
 func (s *site) startEntry(name string) error {
 	k := len(s.entries) + 1
 	e := s.entries[name]
@@ -306,26 +371,9 @@
 		e = &entry{name: name, ip: fmt.Sprintf("%s.%d", s.net, k)}
 		s.entries[name] = e
 	}
-	boot := filepath.Join(s.dir, name+".conf")
-	text := strings.NewReplacer("{name}", name, "{ip}", e.ip, "{store}", s.storeAt, "{cloud}", s.cloudAt, "{advice}", s.adviceAt).Replace(_boot)
-	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
-		return err
-	}
-	out, err := os.Create(filepath.Join(s.dir, name+".log"))
-	if err != nil {
-		return err
-	}
-	e.cmd = exec.Command(filepath.Join(s.root, "target", "entry"), "platform")
-	e.cmd.Dir = s.root
-	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C", "FESCUELANDING_BOOT=" + boot}
-	e.cmd.Stdout, e.cmd.Stderr = out, out
-	if err := e.cmd.Start(); err != nil {
+	if err := s.launchEntry(e); err != nil {
 		return err
 	}
-	e.done = make(chan struct{})
-	c, d := e.cmd, e.done
-	go func() { _ = c.Wait(); close(d) }()
-	s.rec.printf("daemon %s starts at %s", name, e.ip)
 	for range 100 {
 		time.Sleep(50 * time.Millisecond)
 		r, err := s.client.Get(fmt.Sprintf("http://%s:%d/api/ready", e.ip, _readyPort))
@@ -340,6 +388,115 @@
 	return errors.New("daemon " + name + " isn't ready")
 }
 
+// launches are the programs to be started.
+var launches = make(chan launchRequest)
+
+type launchRequest struct {
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// launch starts a program that the kernel ends with this process, however this one ends.
+func launch(c *exec.Cmd) error {
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	q := launchRequest{c, make(chan error)}
+	launches <- q
+	return <-q.done
+}
+
+// serveLaunches starts programs on one thread, which lasts as long as the process: a program ends
+// with the thread that started it.
+func serveLaunches() {
+	runtime.LockOSThread()
+	for q := range launches {
+		q.done <- q.cmd.Start()
+	}
+}
+
+// launchEntry starts a daemon as the deploy file does.
+func (s *site) launchEntry(e *entry) error {
+	boot := filepath.Join(s.dir, e.name+".conf")
+	text := strings.NewReplacer("{name}", e.name, "{ip}", e.ip, "{store}", s.storeAt, "{cloud}", s.cloudAt, "{advice}", s.adviceAt).Replace(_boot)
+	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(s.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	c := exec.Command(filepath.Join(s.root, "target", "entry"), "platform")
+	c.Dir = s.root
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C", "FESCUELANDING_BOOT=" + boot}
+	c.Stdout, c.Stderr = out, out
+	if err := launch(c); err != nil {
+		return err
+	}
+	d := make(chan struct{})
+	e.cmd, e.done = c, d
+	go func() { _ = c.Wait(); close(d) }()
+	s.rec.printf("daemon %s starts at %s", e.name, e.ip)
+	return nil
+}
+
+const (
+	_memoryLimit = 284 << 20
+	_restartIn   = 500 * time.Millisecond
+)
+
+// watchMemory ends a daemon that exceeds its memory, and starts it again.
+func (s *site) watchMemory() {
+	s.mu.Lock()
+	s.overMemory = make(map[string]int)
+	s.mu.Unlock()
+	for n := range s.entries {
+		go s.watchMemoryOf(n)
+	}
+}
+
+func (s *site) watchMemoryOf(name string) {
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		e, closing := s.entries[name], s.closing
+		s.mu.Unlock()
+		if closing {
+			return
+		}
+		n := anonymousMemory(e.cmd.Process.Pid)
+		if n <= _memoryLimit {
+			continue
+		}
+		s.rec.printf("daemon %s exceeds its memory (%d MB) and is killed", name, n>>20)
+		_ = e.cmd.Process.Kill()
+		<-e.done
+		s.mu.Lock()
+		s.overMemory[name]++
+		closing = s.closing
+		s.mu.Unlock()
+		if closing {
+			return
+		}
+		time.Sleep(_restartIn)
+		s.mu.Lock()
+		if !s.closing {
+			_ = s.launchEntry(e)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// anonymousMemory returns the memory that a process holds, without the pages of its program file.
+func anonymousMemory(pid int) int64 {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for l := range strings.Lines(string(b)) {
+		if f := strings.Fields(l); len(f) > 1 && f[0] == "RssAnon:" {
+			kb, _ := strconv.ParseInt(f[1], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
 // signal sends a signal to a daemon.
 func (s *site) signal(name string, g syscall.Signal) {
 	s.rec.printf("daemon %s gets signal %v", name, g)
@@ -371,11 +528,20 @@
 	return ""
 }
 
+// close ends all daemons. It may be called more than once.
 func (s *site) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return
+	}
+	s.closing = true
 	close(s.stop)
 	for _, e := range s.entries {
-		_ = e.cmd.Process.Kill()
-		<-e.done
+		if e.cmd != nil {
+			_ = e.cmd.Process.Kill()
+			<-e.done
+		}
 	}
 	// KEEP_LOGS names a folder for the logs of the daemons.
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
