--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec target/review-2/stand policy review/10/record.txt
+exec target/review-2/stand patience review/10/record.txt
