owner: give a call for advice the time that its configuration names

Cause: each call was given up after 1.5 s and sent again, naming as many. The wait for the service's turn counted too, and a call that was given up kept the service busy.

Change: AdvicePacing sets the limit from the configured time of the call and of those before it, and doubles it while answers fail to come, so that a service that is slower than configured is answered by in the end; an overtaken call is given up soon. Calls of all owners of a process share two turns, and the wait for one doesn't count. An answer goes before the events of upstreams. An address that the boot file names later is used.

--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -74,13 +74,10 @@
 	s := platform.NewStore(b.Store.Address, _storeConns)
 	n := &Node{
 		boot: b, log: g, system: duty.System(nil), store: s,
-		clients: owner.Clients{Store: s, Upstreams: platform.NewUpstreams(_orderConns)},
+		clients: owner.Clients{Store: s, Upstreams: platform.NewUpstreams(_orderConns), Adviser: owner.NewAdviser(b.Advice)},
 		self:    netip.AddrPortFrom(b.Address, b.FirstPort).String(),
 	}
 	n.bounds.Store(&b.Bounds)
-	if b.Advice != "" {
-		n.clients.Adviser = platform.NewAdviser(b.Advice)
-	}
 	n.pools.node, n.upstreams.node, n.planner.node = n, n, n
 	n.group = group.New(s, n.self, strconv.FormatInt(time.Now().UnixNano(), 36), b.MilliCPU)
 	n.group.OnJoined = n.pools.applyAssignment
--- a/entry/internal/node/reload.go
+++ b/entry/internal/node/reload.go
@@ -22,7 +22,7 @@
 		return
 	}
 	n.store.SetAddress(b.Store.Address)
-	if n.clients.Adviser != nil && b.Advice != "" {
+	if b.Advice != "" {
 		n.clients.Adviser.SetAddress(b.Advice)
 	}
 	n.bounds.Store(&b.Bounds)
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -30,9 +30,6 @@
 const (
 	// _maxEvents is the capacity of the scheduler's event queue.
 	_maxEvents = 8192
-	// _adviceTimeout limits a call to the advice service. The service decides about one
-	// pool at a time, so a response includes the wait for other pools' decisions.
-	_adviceTimeout = 1500 * time.Millisecond
 	// _fullRetryDelay is the pause before a result is queued again.
 	_fullRetryDelay = 5 * time.Millisecond
 )
@@ -41,8 +38,7 @@
 type Clients struct {
 	Store     *platform.Store
 	Upstreams *platform.Upstreams
-	// Adviser is nil if no advice service is configured.
-	Adviser *platform.Adviser
+	Adviser   *Adviser
 }
 
 // Owner runs the scheduler of one pool. It is safe for concurrent use.
@@ -100,11 +96,11 @@
 }
 
 // isUrgent reports whether an event is handled before those of upstreams, of which there are
-// thousands per second in a turn: callers and the planner wait for an answer, and without the
-// store's confirmation the owner may not order.
+// thousands per second in a turn: callers and the planner wait for an answer, without the
+// store's confirmation the owner may not order, and a policy's tickets are valid for a short time.
 func isUrgent(e scheduler.Event) bool {
 	switch e.(type) {
-	case scheduler.Polled, scheduler.Ordered, scheduler.Advised, scheduler.Listed, scheduler.Woken:
+	case scheduler.Polled, scheduler.Ordered, scheduler.Listed, scheduler.Woken:
 		return false
 	}
 	return true
@@ -369,12 +365,6 @@
 }
 
 func (o *Owner) advise(a scheduler.Advise) {
-	if o.clients.Adviser == nil {
-		o.deliver(scheduler.Advised{Step: a.Step, Err: errors.New("no advice service is configured")})
-		return
-	}
-	ctx, cancel := context.WithTimeout(o.ctx, _adviceTimeout)
-	defer cancel()
-	t, err := o.clients.Adviser.Advise(ctx, a.Step, a.Hosts)
+	t, err := o.clients.Adviser.Advise(o.ctx, a)
 	o.deliver(scheduler.Advised{Step: a.Step, Tickets: t, Hosts: a.Hosts, Err: err})
 }
--- a/entry/scheduler/advice.go
+++ b/entry/scheduler/advice.go
@@ -177,7 +177,7 @@
 
 // ask requests advice on some upstreams for a step.
 func (s *Scheduler) ask(st *step, hosts []*host) {
-	a := &st.advice
+	a, q := &st.advice, st.occurrence.job.queue.Advice
 	ids := make([]string, 0, len(hosts))
 	for _, h := range hosts {
 		a.asked = append(a.asked, asked{h, h.born})
@@ -187,7 +187,7 @@
 		s.adviser.steps = make(map[string]*step)
 	}
 	s.adviser.steps[st.name] = st
-	s.emit(Advise{Step: st.name, Hosts: ids})
+	s.emit(Advise{Step: st.name, Hosts: ids, Takes: q.DecideTime + time.Duration(len(ids))*q.TimePerUpstream})
 }
 
 // requestAdvice requests what the queue's policy says about more upstreams, for a task that has no room
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -247,6 +247,8 @@
 type Advise struct {
 	Step  string
 	Hosts []string
+	// Takes is how long the policy takes for its answer by the queue's configuration.
+	Takes time.Duration
 }
 
 // Reply answers the request of a Ref.
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -120,6 +120,25 @@
 // play --power-loss plays more.
 const _powerLossSeeds = 20
 
+// TestAdviceBeyondOneCall plays histories in which a policy decides where steps run. Of pools with more
+// upstreams than one call may name, those beyond the first ones were never asked about; calls that took
+// longer than a fixed limit by their queue's configuration were given up for ever; and the planner took
+// the hosts away that a waiting step needed.
+func TestAdviceBeyondOneCall(t *testing.T) {
+	// The service decides about one step after the other, so that large pools have fewer jobs.
+	for _, s := range []emulator.Settings{{Upstreams: 10}, {Upstreams: 101}, {Upstreams: 130, Jobs: 8}, {Upstreams: 200, Jobs: 8}} {
+		t.Run(fmt.Sprint(s.Upstreams), func(t *testing.T) {
+			t.Parallel()
+			s.Policy = true
+			playSeedsUpTo(t, s, _adviceSeeds)
+		})
+	}
+}
+
+// _adviceSeeds is how many histories with a policy the test plays at most for a size of the pool. The
+// command play --policy plays more.
+const _adviceSeeds = 20
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	playFile(t, "testdata/seeds.txt", emulator.Settings{})
--- a/standin/emulator/idle.go
+++ b/standin/emulator/idle.go
@@ -72,7 +72,8 @@
 // long-running step. Tasks that end don't count, as long-running ones go before them.
 func (w *World) hasRoom(j *jobRecord, k int, d *work.Step) bool {
 	for _, u := range w.upstreams {
-		if u.down || u.host.state != platform.MachineUp || u.host.pool != j.def.GetPool() || w.now-u.startedAt < _roomTime {
+		if u.down || u.host.state != platform.MachineUp || u.host.pool != j.def.GetPool() || w.now-u.startedAt < _roomTime ||
+			!w.policy.allows(w, platform.StepName(j.def.GetId(), 0, k), u) {
 			continue
 		}
 		used, same := int64(0), int32(0)
@@ -93,7 +94,7 @@
 
 // lastFaultEnd returns when the last fault so far ends, which may be in the future.
 func (w *World) lastFaultEnd() time.Duration {
-	end := max(w.fault.lastEnd, w.crashedUntil, w.lateOrders.end())
+	end := max(w.fault.lastEnd, w.crashedUntil, w.lateOrders.end(), w.policy.faultEnd())
 	for _, e := range w.entries {
 		end = max(end, e.faultUntil)
 	}
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -35,6 +35,8 @@
 	// past.
 	pastWakes int
 	sequence  scheduler.AppendSequence
+	// advising sets the time limits of calls for advice.
+	advising scheduler.AdvicePacing
 	// lastRef numbers the requests, waiting holds the callbacks of those without an answer.
 	// batch are the events that the scheduler handles together with the next one.
 	batch   []scheduler.Event
@@ -160,6 +162,8 @@
 		o.sendOrder(op, op.Target, op.Timeout, func(u *upstream) error { return u.start(op.Target, op.Order, o.entry.name) })
 	case scheduler.Stop:
 		o.sendOrder(op, op.Target, op.Timeout, func(u *upstream) error { return u.stop(op.Target, op.Task, op.Run, op.Token) })
+	case scheduler.Advise:
+		o.advise(op)
 	case scheduler.Note:
 		if o.entry.world.trace != nil {
 			o.entry.world.tracef("%s: %s %s %v", o.entry.name, op.What, op.Job, fmt.Sprint(op.Pairs...))
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -132,6 +132,9 @@
 	for _, r := range u.runs {
 		used += r.record.task.cpu
 	}
+	if err := u.world.policy.checkTicket(u.world, u, d, s.Ticket); err != nil {
+		return err
+	}
 	reason := ""
 	switch {
 	case s.Run <= u.highestFinished[s.Task]:
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -45,6 +45,8 @@
 	SmallRecords bool
 	// Batches has owners fall behind their events at times, and handle several at once.
 	Batches bool
+	// Policy has the queue's policy decide on which upstreams a step may run.
+	Policy bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -129,6 +131,8 @@
 	powerLoss *powerLoss
 	// batches draws which events wait for others.
 	batches *rand.Rand
+	// policy is the policy of the queue, or nil.
+	policy *policy
 }
 
 // listEntry is an upstream's report with its time.
@@ -189,6 +193,12 @@
 	if s.LateOrders {
 		w.lateOrders = newLateOrders(s.Seed)
 	}
+	if s.Policy {
+		w.policy = newPolicy(s.Seed)
+		q := w.queues[_pool]
+		q.Advice = w.policy.advice
+		w.queues[_pool] = q
+	}
 	return w
 }
 
@@ -234,6 +244,7 @@
 		w.planSplits()
 		w.lateOrders.plan(w)
 		w.powerLoss.plan(w)
+		w.policy.plan(w)
 	}
 	if k := w.settings.KillOwner; k > 0 {
 		w.after(k, func() {
@@ -298,6 +309,7 @@
 	w.limitJob(d)
 	w.splitJob(d)
 	w.lateOrders.planJob(d)
+	w.policy.planJob(d)
 	w.planCrash(j)
 	w.ledger.jobs[d.GetId()] = j
 	at := w.between(800*time.Millisecond, w.settings.SubmitPeriod)
