scheduler: have the planner keep the hosts that a step with a policy waits for

Cause: the planner takes hosts away by what runs on them and by the CPU that is waited for; which upstreams a step may run on is known to the owner alone.

--- a/entry/scheduler/demand.go
+++ b/entry/scheduler/demand.go
@@ -246,6 +246,7 @@
 		}
 	}
 	l.Spread = max(l.Spread, s.gangHosts(l.GetLasting()))
+	s.keepForAdvice(now, l)
 	s.reportUsage(now, l)
 	return l
 }
