scheduler: accept a job on a route only once its former pools have released it

Cause: a job is known to the owner of the pool that accepted it, and a submission asks the owner of the route's present pool alone. So do entries at two versions: the former pool's owner accepted jobs of queues that it didn't have. Ruled out: asking the others first, which leaves a gap between their answer and the append.

Change: the home of each route is recorded in the store (keyed.queues, written only if no one else wrote). The owner of a pool accepts unknown jobs on a route only once its record names the pool and the owner of each former one has released it: that one accepts no more, proves by an append that it was still the owner, and lists its jobs, which are then answered here. A later owner of a former pool reads the record after its claim. Submissions carry their version; a job of a queue that left is "outcome unknown". A moved queue's jobs keep its settings under the next owner of their pool.

No message is added for a submission.

--- a/entry/internal/node/budget.go
+++ b/entry/internal/node/budget.go
@@ -13,9 +13,10 @@
 
 // withBudget returns a call that says how long this attempt at it may take, so that the owner
 // refuses a job before the attempt ends with its outcome unknown. The attempt may take longer
-// while the store is slow; storeTime is what a call to it takes. Calls other than submissions are
+// while the store is slow; storeTime is what a call to it takes. The call also says under which version of the
+// configuration it is made. Calls other than submissions are
 // returned as they are.
-func withBudget(ctx context.Context, now time.Time, q *link.Call, storeTime time.Duration) *link.Call {
+func withBudget(ctx context.Context, now time.Time, q *link.Call, storeTime time.Duration, version int64) *link.Call {
 	b, ok := q.GetBody().(*link.Call_Submit)
 	if !ok {
 		return q
@@ -24,7 +25,7 @@
 	if t, ok := ctx.Deadline(); ok {
 		left = max(min(left, t.Sub(now)), time.Millisecond)
 	}
-	s := &link.Submit{Job: b.Submit.GetJob(), BudgetMs: left.Milliseconds()}
+	s := &link.Submit{Job: b.Submit.GetJob(), BudgetMs: left.Milliseconds(), Version: version}
 	return &link.Call{Pool: q.GetPool(), Credential: q.GetCredential(), Body: &link.Call_Submit{Submit: s}}
 }
 
--- a/entry/internal/node/config.go
+++ b/entry/internal/node/config.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// version returns the version of the configuration, and zero if there is none.
+func (n *Node) version() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // revocationTime returns the time within which a withdrawn key has to stop working also
 // without contact to the store, and zero if there is no such bound or calls need no keys.
 func (n *Node) revocationTime() time.Duration {
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -79,6 +79,7 @@
 	}
 	n.bounds.Store(&b.Bounds)
 	n.pools.node, n.upstreams.node, n.planner.node = n, n, n
+	n.clients.CallOwner = n.callOwner
 	n.group = group.New(s, n.self, strconv.FormatInt(time.Now().UnixNano(), 36), b.MilliCPU)
 	n.group.OnJoined = n.pools.applyAssignment
 	n.group.OnOthersMustRejoin = n.requestRejoin
--- a/entry/internal/node/pools.go
+++ b/entry/internal/node/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -67,18 +68,21 @@
 	p.reconcile()
 	c := p.node.config.Load()
 	for name, o := range p.all() {
-		o.Post(scheduler.Configured{Queues: queues(c, name), Workspaces: c.Workspaces})
+		o.Post(configured(c, name))
 	}
 }
 
-func queues(c *activeConfig, pool string) []platform.Queue {
-	var l []platform.Queue
+// configured returns the event that passes a configuration to the owner of a pool.
+func configured(c *activeConfig, pool string) scheduler.Configured {
+	e := scheduler.Configured{Version: c.Version, Workspaces: c.Workspaces, Pools: slices.Sorted(maps.Keys(c.partition))}
 	for _, q := range c.Queues {
 		if q.Pool == pool {
-			l = append(l, q)
+			e.Queues = append(e.Queues, q)
+		} else {
+			e.OtherQueues = append(e.OtherQueues, q)
 		}
 	}
-	return l
+	return e
 }
 
 // reconcile starts and stops owners so that they match the partitions held.
@@ -117,7 +121,7 @@
 	b := p.node.bounds.Load()
 	set := scheduler.Settings{
 		Pool: name, Token: token, MaxLease: b.MaxLease, StatusRetention: b.StatusRetention, StopTimeout: b.StopTimeout,
-		RemoteFactor: b.RemoteFactor, AcceptLate: p.node.AcceptLate,
+		RemoteFactor: b.RemoteFactor, AcceptLate: p.node.AcceptLate, TrackHomes: true,
 		RecordBytes: p.node.boot.Store.RecordBytes, CallBytes: p.node.boot.Store.CallBytes,
 	}
 	o, err := owner.Start(p.node.system, set, p.node.boot.Store.Partitions, p.node.clients, p.node.log)
@@ -127,7 +131,7 @@
 	}
 	p.node.log.Info("Pool gained.", "pool", name, "token", token)
 	o.Post(scheduler.OwnershipConfirmed{At: p.held.ConfirmedAt(), Generation: p.held.Generation()})
-	o.Post(scheduler.Configured{Queues: queues(c, name), Workspaces: c.Workspaces})
+	o.Post(configured(c, name))
 	if l := p.node.upstreams.inPool(name); l != nil {
 		o.Post(scheduler.Listed{Upstreams: l})
 	}
@@ -235,7 +239,7 @@
 	// yet which jobs the pool has.
 	sent, unread := false, false
 	for {
-		a := n.callOwnerOnce(ctx, withBudget(ctx, time.Now(), q, n.group.StoreTime()))
+		a := n.callOwnerOnce(ctx, withBudget(ctx, time.Now(), q, n.group.StoreTime(), n.version()))
 		switch a.GetOutcome() {
 		case link.Outcome_OUTCOME_UNKNOWN:
 			sent = true
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -24,6 +24,7 @@
 	"fescuelanding/entry/scheduler"
 	"fescuelanding/fleet/permit"
 	"fescuelanding/fleet/wait"
+	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
 
@@ -39,16 +40,20 @@
 	Store     *platform.Store
 	Upstreams *platform.Upstreams
 	Adviser   *Adviser
+	// CallOwner sends a call to the owner of its pool, until ctx ends.
+	CallOwner func(ctx context.Context, q *link.Call) *link.Answer
 }
 
 // Owner runs the scheduler of one pool. It is safe for concurrent use.
 type Owner struct {
-	pool    string
-	token   int64
-	clients Clients
-	log     *logging.Log
-	ctx     context.Context
-	cancel  context.CancelFunc
+	pool  string
+	token int64
+	// tracksHomes is set if the scheduler does.
+	tracksHomes bool
+	clients     Clients
+	log         *logging.Log
+	ctx         context.Context
+	cancel      context.CancelFunc
 	// duty is the actor that runs step. Only step uses sched, batch, steppedAt and wakeAt.
 	duty  *duty.Duty[scheduler.Event]
 	sched *scheduler.Scheduler
@@ -77,7 +82,7 @@
 func Start(sys *actor.ActorSystem, set scheduler.Settings, parts int, p Clients, g *logging.Log) (*Owner, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
-		pool: set.Pool, token: set.Token, clients: p, log: g, ctx: ctx, cancel: cancel,
+		pool: set.Pool, token: set.Token, tracksHomes: set.TrackHomes, clients: p, log: g, ctx: ctx, cancel: cancel,
 		sched: scheduler.New(set), appends: make(chan scheduler.Append, 1),
 		pending: make(map[scheduler.Ref]chan *link.Answer), load: newLoad(set.Pool),
 	}
@@ -193,7 +198,7 @@
 		if scheduler.CheckJob(b.Submit.GetJob()) != nil {
 			return nil
 		}
-		e := scheduler.Submitted{Ref: r, Job: b.Submit.GetJob()}
+		e := scheduler.Submitted{Ref: r, Job: b.Submit.GetJob(), Version: b.Submit.GetVersion()}
 		if ms := b.Submit.GetBudgetMs(); ms > 0 {
 			e.AnswerBy = now.Add(time.Duration(ms) * time.Millisecond)
 		}
@@ -204,6 +209,10 @@
 		return scheduler.CancelRequested{
 			Ref: r, ID: b.Cancel.GetId(), Workspace: b.Cancel.GetWorkspace(), InAdvance: b.Cancel.GetInAdvance(),
 		}
+	case *link.Call_Release:
+		return scheduler.ReleaseRequested{
+			Ref: r, Routes: b.Release.GetRoutes(), Queues: b.Release.GetQueues(), Version: b.Release.GetVersion(), After: b.Release.GetAfter(),
+		}
 	case *link.Call_Pending:
 		return scheduler.PendingRequested{Ref: r, Queue: b.Pending.GetQueue()}
 	case *link.Call_Load:
@@ -288,6 +297,10 @@
 		o.workers.run(func() { o.pace(op) })
 	case scheduler.Advise:
 		go o.advise(op)
+	case scheduler.FindHomes:
+		go o.findHomes(op)
+	case scheduler.RequestRelease:
+		go o.requestRelease(op)
 	case scheduler.Count:
 		countJob(o.pool, op)
 	case scheduler.CountCrash:
@@ -318,7 +331,7 @@
 		o.cancel()
 		return
 	}
-	l, err := j.Load(o.ctx)
+	l, err := o.loadJournal(j)
 	if err != nil {
 		o.log.Warn("Journal was not loaded; this owner of the pool stops.", "pool", o.pool, "err", err)
 		o.cancel()
@@ -339,6 +352,47 @@
 	}
 }
 
+// loadJournal reads the journal, and the homes of the routes beside it.
+func (o *Owner) loadJournal(j *journal.Journal) (scheduler.Loaded, error) {
+	var homes map[string]*work.Home
+	var err error
+	var read sync.WaitGroup
+	if o.tracksHomes {
+		read.Go(func() {
+			h := journal.Homes{Store: o.clients.Store}
+			homes, err = h.Read(o.ctx)
+		})
+	}
+	l, e := j.Load(o.ctx)
+	read.Wait()
+	l.Homes = homes
+	if err := errors.Join(e, err); err != nil {
+		return l, fmt.Errorf("load: %w", err)
+	}
+	return l, nil
+}
+
+func (o *Owner) findHomes(f scheduler.FindHomes) {
+	h := journal.Homes{Store: o.clients.Store}
+	m, err := h.Find(o.ctx, o.pool, f)
+	if err != nil {
+		return // The owner has ended.
+	}
+	o.deliver(scheduler.HomesFound{Homes: m})
+}
+
+// _releaseTimeout limits a request for a release. The owner of the other pool may have to be found first.
+const _releaseTimeout = 2 * time.Second
+
+func (o *Owner) requestRelease(r scheduler.RequestRelease) {
+	ctx, cancel := context.WithTimeout(o.ctx, _releaseTimeout)
+	defer cancel()
+	a := o.clients.CallOwner(ctx, &link.Call{Pool: r.Pool, Body: &link.Call_Release{Release: &link.Release{
+		Routes: r.Routes, Queues: r.Queues, Version: r.Version, After: r.After,
+	}}})
+	o.deliver(scheduler.PoolReleased{Pool: r.Pool, Answer: a})
+}
+
 // pollHost extends the leases on an upstream and reads its state, with a long poll of up
 // to l.Hold.Wait.
 func (o *Owner) pollHost(l scheduler.Poll, sent time.Time) {
--- a/entry/scheduler/event.go
+++ b/entry/scheduler/event.go
@@ -17,11 +17,15 @@
 // no reply is wanted.
 type Ref uint64
 
-// Configured carries the queues that feed the pool, and all workspaces. They replace the
-// former ones.
+// Configured carries the queues that feed the pool, those that feed other pools, and all workspaces. They
+// replace the former ones.
 type Configured struct {
-	Queues     []platform.Queue
-	Workspaces []platform.Workspace
+	Version     int64
+	Queues      []platform.Queue
+	OtherQueues []platform.Queue
+	Workspaces  []platform.Workspace
+	// Pools are all pools that have owners.
+	Pools []string
 }
 
 // Loaded carries the state that former owners appended to the journal.
@@ -32,6 +36,8 @@
 	Hosts []platform.Upstream
 	// Learned is nil if no former owner appended it.
 	Learned *work.Learned
+	// Homes are the records of routes, as they were read after the former owners were fenced off.
+	Homes map[string]*work.Home
 }
 
 // Listed carries all upstreams of the pool in the platform's list.
@@ -43,6 +49,8 @@
 	Job *work.Job
 	// AnswerBy is when the request ends without an answer; zero for no limit.
 	AnswerBy time.Time
+	// Version is that of the configuration by which the pool was selected.
+	Version int64
 }
 
 // StateRequested is a caller's request for the state of a job.
@@ -155,6 +163,26 @@
 	Generation int64
 }
 
+// ReleaseRequested is the request of another pool's owner to release routes that feed its pool from a version of
+// the configuration on. The reply lists the jobs that this pool has of them.
+type ReleaseRequested struct {
+	Ref     Ref
+	Routes  []string
+	Queues  []string
+	Version int64
+	// After is the ID after which the list begins.
+	After string
+}
+
+// HomesFound is the answer to a FindHomes: the records of its routes.
+type HomesFound struct{ Homes map[string]*work.Home }
+
+// PoolReleased is the answer to a RequestRelease.
+type PoolReleased struct {
+	Pool   string
+	Answer *link.Answer
+}
+
 // Suspended reports that the process was suspended for some time that the steady clock
 // doesn't count. It is sent before any other event after that.
 type Suspended struct{ For time.Duration }
@@ -176,6 +204,9 @@
 func (Appended) event()           {}
 func (Advised) event()            {}
 func (OwnershipConfirmed) event() {}
+func (ReleaseRequested) event()   {}
+func (HomesFound) event()         {}
+func (PoolReleased) event()       {}
 func (Suspended) event()          {}
 func (Woken) event()              {}
 
@@ -251,6 +282,22 @@
 	Takes time.Duration
 }
 
+// FindHomes reads the records of the routes of some queues, and writes those that a version of the
+// configuration changes (UpdateHomes). It is repeated until it succeeds.
+type FindHomes struct {
+	Version int64
+	Queues  []platform.Queue
+}
+
+// RequestRelease asks the owner of another pool to release routes, as a ReleaseRequested.
+type RequestRelease struct {
+	Pool    string
+	Routes  []string
+	Queues  []string
+	Version int64
+	After   string
+}
+
 // Reply answers the request of a Ref.
 type Reply struct {
 	Ref    Ref
@@ -294,15 +341,17 @@
 	Why string
 }
 
-func (Start) op()        {}
-func (Stop) op()         {}
-func (Pace) op()         {}
-func (Poll) op()         {}
-func (Append) op()       {}
-func (Advise) op()       {}
-func (Reply) op()        {}
-func (Note) op()         {}
-func (Count) op()        {}
-func (CountCrash) op()   {}
-func (CountGivenUp) op() {}
-func (CountStop) op()    {}
+func (Start) op()          {}
+func (Stop) op()           {}
+func (Pace) op()           {}
+func (Poll) op()           {}
+func (Append) op()         {}
+func (Advise) op()         {}
+func (FindHomes) op()      {}
+func (RequestRelease) op() {}
+func (Reply) op()          {}
+func (Note) op()           {}
+func (Count) op()          {}
+func (CountCrash) op()     {}
+func (CountGivenUp) op()   {}
+func (CountStop) op()      {}
--- /dev/null
+++ b/entry/scheduler/homes_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"fescuelanding/fleet/work"
+	"fescuelanding/platform"
+)
+
+// TestHomes runs the scripts of testdata/homes. A job was accepted again, and ran twice, when its submission was
+// repeated after its route had come to feed another pool.
+func TestHomes(t *testing.T) {
+	files, err := filepath.Glob("testdata/homes/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			golden.Assert(t, runScript(t, f), strings.TrimSuffix(strings.TrimPrefix(f, "testdata/"), ".txt")+".golden")
+		})
+	}
+}
+
+// TestUpdateHomes checks the record of a route that feeds pool b from version 5 on.
+func TestUpdateHomes(t *testing.T) {
+	former := func(l ...string) []*work.FormerHome {
+		var out []*work.FormerHome
+		for _, p := range l {
+			out = append(out, &work.FormerHome{Pool: p, Queue: "q"})
+		}
+		return out
+	}
+	q := platform.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "b"}
+	for name, c := range map[string]struct {
+		record *work.Home
+		pool   string
+		former []string
+		writes bool
+	}{
+		"new route":           {nil, "b", nil, true},
+		"the same pool":       {&work.Home{Pool: "b", Queue: "q", Version: 3, Former: former("a")}, "b", []string{"a"}, false},
+		"moved":               {&work.Home{Pool: "a", Queue: "q", Version: 3}, "b", []string{"a"}, true},
+		"moved again":         {&work.Home{Pool: "c", Queue: "q", Version: 3, Former: former("a")}, "b", []string{"a", "c"}, true},
+		"moved back":          {&work.Home{Pool: "a", Queue: "q", Version: 3, Former: former("b")}, "b", []string{"a"}, true},
+		"renamed":             {&work.Home{Pool: "b", Queue: "former", Version: 3, Former: former("a")}, "b", []string{"a"}, true},
+		"moved by later ones": {&work.Home{Pool: "c", Queue: "q", Version: 6, Former: former("a", "b")}, "c", []string{"a", "b"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			records := make(map[string]*work.Home)
+			if c.record != nil {
+				records[RouteKey(q)] = c.record
+			}
+			all, changed := UpdateHomes(records, "b", 5, []platform.Queue{q})
+			h := all["h /q/"]
+			assert.Equal(t, h.GetPool(), c.pool)
+			var pools []string
+			for _, f := range h.GetFormer() {
+				pools = append(pools, f.GetPool())
+			}
+			assert.DeepEqual(t, pools, c.former)
+			assert.Equal(t, len(changed) > 0, c.writes)
+		})
+	}
+}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -10,10 +10,12 @@
 
 // Scheduler schedules the jobs of one pool. It isn't safe for concurrent use.
 type Scheduler struct {
-	set    Settings
-	queues map[string]platform.Queue
-	hosts  hostSet
-	jobs   map[string]*job
+	set Settings
+	// queues feed the pool, and otherQueues other ones.
+	queues      map[string]platform.Queue
+	otherQueues map[string]platform.Queue
+	hosts       hostSet
+	jobs        map[string]*job
 	// active are the jobs that haven't ended, in order of arrival.
 	active []*job
 	// upcoming are the durable jobs with occurrences that aren't due yet.
@@ -55,6 +57,7 @@
 	contest contest
 	// answerLostAt is when a call to an upstream last had no answer.
 	answerLostAt time.Time
+	homes        homes
 	// adviser has the requests to the queues' policies.
 	adviser adviser
 	// reclaimAt is no later than the first time at which a task may be placed on an upstream that is
@@ -92,6 +95,7 @@
 	return &Scheduler{
 		set:               set,
 		queues:            make(map[string]platform.Queue),
+		otherQueues:       make(map[string]platform.Queue),
 		jobs:              make(map[string]*job),
 		endedIncarnations: make(map[string]int64),
 		unpolled:          make(map[string]time.Time),
@@ -127,9 +131,10 @@
 func (s *Scheduler) handle(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Configured:
-		s.configure(e.Queues)
+		s.configure(e.Queues, e.OtherQueues)
 		s.shareBetween(now, e.Workspaces)
 		s.configureWorkspaces(e.Workspaces)
+		s.configureHomes(now, e)
 	case Loaded:
 		s.load(now, e)
 	case Listed:
@@ -142,6 +147,10 @@
 		s.appendAnswered(now, e)
 	case Advised:
 		s.adviceAnswered(now, e)
+	case HomesFound:
+		s.homesFound(now, e)
+	case PoolReleased:
+		s.poolReleased(now, e)
 	case OwnershipConfirmed:
 		s.confirmOwnership(now, e)
 	case Suspended:
@@ -187,6 +196,8 @@
 		s.cancel(now, e)
 	case LoadRequested:
 		s.handlePlan(now, e)
+	case ReleaseRequested:
+		s.releaseRoutes(now, e)
 	}
 }
 
@@ -204,6 +215,8 @@
 		s.reply(e.Ref, a)
 	case LoadRequested:
 		s.reply(e.Ref, a)
+	case ReleaseRequested:
+		s.reply(e.Ref, a)
 	}
 }
 
@@ -214,6 +227,8 @@
 	if !s.loaded {
 		return
 	}
+	s.requestReleases(now)
+	s.answerReleases(now)
 	s.logSilence(now)
 	s.expireUnpolled(now)
 	s.logUnpolled(now)
@@ -292,6 +307,9 @@
 		w.add(s.past[0].endedAt.Add(s.set.StatusRetention))
 	}
 	w.add(s.adviser.wake.time)
+	if s.homes.retryAt.After(now) {
+		w.add(s.homes.retryAt)
+	}
 	w.add(s.reclaimAt.time)
 	return w.time
 }
@@ -369,4 +387,8 @@
 		s.refuseNotOwner(q.event)
 	}
 	s.pendingRequests = nil
+	for _, r := range s.homes.requests {
+		s.refuseNotOwner(r.event)
+	}
+	s.homes.requests = nil
 }
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -57,6 +57,10 @@
 //	started TASK/RUN [clock=MS] [STATUS REASON] | stopped TASK/RUN [STATUS REASON] [sent=MS]
 //	    STATUS: an HTTP status, or lost, expired or notSent
 //	advised STEP [valid=MS] ID=TICKET ... | adviceFailed STEP [lost]
+//	version N [QUEUE ...]         a version of the configuration with the queues that feed the pool
+//	homes QUEUE POOL N [POOL ...] the home of a queue's route, as of version N, and its former ones
+//	released POOL [JOB ...] [more] | released POOL gone | released POOL unknown    the answer of a former pool
+//	releaseAsked REF N QUEUE      another pool asks for the queue's route, as of version N
 //	hosts PREFIX N [KEY=VALUE ...] set N upstreams of the list, PREFIX001 and so on
 //	pollAll                       answer a poll of each upstream
 //	show KIND ...                 print only these kinds of ops
@@ -137,6 +141,8 @@
 	stops      map[string][]Stop
 	// stopCounts counts the stops by their reasons.
 	stopCounts map[string]int
+	// version is that of the configuration.
+	version int64
 	// shown are the kinds of ops that are printed; empty for all.
 	shown []string
 	// advise are the upstreams in the last request for advice, by step.
@@ -272,6 +278,14 @@
 	case Advise:
 		w("advise %s %s", op.Step, compactNames(op.Hosts))
 		p.advise[op.Step] = op.Hosts
+	case FindHomes:
+		var l []string
+		for _, q := range op.Queues {
+			l = append(l, q.Name)
+		}
+		w("findHomes %d %s", op.Version, strings.Join(l, " "))
+	case RequestRelease:
+		w("requestRelease %s version %d routes%s queues %s after %q", op.Pool, op.Version, strings.Join(op.Routes, ""), strings.Join(op.Queues, " "), op.After)
 	case Reply:
 		w("reply %d %s", op.Ref, answerText(op.Answer))
 		if l := op.Answer.GetLoad(); l != nil {
@@ -317,6 +331,9 @@
 	if a.GetPending() > 0 {
 		o += fmt.Sprintf(" pending=%d", a.GetPending())
 	}
+	for _, h := range a.GetHeld() {
+		o += fmt.Sprintf(" held=%v", h.GetJobs())
+	}
 	if l := a.GetLoad(); l != nil {
 		o += fmt.Sprintf(" capacity=%d longRunning=%d doubtful=%v vacant=%v", l.GetCapacity(), l.GetLasting(),
 			names(l.GetDoubtful()), l.GetVacant())
@@ -391,6 +408,18 @@
 		for _, u := range p.list {
 			p.polled(u.ID, nil)
 		}
+	case "version":
+		p.setVersion(f[1], f[2:])
+	case "homes":
+		h := &work.Home{Pool: f[2], Queue: f[1], Version: p.number(f[3])}
+		for _, x := range f[4:] {
+			h.Former = append(h.Former, &work.FormerHome{Pool: x, Queue: f[1]})
+		}
+		p.step(HomesFound{Homes: map[string]*work.Home{routeOf(f[1]): h}})
+	case "released":
+		p.released(f[1], f[2:])
+	case "releaseAsked":
+		p.step(ReleaseRequested{Ref: ref(), Version: p.number(f[2]), Routes: []string{routeOf(f[3])}, Queues: []string{f[3]}})
 	case "show":
 		p.shown = f[1:]
 	case "unlist":
@@ -412,6 +441,7 @@
 		if v := m["budget"]; v != "" {
 			e.AnswerBy = p.now.Add(time.Duration(p.number(v)) * time.Millisecond)
 		}
+		e.Version = p.number(m["version"])
 		e.Job = p.job(f[2], f[3:])
 		p.step(e)
 	case "state":
@@ -587,7 +617,38 @@
 }
 
 func (p *player) configured() Configured {
-	return Configured{Queues: p.queues, Workspaces: slices.Clone(p.workspaces)}
+	return Configured{
+		Version: p.version, Queues: p.queues, Workspaces: slices.Clone(p.workspaces), Pools: []string{"pool", "pool2", "pool3"},
+	}
+}
+
+// setVersion applies a version of the configuration, in which some queues feed the pool. The scheduler tracks
+// the homes of routes from the first one on.
+func (p *player) setVersion(number string, names []string) {
+	p.s.set.TrackHomes = true
+	p.version, p.queues = p.number(number), nil
+	for _, n := range names {
+		p.queues = append(p.queues, platform.Queue{Name: n, Prefix: "/" + n + "/", Pool: "pool", Attempts: 3, Stretch: 9, Target: time.Hour})
+	}
+	p.step(p.configured())
+}
+
+// routeOf returns the key of a queue's route.
+func routeOf(queue string) string { return RouteKey(platform.Queue{Prefix: "/" + queue + "/"}) }
+
+// released answers a request for a release with the jobs that a pool has.
+func (p *player) released(pool string, words []string) {
+	a := &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
+	switch {
+	case len(words) > 0 && words[0] == "gone":
+		a.Outcome = link.Outcome_OUTCOME_GONE
+	case len(words) > 0 && words[0] == "unknown":
+		a.Outcome = link.Outcome_OUTCOME_UNKNOWN
+	default:
+		a.More = len(words) > 0 && words[len(words)-1] == "more"
+		a.Held = []*link.Held{{Jobs: slices.DeleteFunc(words, func(w string) bool { return w == "more" })}}
+	}
+	p.step(PoolReleased{Pool: pool, Answer: a})
 }
 
 // workspace sets the limit of a workspace.
@@ -709,6 +770,7 @@
 	j := &work.Job{Id: id, Queue: "q", Pool: "pool", Spec: "spec of " + id}
 	for _, w := range words {
 		switch k, v, _ := strings.Cut(w, "="); k {
+		case "version":
 		case "queue":
 			j.Queue = v
 		case "workspace":
--- a/entry/scheduler/settings.go
+++ b/entry/scheduler/settings.go
@@ -29,6 +29,9 @@
 	// objective, behind all that can be on time. Without it they are accepted only if they can
 	// run at once.
 	AcceptLate bool
+	// TrackHomes has jobs accepted only on routes whose home is this pool. Without it, no route may ever
+	// feed another pool.
+	TrackHomes bool
 }
 
 // recordBytes returns the limit for a record, which is never above that for an append.
--- a/entry/scheduler/submit.go
+++ b/entry/scheduler/submit.go
@@ -12,21 +12,34 @@
 	"fescuelanding/platform"
 )
 
-// configure replaces the queues of the pool. Jobs of a removed queue continue
-// under the settings with which they were accepted.
-func (s *Scheduler) configure(queues []platform.Queue) {
+// configure replaces the queues of the pool, and of those that feed other pools. Jobs of a removed queue
+// continue under the settings with which they were accepted.
+func (s *Scheduler) configure(queues, others []platform.Queue) {
 	clear(s.queues)
+	clear(s.otherQueues)
 	for _, q := range queues {
 		s.queues[q.Name] = q
 	}
+	for _, q := range others {
+		s.otherQueues[q.Name] = q
+	}
 	for _, j := range s.active {
-		if q, ok := s.queues[j.def.GetQueue()]; ok {
+		if q, ok := s.queueOf(j.def); ok {
 			j.queue = q
 		}
 	}
 	s.replan = true
 }
 
+// queueOf returns the settings of a job's queue, which may feed another pool by now.
+func (s *Scheduler) queueOf(d *work.Job) (platform.Queue, bool) {
+	if q, ok := s.queues[d.GetQueue()]; ok {
+		return q, true
+	}
+	q, ok := s.otherQueues[d.GetQueue()]
+	return q, ok
+}
+
 // load restores the state that former owners appended.
 func (s *Scheduler) load(now time.Time, e Loaded) {
 	s.loaded, s.loadedAt = true, now
@@ -65,6 +78,8 @@
 			s.recordInUse(now, h)
 		}
 	}
+	s.homes.records = e.Homes
+	s.settleHomes(now)
 	s.restoreRuns(now)
 	s.logNote("Journal loaded.", "", "jobs", len(e.Jobs), "open", len(s.active), "upstreams", len(e.Hosts))
 	s.answerPending(now)
@@ -74,8 +89,9 @@
 // restoreJob rebuilds a job from its records. Runs are numbered above any number
 // that a former owner can have used without appending it.
 func (s *Scheduler) restoreJob(d *work.Job, p *work.Progress) *job {
+	q, _ := s.queueOf(d) // A removed queue has no settings.
 	j := &job{
-		def: d, queue: s.queues[d.GetQueue()], arrived: time.UnixMilli(d.GetAcceptedUnixMs()),
+		def: d, queue: q, arrived: time.UnixMilli(d.GetAcceptedUnixMs()),
 		durable: true, inherited: true,
 		cancelled: p.GetCancelled(), failed: p.GetFailed(), completed: p.GetCompleted(),
 	}
@@ -98,19 +114,10 @@
 	}
 	id := e.Job.GetId()
 	if j := s.jobs[id]; j != nil {
-		if j.def.GetWorkspace() != e.Job.GetWorkspace() {
-			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_DENIED})
-			return
-		}
-		if j.cancelledInAdvance() {
-			s.acceptCancelled(now, j, e)
-			return
-		}
-		if j.durable {
-			s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
-			return
-		}
-		s.addWaiter(now, j, e)
+		s.submitAgain(now, j, e)
+		return
+	}
+	if !s.unknownJob(now, e) {
 		return
 	}
 	j := &job{
@@ -154,6 +161,22 @@
 	s.reply(e.Ref, &link.Answer{Outcome: v.outcome, RetryAfterMs: v.retry.Milliseconds()})
 }
 
+// submitAgain handles a request to run a job that is known.
+func (s *Scheduler) submitAgain(now time.Time, j *job, e Submitted) {
+	switch {
+	case j.def.GetWorkspace() != e.Job.GetWorkspace():
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_DENIED})
+	case j.cancelledInAdvance():
+		if s.unknownJob(now, e) {
+			s.acceptCancelled(now, j, e)
+		}
+	case j.durable:
+		s.reply(e.Ref, &link.Answer{Outcome: link.Outcome_OUTCOME_OK})
+	default:
+		s.addWaiter(now, j, e)
+	}
+}
+
 // accept queues a job for the journal, and counts it in the sum of the backlog.
 func (s *Scheduler) accept(now time.Time, j *job) {
 	id := j.def.GetId()
--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -32,6 +32,7 @@
 			&cli.BoolFlag{Name: "cancels", Usage: "have half of the jobs cancelled, while their tasks run for seconds"},
 			&cli.BoolFlag{Name: "batches", Usage: "have owners fall behind their events, and handle several at once"},
 			&cli.BoolFlag{Name: "policy", Usage: "have the queue's policy decide on which upstreams a step may run"},
+			&cli.BoolFlag{Name: "moves", Usage: "have the queue's route feed other pools from time to time, while accepted jobs are submitted again"},
 			&cli.IntFlag{Name: "jobs", Usage: "the number of jobs, instead of the usual one"},
 			&cli.IntFlag{Name: "upstreams", Usage: "the number of upstreams, instead of the usual one"},
 			&cli.BoolFlag{Name: "late", Usage: "have some orders executed late and others in time, with half of the jobs long-running"},
@@ -51,7 +52,7 @@
 	world := func(seed uint64, trace io.Writer) *emulator.World {
 		return emulator.New(emulator.Settings{
 			Seed: seed, Splits: c.Bool("splits"), Cancels: c.Bool("cancels"), Batches: c.Bool("batches"),
-			LateOrders: c.Bool("late"), Policy: c.Bool("policy"), Upstreams: c.Int("upstreams"), Jobs: c.Int("jobs"), PowerLoss: c.Bool("power-loss"), Trace: trace,
+			LateOrders: c.Bool("late"), Policy: c.Bool("policy"), Moves: c.Bool("moves"), Upstreams: c.Int("upstreams"), Jobs: c.Int("jobs"), PowerLoss: c.Bool("power-loss"), Trace: trace,
 		})
 	}
 	if c.Bool("trace") {
--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -29,6 +29,10 @@
 	entry *entry
 	pool  string
 	event func(scheduler.Ref) scheduler.Event
+	// fixed is set if the pool doesn't follow from the entry's configuration, others are the pools to be
+	// asked if this one has no such job.
+	fixed  bool
+	others []string
 	// maybeExecuted is set once the owner may have executed the call.
 	maybeExecuted bool
 	deadline      time.Duration
@@ -57,9 +61,18 @@
 
 func (r *request) try() {
 	w, e := r.world, r.entry
+	if !r.fixed {
+		fed, ok := e.fedPool(r.pool)
+		if !ok {
+			// There is no such route. The caller tries again.
+			r.done(&link.Answer{Outcome: link.Outcome_OUTCOME_UNKNOWN})
+			return
+		}
+		r.pool = fed
+	}
 	if o := e.owners[r.pool]; o != nil {
 		r.answeredBy = e
-		o.submit(r.event, r.answered)
+		o.submit(r.eventFor, r.answered)
 		return
 	}
 	to := w.holderOf(w.partition(r.pool))
@@ -75,7 +88,7 @@
 				return
 			}
 			r.answeredBy = to
-			o.submit(r.event, func(a *link.Answer) { answer(a, nil) })
+			o.submit(r.eventFor, func(a *link.Answer) { answer(a, nil) })
 		})
 	}, func(a *link.Answer, err error) {
 		if err != nil {
@@ -85,6 +98,32 @@
 	})
 }
 
+// eventFor returns the event for the owner.
+func (r *request) eventFor(ref scheduler.Ref) scheduler.Event {
+	return r.entry.underVersion(r.pool, r.event(ref))
+}
+
+// locate asks the next pool for a job that the pools so far don't have. It reports whether there is one.
+func (r *request) locate(a *link.Answer) bool {
+	if r.world.rerouting == nil || a.GetOutcome() != link.Outcome_OUTCOME_GONE || r.world.now >= r.deadline {
+		return false
+	}
+	if !r.fixed {
+		r.fixed = true
+		for _, p := range r.world.pools {
+			if p != r.pool {
+				r.others = append(r.others, p)
+			}
+		}
+	}
+	if len(r.others) == 0 {
+		return false
+	}
+	r.pool, r.others = r.others[0], r.others[1:]
+	r.try()
+	return true
+}
+
 // answered handles the owner's answer: it finishes the call or retries it.
 func (r *request) answered(a *link.Answer) {
 	switch a.GetOutcome() {
@@ -97,7 +136,9 @@
 			return
 		}
 	default:
-		r.done(a)
+		if !r.locate(a) {
+			r.done(a)
+		}
 		return
 	}
 	if r.world.now < r.deadline {
@@ -145,6 +186,7 @@
 				j.accepted = w.now
 				w.tracef("job %s is accepted", j.def.GetId())
 				w.pollState(j)
+				w.planRepeats(j)
 			}
 		case link.Outcome_OUTCOME_OVERLOADED, link.Outcome_OUTCOME_UNAVAILABLE:
 			j.refused = true
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -139,6 +139,24 @@
 // command play --policy plays more.
 const _adviceSeeds = 20
 
+// TestRepeatedSubmissionAfterMove plays histories in which the queue's route feeds one pool after another, while
+// accepted jobs are submitted again. They were accepted anew in the route's present pool.
+func TestRepeatedSubmissionAfterMove(t *testing.T) {
+	for name, s := range map[string]emulator.Settings{
+		"faults": {}, "splits": {Splits: true}, "cancels": {Cancels: true}, "busy": {Batches: true}, "powerLoss": {PowerLoss: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s.Moves, s.Upstreams = true, 9
+			playSeedsUpTo(t, s, _movedSeeds)
+		})
+	}
+}
+
+// _movedSeeds is how many histories with moves of a route the test plays at most for each setting. The
+// command play --moves plays more.
+const _movedSeeds = 20
+
 // TestFormerFailures plays the seeds of testdata/seeds.txt.
 func TestFormerFailures(t *testing.T) {
 	playFile(t, "testdata/seeds.txt", emulator.Settings{})
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -49,6 +49,8 @@
 	planner *planner
 	// limitsVersion is the version of the limits of workspaces that it has.
 	limitsVersion int
+	// version is the version of the configuration that it has, by which a route feeds a pool.
+	version int
 }
 
 // _settleTime is how long an entry must have been without a fault before the ledger
@@ -109,6 +111,9 @@
 	if l := e.world.limits; l != nil {
 		e.limitsVersion = len(l.versions) - 1
 	}
+	if m := e.world.rerouting; m != nil {
+		e.version = len(m.pools) - 1
+	}
 	e.world.tracef("%s starts", e.name)
 	e.loop()
 	e.list()
--- a/standin/emulator/idle.go
+++ b/standin/emulator/idle.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/entry/link"
@@ -69,10 +70,18 @@
 }
 
 // hasRoom reports whether some upstream of a job's pool could run another task of a
-// long-running step. Tasks that end don't count, as long-running ones go before them.
+// long-running step. If its route feeds several pools over time, each must have such an upstream.
 func (w *World) hasRoom(j *jobRecord, k int, d *work.Step) bool {
+	if w.rerouting == nil {
+		return w.poolHasRoom(j.def.GetPool(), j, k, d)
+	}
+	return !slices.ContainsFunc(w.pools, func(pool string) bool { return !w.poolHasRoom(pool, j, k, d) })
+}
+
+// poolHasRoom reports that of a pool. Tasks that end don't count, as long-running ones go before them.
+func (w *World) poolHasRoom(pool string, j *jobRecord, k int, d *work.Step) bool {
 	for _, u := range w.upstreams {
-		if u.down || u.host.state != platform.MachineUp || u.host.pool != j.def.GetPool() || w.now-u.startedAt < _roomTime ||
+		if u.down || u.host.state != platform.MachineUp || u.host.pool != pool || w.now-u.startedAt < _roomTime ||
 			!w.policy.allows(w, platform.StepName(j.def.GetId(), 0, k), u) {
 			continue
 		}
--- a/standin/emulator/limits.go
+++ b/standin/emulator/limits.go
@@ -110,7 +110,13 @@
 
 // configure passes the entry's configuration to the scheduler.
 func (o *owner) configure() {
-	o.post(scheduler.Configured{Queues: []platform.Queue{o.entry.world.queueOf(o.pool)}, Workspaces: o.entry.workspaces()})
+	e := scheduler.Configured{Version: int64(o.entry.version), Workspaces: o.entry.workspaces(), Pools: o.entry.world.pools}
+	if p, ok := o.entry.fedPool(o.pool); ok && p == o.pool {
+		e.Queues = []platform.Queue{o.entry.world.queueOf(o.pool)}
+	} else if ok {
+		e.OtherQueues = []platform.Queue{o.entry.world.queueOf(p)}
+	}
+	o.post(e)
 }
 
 // limitJob assigns a job to a pool and a workspace.
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -7,6 +7,7 @@
 
 	"fescuelanding/entry/link"
 	"fescuelanding/entry/scheduler"
+	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 	"fescuelanding/platform/serve"
 )
@@ -53,6 +54,7 @@
 	v := scheduler.Settings{
 		Pool: pool, Token: token, MaxLease: _maxLease, StatusRetention: _statusRetention, RemoteFactor: 1, StopTimeout: _stopTime,
 	}
+	v.TrackHomes = e.world.rerouting != nil
 	if e.world.settings.SmallRecords {
 		v.RecordBytes, v.CallBytes = _smallRecord, _smallCall
 	}
@@ -164,6 +166,10 @@
 		o.sendOrder(op, op.Target, op.Timeout, func(u *upstream) error { return u.stop(op.Target, op.Task, op.Run, op.Token) })
 	case scheduler.Advise:
 		o.advise(op)
+	case scheduler.FindHomes:
+		o.findHomes(op)
+	case scheduler.RequestRelease:
+		o.requestRelease(op)
 	case scheduler.Note:
 		if o.entry.world.trace != nil {
 			o.entry.world.tracef("%s: %s %s %v", o.entry.name, op.What, op.Job, fmt.Sprint(op.Pairs...))
@@ -258,11 +264,13 @@
 
 func (o *owner) load() {
 	w := o.entry.world
+	var homes map[string]*work.Home
 	call(o.entry, _store, 3*_appendTimeout, func(answer func([]platform.Record, error)) {
 		if err := w.storeError(o.entry.name); err != nil {
 			answer(nil, err)
 			return
 		}
+		homes, _ = w.readHomes()
 		l, _ := w.store.Newest(_topic, 0)
 		answer(l, nil)
 	}, func(l []platform.Record, err error) {
@@ -278,6 +286,7 @@
 			w.ledger.addViolation("DECODE", "%v", err)
 			return
 		}
+		d.Homes = homes
 		o.post(d)
 	})
 }
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -47,6 +47,9 @@
 	Batches bool
 	// Policy has the queue's policy decide on which upstreams a step may run.
 	Policy bool
+	// Moves adds two pools, and versions of the configuration that have the queue's route feed one of them or
+	// remove it, while accepted jobs are submitted again.
+	Moves bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -131,6 +134,8 @@
 	powerLoss *powerLoss
 	// batches draws which events wait for others.
 	batches *rand.Rand
+	// rerouting draws the versions that move the route, or is nil.
+	rerouting *rerouting
 	// policy is the policy of the queue, or nil.
 	policy *policy
 }
@@ -175,6 +180,9 @@
 	if s.Limits {
 		w.planLimits()
 	}
+	if s.Moves {
+		w.planMoves()
+	}
 	if s.SmallRecords {
 		w.store.LimitSizes(_smallRecord, _smallCall)
 	}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -206,6 +206,9 @@
 			return 0, p.end(), f
 		}
 	}
+	if a.HasAt && a.At != p.end() {
+		return 0, p.end(), serve.Refusal{Status: http.StatusPreconditionFailed}
+	}
 	first = p.end()
 	for _, r := range a.Records {
 		r.Offset = p.end()
