scheduler: keep the records of long routes apart

The key of a route's record was cut at 200 bytes, so that two routes with the same beginning would share a record and refuse to release it to one another. Found by reading; no route of the users' is as long. The rest is replaced by a hash. TestLongRoutesHaveKeysOfTheirOwn fails without it.

--- a/entry/scheduler/homes.go
+++ b/entry/scheduler/homes.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"strings"
@@ -28,14 +30,19 @@
 	_releaseRetryDelay = 200 * time.Millisecond
 	// _maxHeldJobs is the number of jobs in an answer to a request for a release.
 	_maxHeldJobs = 10_000
-	// _maxRouteKey is the length from which the key of a route is cut, as the store limits keys.
+	// _maxRouteKey is the length from which the end of a route's key is replaced by its hash, as the store
+	// limits keys.
 	_maxRouteKey = 200
 )
 
 // RouteKey returns the key of a route's record: its host and path prefix.
 func RouteKey(q platform.Queue) string {
 	k := q.Host + " " + q.Prefix
-	return k[:min(len(k), _maxRouteKey)]
+	if len(k) <= _maxRouteKey {
+		return k
+	}
+	h := sha256.Sum256([]byte(k))
+	return k[:_maxRouteKey] + hex.EncodeToString(h[:8])
 }
 
 // homes is what an owner knows of the routes to its pool and their homes. The zero value is ready for use.
--- a/entry/scheduler/homes_test.go
+++ b/entry/scheduler/homes_test.go
@@ -66,3 +66,13 @@
 		})
 	}
 }
+
+// TestLongRoutesHaveKeysOfTheirOwn checks that routes with the same beginning don't share a record, and that
+// the store takes the key.
+func TestLongRoutesHaveKeysOfTheirOwn(t *testing.T) {
+	long := strings.Repeat("x", 300)
+	a := RouteKey(platform.Queue{Host: "h", Prefix: "/" + long + "/a/"})
+	b := RouteKey(platform.Queue{Host: "h", Prefix: "/" + long + "/b/"})
+	assert.Assert(t, a != b)
+	assert.Assert(t, len(a) <= 255)
+}
