--- a/entry/internal/journal/homes.go
+++ b/entry/internal/journal/homes.go
@@ -22,7 +22,7 @@
 const (
 	// _homesTopic has the homes of all routes, in one partition.
 	_homesTopic = "keyed.queues"
-	// _homesTimeout limits a read or an append.
+	// _homesTimeout limits a read or an append at first.
 	_homesTimeout = 1800 * time.Millisecond
 	// _maxConflictPause limits the random pause after another writer came first.
 	_maxConflictPause = 40 * time.Millisecond
@@ -35,6 +35,8 @@
 type Homes struct {
 	Store  *platform.Store
 	caller hedge.Caller
+	// limit is the time limit of the next call, if it is longer than _homesTimeout.
+	limit time.Duration
 }
 
 // Read returns the records by route. It retries until ctx ends.
@@ -42,6 +44,7 @@
 	pause := _firstPause
 	for {
 		m, _, err := h.readOnce(ctx)
+		h.limit = nextLimit(max(h.limit, _homesTimeout), err)
 		if err == nil {
 			return m, nil
 		}
@@ -57,6 +60,7 @@
 	pause := _firstPause
 	for {
 		all, err := h.findOnce(ctx, pool, q)
+		h.limit = nextLimit(max(h.limit, _homesTimeout), err)
 		if err == nil {
 			return all, nil
 		}
@@ -109,7 +113,7 @@
 
 // readOnce returns the records and the offset after the last one.
 func (h *Homes) readOnce(ctx context.Context) (map[string]*work.Home, int64, error) {
-	c, cancel := context.WithTimeout(ctx, _homesTimeout)
+	c, cancel := context.WithTimeout(ctx, max(h.limit, _homesTimeout))
 	defer cancel()
 	b, err := hedge.Do(c, &h.caller, func(c context.Context) (platform.Batch, error) {
 		return h.Store.Newest(c, _homesTopic, 0)
--- a/entry/internal/journal/journal.go
+++ b/entry/internal/journal/journal.go
@@ -31,9 +31,11 @@
 const (
 	_topic = "keyed.jobs"
 	// _claimTimeout and _loadTimeout limit a claim of the journal and a read of all of it before
-	// they are made anew.
-	_claimTimeout = 1800 * time.Millisecond
-	_loadTimeout  = 2700 * time.Millisecond
+	// they are made anew. A read that took longer gets twice as long the next time, up to
+	// _maxLoadTimeout: a journal may have many pages, and the store may be slow.
+	_claimTimeout   = 1800 * time.Millisecond
+	_loadTimeout    = 2700 * time.Millisecond
+	_maxLoadTimeout = time.Minute
 	// _firstPause and _maxPause limit the exponential backoff between attempts.
 	_firstPause = 60 * time.Millisecond
 	_maxPause   = 400 * time.Millisecond
@@ -87,11 +89,12 @@
 // Load reads the records of former owners. It retries until ctx ends, and returns an
 // empty state if the topic does not exist yet.
 func (j *Journal) Load(ctx context.Context) (scheduler.Loaded, error) {
-	pause := _firstPause
+	pause, limit := _firstPause, _loadTimeout
 	for {
-		c, cancel := context.WithTimeout(ctx, _loadTimeout)
+		c, cancel := context.WithTimeout(ctx, limit)
 		b, err := j.store.Newest(c, _topic, j.partition)
 		cancel()
+		limit = nextLimit(limit, err)
 		if err == nil {
 			l, err := scheduler.Decode(j.pool, b.Records)
 			if err != nil {
@@ -167,6 +170,14 @@
 	return j.store.Append(ctx, _topic, j.partition, p, records)
 }
 
+// nextLimit returns the time limit of the next attempt at a read.
+func nextLimit(limit time.Duration, err error) time.Duration {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return min(2*limit, _maxLoadTimeout)
+	}
+	return limit
+}
+
 // backOff waits for the pause and doubles it up to _maxPause. It returns false if
 // ctx has ended.
 func backOff(ctx context.Context, pause *time.Duration) bool {
--- a/entry/internal/journal/journal_test.go
+++ b/entry/internal/journal/journal_test.go
@@ -127,3 +127,26 @@
 	}
 	return true
 }
+
+// TestLoadTakesLongerThanItsLimit checks that a journal is loaded from a store that takes longer for it than the
+// first attempt may. Each attempt was given up after the same time, and the pool had no owner.
+func TestLoadTakesLongerThanItsLimit(t *testing.T) {
+	t.Parallel()
+	const takes = _loadTimeout + 200*time.Millisecond
+	h := &serve.Store{
+		Newest: func(string, int) ([]platform.Record, int64) { return nil, 0 },
+		Intercept: func(_ http.ResponseWriter, r *http.Request) bool {
+			select {
+			case <-time.After(takes):
+			case <-r.Context().Done():
+			}
+			return false
+		},
+	}
+	w := httptest.NewServer(h)
+	defer w.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 4*takes)
+	defer cancel()
+	_, err := New(platform.NewStore(w.Listener.Addr().String(), 4), "pool", 7, 1).Load(ctx)
+	assert.NilError(t, err)
+}
