scheduler: look for former pools only while a route waits for one

The homes of all routes of a pool were sorted in each step, of which there are thousands a second, also when no route has ever moved. Found by reading; no figure was taken.

--- a/entry/scheduler/homes.go
+++ b/entry/scheduler/homes.go
@@ -59,9 +59,11 @@
 	released map[string]int64
 	// requests are those of other pools that aren't answered yet.
 	requests []releaseRequest
-	// asking are the former pools with a request under way; there is no further one before retryAt.
-	asking  map[string]RequestRelease
-	retryAt time.Time
+	// unreleased is set while a home may wait for former pools. asking are those with a request under way;
+	// there is no further one before retryAt.
+	unreleased bool
+	asking     map[string]RequestRelease
+	retryAt    time.Time
 }
 
 // home is the state of a route to this pool.
@@ -150,6 +152,7 @@
 			}
 		}
 		if len(h.former) > 0 {
+			n.unreleased = true
 			s.logNote("Queue was fed to other pools before; their owners are asked for its jobs.", "", "queue", name,
 				"former", slices.Sorted(maps.Keys(h.former)), "version", n.version)
 		}
@@ -185,12 +188,14 @@
 // requestReleases asks the owners of former pools to release the routes.
 func (s *Scheduler) requestReleases(now time.Time) {
 	n := &s.homes
-	if now.Before(n.retryAt) {
+	if !n.unreleased || now.Before(n.retryAt) {
 		return
 	}
+	n.unreleased = false
 	asks := make(map[string]RequestRelease)
 	for _, name := range slices.Sorted(maps.Keys(n.byQueue)) {
 		h := n.byQueue[name]
+		n.unreleased = n.unreleased || len(h.former) > 0
 		for _, pool := range slices.Sorted(maps.Keys(h.former)) {
 			if _, asked := n.asking[pool]; asked {
 				continue
