--- a/entry/scheduler/homes_test.go
+++ b/entry/scheduler/homes_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -76,3 +77,37 @@
 	assert.Assert(t, a != b)
 	assert.Assert(t, len(a) <= 255)
 }
+
+// TestSettledRoutesCostNothing checks that a step costs no more with many routes that no other pool has to
+// release. They were sorted in each step.
+func TestSettledRoutesCostNothing(t *testing.T) {
+	allocations := func(routes int) float64 {
+		p := newPlayer(t)
+		p.s.set.TrackHomes = true
+		e := Configured{Version: 5, Pools: []string{"pool", "pool2"}}
+		for i := range routes {
+			e.Queues = append(e.Queues, platform.Queue{Name: fmt.Sprintf("q%d", i), Prefix: fmt.Sprintf("/%d/", i), Pool: "pool"})
+		}
+		all, _ := UpdateHomes(nil, "pool", 5, e.Queues)
+		for _, x := range []Event{e, Loaded{Homes: all}, Listed{}} {
+			p.step(x)
+		}
+		return testing.AllocsPerRun(100, func() { p.s.Step(p.now, Woken{}) })
+	}
+	assert.Equal(t, allocations(500), allocations(1))
+}
+
+// TestMovedQueueKeepsItsSettings checks that the next owner of a former pool has the settings of a queue that feeds
+// another pool by now. Its jobs had no limit of attempts.
+func TestMovedQueueKeepsItsSettings(t *testing.T) {
+	p := newPlayer(t)
+	for _, line := range []string{
+		"version 5 q", "host u1", "list", "loaded", "homes q pool 5", "polled u1", "at 20", "appended",
+		"submit 1 A queue=q version=5 1x1000x100~500", "at 30", "appended",
+	} {
+		p.do(strings.Fields(line))
+	}
+	p.version, p.others, p.queues = 6, p.queues, nil
+	p.takeOver(true)
+	assert.Equal(t, p.s.jobs["A"].queue.Attempts, 3)
+}
--- a/entry/scheduler/script_test.go
+++ b/entry/scheduler/script_test.go
@@ -132,6 +132,8 @@
 	now    time.Time
 	out    strings.Builder
 	queues []platform.Queue
+	// others are the queues that feed other pools.
+	others []platform.Queue
 	// workspaces are those of the configuration, report the number of the last report.
 	workspaces []platform.Workspace
 	report     int64
@@ -618,7 +620,7 @@
 
 func (p *player) configured() Configured {
 	return Configured{
-		Version: p.version, Queues: p.queues, Workspaces: slices.Clone(p.workspaces), Pools: []string{"pool", "pool2", "pool3"},
+		Version: p.version, Queues: p.queues, OtherQueues: p.others, Workspaces: slices.Clone(p.workspaces), Pools: []string{"pool", "pool2", "pool3"},
 	}
 }
 
