--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -57,7 +57,8 @@
 	contest contest
 	// answerLostAt is when a call to an upstream last had no answer.
 	answerLostAt time.Time
-	homes        homes
+	// homes has the routes to the pool, and what former pools have of their jobs.
+	homes homes
 	// adviser has the requests to the queues' policies.
 	adviser adviser
 	// reclaimAt is no later than the first time at which a task may be placed on an upstream that is
