entry: failing tests of a lease that lapses while callers press

The owner handles callers' requests before all answers of upstreams, without a limit: at a rate above what it can answer it renews no lease.

--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -74,6 +74,37 @@
 	assert.ErrorIs(t, d.Post(number(14)), duty.ErrStopped)
 }
 
+// TestUrgentStarvesOthers checks that other messages are delivered although an urgent one always waits.
+func TestUrgentStarvesOthers(t *testing.T) {
+	const others, most = 100, 1000
+	var d *duty.Duty[event]
+	handled, left, leftAtMost := 0, others, 0
+	done, ready := make(chan struct{}), make(chan struct{})
+	urgent := func(m event) bool { return m.(number) >= others }
+	d, err := duty.Spawn(duty.System(nil), "test", others, duty.Refuse, func(_ time.Time, m event) {
+		<-ready
+		if handled++; handled == most {
+			leftAtMost = left
+			close(done)
+		}
+		if urgent(m) && handled < most {
+			assert.Check(t, d.Post(m))
+		} else if !urgent(m) {
+			left--
+		}
+	}, duty.WithUrgent(urgent))
+	assert.NilError(t, err)
+	assert.NilError(t, d.Post(number(others)))
+	assert.NilError(t, d.Post(number(others)))
+	for n := range others {
+		assert.NilError(t, d.Post(number(n)))
+	}
+	close(ready)
+	<-done
+	assert.Equal(t, leftAtMost, 0, "messages were left after %d", most)
+	d.Stop()
+}
+
 func TestFullRingRefuses(t *testing.T) {
 	d, seen, release := spawnBlocked(t, 2, duty.Refuse)
 	assert.NilError(t, d.Post(number(1)))
