duty: urgent messages and others take turns

Callers saw the tasks of a long-running step end within 0.6 s of each other while its pool was busy, and fit-checks fail for 7 s.

Cause: the owner delivered callers' requests before all answers of upstreams, without a limit. Callers repeat what isn't answered, so at a rate above what the owner can answer it handled no answer of an upstream for up to 7 s: ends weren't read, the pool seemed full, more was refused and repeated, and the leases of sound upstreams, which are renewed with each poll, lapsed.

While both rings have messages, each gets four in a row.

--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -52,8 +52,9 @@
 	return func(d *Duty[M]) { d.box.interval, d.box.tick = interval, m }
 }
 
-// WithUrgent delivers the messages for which urgent returns true before all others. They
-// wait in a ring of their own, of the same size and policy.
+// WithUrgent delivers the messages for which urgent returns true before others. They wait in a
+// ring of their own, of the same size and policy. While both rings have messages, they take turns, so that
+// neither waits without a limit.
 func WithUrgent[M any](urgent func(M) bool) Option[M] {
 	return func(d *Duty[M]) {
 		d.box.isUrgent = urgent
--- a/entry/internal/duty/mailbox.go
+++ b/entry/internal/duty/mailbox.go
@@ -14,6 +14,8 @@
 	// WithUrgent.
 	urgent   *ring[M]
 	isUrgent func(M) bool
+	// turn counts the messages of a round: _turn urgent ones, and then as many others.
+	turn     int
 	policy   Policy
 	interval time.Duration
 	tick     M
@@ -45,14 +47,27 @@
 	return b.ring.push(m, b.policy)
 }
 
-// pop removes and returns the next message, an urgent one if there is any. ok is false if
-// there is none; ended is true if there will be none either.
+// _turn is how many messages of one ring are delivered in a row while the other one has some, too.
+const _turn = 4
+
+// pop removes and returns the next message: an urgent one if there is any, unless it is the turn of the
+// others. ok is false if there is none; ended is true if there will be none either.
 func (b *mailbox[M]) pop() (m M, ok, ended bool) {
-	if b.urgent != nil {
-		if m, ok, _ := b.urgent.pop(); ok {
+	if b.urgent == nil {
+		return b.ring.pop()
+	}
+	if b.turn >= _turn {
+		if m, ok, _ := b.ring.pop(); ok {
+			b.turn = (b.turn + 1) % (2 * _turn)
 			return m, true, false
 		}
+		b.turn = 0
+	}
+	if m, ok, _ := b.urgent.pop(); ok {
+		b.turn++
+		return m, true, false
 	}
+	b.turn = 0
 	return b.ring.pop()
 }
 
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -100,9 +100,10 @@
 	return o, nil
 }
 
-// isUrgent reports whether an event is handled before those of upstreams, of which there are
+// isUrgent reports whether an event comes before those of upstreams, of which there are
 // thousands per second in a turn: callers and the planner wait for an answer, without the
 // store's confirmation the owner may not order, and a policy's tickets are valid for a short time.
+// While both kinds wait, they take turns: leases are renewed only after the answers of upstreams.
 func isUrgent(e scheduler.Event) bool {
 	switch e.(type) {
 	case scheduler.Polled, scheduler.Ordered, scheduler.Listed, scheduler.Woken:
