duty: other messages take turns only once they have waited

Cause: since each ring gets four messages in a row.

Urgent messages come first again, until the oldest of the others has waited for 500 ms (a lease is 4.5 s, a poll waits for 1.5 s of it); from then on the two take turns one by one. That bounds the wait of both, on an entry of any speed. TestUrgentStarvesOthers gets a clock of its own and now asserts that bound: the wait, and two messages for each of the others. Before, it allowed 1,000 messages for 100. With a wait of an hour TestAvailLeaseLapsesWhileCallersPress fails.

--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -53,11 +53,11 @@
 }
 
 // WithUrgent delivers the messages for which urgent returns true before others. They wait in a
-// ring of their own, of the same size and policy. While both rings have messages, they take turns, so that
-// neither waits without a limit.
-func WithUrgent[M any](urgent func(M) bool) Option[M] {
+// ring of their own, of the same size and policy. Once the oldest of the others has waited for patience, they
+// take turns with the urgent ones, so that neither waits without a limit.
+func WithUrgent[M any](patience time.Duration, urgent func(M) bool) Option[M] {
 	return func(d *Duty[M]) {
-		d.box.isUrgent = urgent
+		d.box.isUrgent, d.box.patience = urgent, patience
 		d.box.urgent = newRing[M](len(d.box.ring.slots))
 		d.box.urgent.wake = d.box.ring.wake
 	}
@@ -96,6 +96,7 @@
 	for _, o := range opts {
 		o(d)
 	}
+	d.box.now = d.now
 	props := actor.PropsFromFunc(d.receive, actor.WithMailbox(func() actor.Mailbox { return d.box }))
 	if _, err := s.Root.SpawnNamed(props, name); err != nil {
 		return nil, fmt.Errorf("spawn duty %s: %w", name, err)
--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -59,7 +59,7 @@
 			<-release
 		}
 		seen = append(seen, m)
-	}, duty.WithUrgent(urgent))
+	}, duty.WithUrgent(time.Hour, urgent))
 	assert.NilError(t, err)
 	assert.NilError(t, d.Post(number(0)))
 	<-entered
@@ -74,15 +74,19 @@
 	assert.ErrorIs(t, d.Post(number(14)), duty.ErrStopped)
 }
 
-// TestUrgentStarvesOthers checks that other messages are delivered although an urgent one always waits.
+// TestUrgentStarvesOthers checks that other messages are delivered soon although an urgent one always waits.
 func TestUrgentStarvesOthers(t *testing.T) {
-	const others, most = 100, 1000
+	const others, each, patience = 100, 10 * time.Millisecond, 500 * time.Millisecond
+	const most = int(patience/each) + 2*others + 1
 	var d *duty.Duty[event]
 	handled, left, leftAtMost := 0, others, 0
 	done, ready := make(chan struct{}), make(chan struct{})
 	urgent := func(m event) bool { return m.(number) >= others }
+	var passed atomic.Int64
+	clock := func() time.Time { return time.Unix(0, passed.Load()) }
 	d, err := duty.Spawn(duty.System(nil), "test", others, duty.Refuse, func(_ time.Time, m event) {
 		<-ready
+		passed.Add(int64(each))
 		if handled++; handled == most {
 			leftAtMost = left
 			close(done)
@@ -92,7 +96,7 @@
 		} else if !urgent(m) {
 			left--
 		}
-	}, duty.WithUrgent(urgent))
+	}, duty.WithUrgent(patience, urgent), duty.WithClock[event](clock))
 	assert.NilError(t, err)
 	assert.NilError(t, d.Post(number(others)))
 	assert.NilError(t, d.Post(number(others)))
--- a/entry/internal/duty/mailbox.go
+++ b/entry/internal/duty/mailbox.go
@@ -14,13 +14,16 @@
 	// WithUrgent.
 	urgent   *ring[M]
 	isUrgent func(M) bool
-	// turn counts the messages of a round: _turn urgent ones, and then as many others.
-	turn     int
-	policy   Policy
-	interval time.Duration
-	tick     M
-	invoker  actor.MessageInvoker
-	done     chan struct{}
+	// patience is how long the oldest of the other messages may wait until they take turns with urgent
+	// ones. urgentLast is set if the last message was urgent.
+	patience   time.Duration
+	urgentLast bool
+	now        func() time.Time
+	policy     Policy
+	interval   time.Duration
+	tick       M
+	invoker    actor.MessageInvoker
+	done       chan struct{}
 }
 
 // PostUserMessage implements actor.Mailbox. It drops messages of types other
@@ -42,32 +45,24 @@
 
 func (b *mailbox[M]) push(m M) error {
 	if b.isUrgent != nil && b.isUrgent(m) {
-		return b.urgent.push(m, b.policy)
+		return b.urgent.push(b.now(), m, b.policy)
 	}
-	return b.ring.push(m, b.policy)
+	return b.ring.push(b.now(), m, b.policy)
 }
 
-// _turn is how many messages of one ring are delivered in a row while the other one has some, too.
-const _turn = 4
-
 // pop removes and returns the next message: an urgent one if there is any, unless it is the turn of the
 // others. ok is false if there is none; ended is true if there will be none either.
 func (b *mailbox[M]) pop() (m M, ok, ended bool) {
 	if b.urgent == nil {
 		return b.ring.pop()
 	}
-	if b.turn >= _turn {
-		if m, ok, _ := b.ring.pop(); ok {
-			b.turn = (b.turn + 1) % (2 * _turn)
+	if !b.urgentLast || b.ring.waited(b.now()) < b.patience {
+		if m, ok, _ := b.urgent.pop(); ok {
+			b.urgentLast = true
 			return m, true, false
 		}
-		b.turn = 0
-	}
-	if m, ok, _ := b.urgent.pop(); ok {
-		b.turn++
-		return m, true, false
 	}
-	b.turn = 0
+	b.urgentLast = false
 	return b.ring.pop()
 }
 
--- a/entry/internal/duty/ring.go
+++ b/entry/internal/duty/ring.go
@@ -1,13 +1,16 @@
 package duty
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // ring is a bounded first-in first-out queue with many senders and one receiver.
 // Its wake channel holds at most one token, so that a waiting receiver uses no
 // processor time and a sender never blocks.
 type ring[M any] struct {
 	mu     sync.Mutex
-	slots  []M
+	slots  []slot[M]
 	head   int
 	len    int
 	lost   uint64
@@ -15,15 +18,21 @@
 	wake   chan struct{}
 }
 
+// slot is a message and when it was posted.
+type slot[M any] struct {
+	message M
+	at      time.Time
+}
+
 func newRing[M any](size int) *ring[M] {
-	return &ring[M]{slots: make([]M, size), wake: make(chan struct{}, 1)}
+	return &ring[M]{slots: make([]slot[M], size), wake: make(chan struct{}, 1)}
 }
 
-// push adds m. If the ring is full, the policy decides whether m is refused or
+// push adds m at a time. If the ring is full, the policy decides whether m is refused or
 // the oldest message is dropped.
-func (r *ring[M]) push(m M, p Policy) error {
+func (r *ring[M]) push(now time.Time, m M, p Policy) error {
 	r.mu.Lock()
-	err := r.pushLocked(m, p)
+	err := r.pushLocked(now, m, p)
 	r.mu.Unlock()
 	if err == nil {
 		r.signal()
@@ -31,7 +40,7 @@
 	return err
 }
 
-func (r *ring[M]) pushLocked(m M, p Policy) error {
+func (r *ring[M]) pushLocked(now time.Time, m M, p Policy) error {
 	if r.closed {
 		return ErrStopped
 	}
@@ -42,14 +51,13 @@
 		}
 		r.dropOldest()
 	}
-	r.slots[(r.head+r.len)%len(r.slots)] = m
+	r.slots[(r.head+r.len)%len(r.slots)] = slot[M]{m, now}
 	r.len++
 	return nil
 }
 
 func (r *ring[M]) dropOldest() {
-	var zero M
-	r.slots[r.head] = zero
+	r.slots[r.head] = slot[M]{}
 	r.head = (r.head + 1) % len(r.slots)
 	r.len--
 }
@@ -62,11 +70,21 @@
 	if r.len == 0 {
 		return m, false, r.closed
 	}
-	m = r.slots[r.head]
+	m = r.slots[r.head].message
 	r.dropOldest()
 	return m, true, false
 }
 
+// waited returns how long the oldest message has waited; zero if there is none.
+func (r *ring[M]) waited(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.len == 0 {
+		return 0
+	}
+	return now.Sub(r.slots[r.head].at)
+}
+
 func (r *ring[M]) close() {
 	r.mu.Lock()
 	r.closed = true
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -31,6 +31,8 @@
 const (
 	// _maxEvents is the capacity of the scheduler's event queue.
 	_maxEvents = 8192
+	// _patience is how long events of upstreams wait until they take turns with urgent ones.
+	_patience = 500 * time.Millisecond
 	// _fullRetryDelay is the pause before a result is queued again.
 	_fullRetryDelay = 5 * time.Millisecond
 )
@@ -87,7 +89,7 @@
 		pending: make(map[scheduler.Ref]chan *link.Answer), load: newLoad(set.Pool),
 	}
 	name := fmt.Sprintf("owner.%s.%d", set.Pool, set.Token)
-	d, err := duty.Spawn(sys, name, _maxEvents, duty.Refuse, o.step, duty.WithUrgent(isUrgent))
+	d, err := duty.Spawn(sys, name, _maxEvents, duty.Refuse, o.step, duty.WithUrgent(_patience, isUrgent))
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("start owner: %w", err)
@@ -103,7 +105,7 @@
 // isUrgent reports whether an event comes before those of upstreams, of which there are
 // thousands per second in a turn: callers and the planner wait for an answer, without the
 // store's confirmation the owner may not order, and a policy's tickets are valid for a short time.
-// While both kinds wait, they take turns: leases are renewed only after the answers of upstreams.
+// Leases are renewed only after the answers of upstreams, so these wait no longer than _patience for that.
 func isUrgent(e scheduler.Event) bool {
 	switch e.(type) {
 	case scheduler.Polled, scheduler.Ordered, scheduler.Listed, scheduler.Woken:
