--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -121,6 +121,9 @@
 	return n
 }
 
+// Waited returns how long the oldest message that isn't urgent has waited; zero if there is none.
+func (d *Duty[M]) Waited(now time.Time) time.Duration { return d.box.ring.waited(now) }
+
 // Lost returns the number of messages refused or dropped because the ring was
 // full.
 func (d *Duty[M]) Lost() uint64 {
--- a/entry/internal/owner/load.go
+++ b/entry/internal/owner/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -13,6 +14,10 @@
 	events, operations [_kinds]*metrics.Counter
 	// waiting is the number of events that are waiting behind those that are handled.
 	waiting *metrics.Histogram
+	// waited is how long the oldest event of an upstream has waited then, in seconds.
+	waited *metrics.Histogram
+	// overloadedAt is when the log had last that events of upstreams take turns with urgent ones.
+	overloadedAt time.Time
 }
 
 // The kinds of events and operations that are counted apart.
@@ -32,7 +37,10 @@
 var _kindNames = [_kinds]string{"other", "submit", "state", "load", "start", "stop", "poll", "append"}
 
 func newLoad(pool string) *load {
-	l := &load{waiting: metrics.GetOrCreateHistogram(fmt.Sprintf("entry_owner_events_waiting{pool=%q}", pool))}
+	l := &load{
+		waiting: metrics.GetOrCreateHistogram(fmt.Sprintf("entry_owner_events_waiting{pool=%q}", pool)),
+		waited:  metrics.GetOrCreateHistogram(fmt.Sprintf("entry_owner_upstream_event_wait_seconds{pool=%q}", pool)),
+	}
 	for k, name := range _kindNames {
 		l.events[k] = metrics.GetOrCreateCounter(fmt.Sprintf("entry_owner_events_total{pool=%q,kind=%q}", pool, name))
 		l.operations[k] = metrics.GetOrCreateCounter(fmt.Sprintf("entry_owner_operations_total{pool=%q,kind=%q}", pool, name))
@@ -40,14 +48,29 @@
 	return l
 }
 
-// handled counts events that were handled together, and those that were waiting behind them.
-func (l *load) handled(events []scheduler.Event, waiting int) {
+// handled counts events that were handled together, those that were waiting behind them, and how long the
+// oldest of an upstream has waited.
+func (l *load) handled(events []scheduler.Event, waiting int, waited time.Duration) {
 	l.waiting.Update(float64(waiting))
+	l.waited.Update(waited.Seconds())
 	for _, e := range events {
 		l.events[eventKind(e)].Inc()
 	}
 }
 
+// overloaded reports whether the log is to say that the owner can't keep up: events of upstreams have waited
+// until they take turns with urgent ones. It does so once in _overloadLogInterval.
+func (l *load) overloaded(now time.Time, waited time.Duration) bool {
+	if waited < _patience || now.Sub(l.overloadedAt) < _overloadLogInterval {
+		return false
+	}
+	l.overloadedAt = now
+	return true
+}
+
+// _overloadLogInterval is the time between two log lines about an owner that can't keep up.
+const _overloadLogInterval = time.Second
+
 // ordered counts an operation.
 func (l *load) ordered(o scheduler.Op) { l.operations[opKind(o)].Inc() }
 
--- a/entry/internal/owner/owner.go
+++ b/entry/internal/owner/owner.go
@@ -240,7 +240,12 @@
 	if len(o.batch) < _maxBatch && waiting > 0 {
 		return
 	}
-	o.load.handled(o.batch, waiting)
+	waited := o.duty.Waited(now)
+	o.load.handled(o.batch, waiting, waited)
+	if o.load.overloaded(now, waited) {
+		o.log.Warn("Owner can't keep up; events of upstreams and urgent ones take turns.", "pool", o.pool, "waiting", waiting,
+			"waitedMs", waited.Milliseconds())
+	}
 	if d := permit.Suspended(o.steppedAt, now); !o.steppedAt.IsZero() && d > _minSuspension {
 		o.log.Warn("Process was suspended, or its time of day was set forward.", "pool", o.pool, "forMs", d.Milliseconds())
 		o.run(now, scheduler.Suspended{For: d})
