duty: an empty ring is never late

With a patience of zero, the mailbox took an empty ring of other messages for one whose turn it is, and looked at the urgent ones only when it was woken again. TestUrgentFirst has a case for it. The slots' type stands above the ring's.

--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -50,6 +50,19 @@
 
 // TestUrgentFirst posts messages while the handler is busy. Those of at least 10 are urgent.
 func TestUrgentFirst(t *testing.T) {
+	for _, c := range []struct {
+		patience time.Duration
+		want     []event
+	}{
+		{time.Hour, []event{number(0), number(10), number(11), number(12), number(1), number(2), number(3)}},
+		{0, []event{number(0), number(10), number(1), number(11), number(2), number(12), number(3)}},
+	} {
+		t.Run(c.patience.String(), func(t *testing.T) { checkUrgentFirst(t, c.patience, c.want) })
+	}
+}
+
+func checkUrgentFirst(t *testing.T, patience time.Duration, want []event) {
+	t.Helper()
 	var seen []event
 	entered, release := make(chan struct{}), make(chan struct{})
 	urgent := func(m event) bool { return m.(number) >= 10 }
@@ -59,7 +72,7 @@
 			<-release
 		}
 		seen = append(seen, m)
-	}, duty.WithUrgent(time.Hour, urgent))
+	}, duty.WithUrgent(patience, urgent))
 	assert.NilError(t, err)
 	assert.NilError(t, d.Post(number(0)))
 	<-entered
@@ -70,7 +83,7 @@
 	assert.Equal(t, d.Waiting(), 6)
 	close(release)
 	d.Stop()
-	assert.DeepEqual(t, seen, []event{number(0), number(10), number(11), number(12), number(1), number(2), number(3)})
+	assert.DeepEqual(t, seen, want)
 	assert.ErrorIs(t, d.Post(number(14)), duty.ErrStopped)
 }
 
--- a/entry/internal/duty/mailbox.go
+++ b/entry/internal/duty/mailbox.go
@@ -56,7 +56,7 @@
 	if b.urgent == nil {
 		return b.ring.pop()
 	}
-	if !b.urgentLast || b.ring.waited(b.now()) < b.patience {
+	if !b.urgentLast || !b.ring.late(b.now(), b.patience) {
 		if m, ok, _ := b.urgent.pop(); ok {
 			b.urgentLast = true
 			return m, true, false
--- a/entry/internal/duty/ring.go
+++ b/entry/internal/duty/ring.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// slot is a message and when it was posted.
+type slot[M any] struct {
+	message M
+	at      time.Time
+}
+
 // ring is a bounded first-in first-out queue with many senders and one receiver.
 // Its wake channel holds at most one token, so that a waiting receiver uses no
 // processor time and a sender never blocks.
@@ -18,12 +24,6 @@
 	wake   chan struct{}
 }
 
-// slot is a message and when it was posted.
-type slot[M any] struct {
-	message M
-	at      time.Time
-}
-
 func newRing[M any](size int) *ring[M] {
 	return &ring[M]{slots: make([]slot[M], size), wake: make(chan struct{}, 1)}
 }
@@ -75,6 +75,13 @@
 	return m, true, false
 }
 
+// late reports whether the oldest message has waited for at least d.
+func (r *ring[M]) late(now time.Time, d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.len > 0 && now.Sub(r.slots[r.head].at) >= d
+}
+
 // waited returns how long the oldest message has waited; zero if there is none.
 func (r *ring[M]) waited(now time.Time) time.Duration {
 	r.mu.Lock()
