link: send an answer as it is given

Cause: the server copied the handler's answer field by field, without held and more, so that a release between two entries listed no jobs. Class: a message copied by hand between two layers, with a field left out, and no test that crosses the wire.

The server clones the answer and sets the number only; the form on the wire is the same.

--- a/entry/link/server.go
+++ b/entry/link/server.go
@@ -102,11 +102,11 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			a := s.Handle(ctx, &q)
-			m := &Answer{
-				Number: q.GetNumber(), Outcome: a.GetOutcome(), RetryAfterMs: a.GetRetryAfterMs(),
-				State: a.GetState(), Pending: a.GetPending(), Load: a.GetLoad(),
+			m := &Answer{}
+			if a := s.Handle(ctx, &q); a != nil {
+				m = proto.CloneOf(a) // An answer may go to several callers.
 			}
+			m.Number = q.GetNumber()
 			mu.Lock()
 			defer mu.Unlock()
 			if err := send(t, m); err != nil {
