link: send a call as it is given

A key that a version withdraws went on working at an entry with an older version, where docs say that the owner's entry checks the key again under its newer one: between entries it never did.

Cause: the client copied the call without its credential, and recheck takes a call without one as checked.

The client clones the call and sets the number only. TestWithdrawnKeyPassesLink (an entry with version 3 passes a call to an owner with version 4, over a link on loopback) failed before with OUTCOME_OK; TestWithdrawnKeyIsLostInCall, which fills every field of a Call for each of its seven bodies by reflection, failed in all seven. Both pass now.

--- a/entry/internal/node/config_test.go
+++ b/entry/internal/node/config_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -51,6 +53,30 @@
 	assert.Assert(t, n.recheck(&link.Call{Pool: "p"}) == nil)
 }
 
+// TestWithdrawnKeyPassesLink has an entry that is behind pass a call with a withdrawn key to the entry of the owner.
+func TestWithdrawnKeyPassesLink(t *testing.T) {
+	behind, owner, now := newTestNode(t), newTestNode(t), time.Now()
+	behind.applyRecord(config("3", `{"name":"shops","apiKeys":["k1"]}`))
+	behind.confirmConfig(now)
+	owner.applyRecord(config("4", `{"name":"shops","apiKeys":["k2"]}`))
+	_, c := behind.authorize(now, platform.Queue{Name: "q", Pool: "p"}, platform.HashKey("k1"), true)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	s := &link.Server{Handle: func(_ context.Context, q *link.Call) *link.Answer {
+		if a := owner.recheck(q); a != nil {
+			return a
+		}
+		return &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
+	}}
+	go func() { _ = s.Serve(t.Context(), l) }() // It ends with the listener.
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	a, err := behind.link.Call(ctx, l.Addr().String(), &link.Call{Pool: "p", Credential: c})
+	assert.NilError(t, err)
+	assert.Equal(t, a.GetOutcome(), link.Outcome_OUTCOME_DENIED)
+}
+
 // TestWithdrawnKeyStaysWithdrawn applies an older configuration after a newer one, as a reader
 // of a recreated topic might, and one that can't be read.
 func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
--- a/entry/link/client.go
+++ b/entry/link/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -195,6 +196,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	w := make(chan *Answer, 1)
+	m := proto.CloneOf(q) // A call may go to several owners.
 	p.mu.Lock()
 	p.lastNumber++
 	n := p.lastNumber
@@ -202,7 +204,7 @@
 	if p.unansweredSince.IsZero() {
 		p.unansweredSince = time.Now()
 	}
-	m := &Call{Number: n, Pool: q.GetPool(), Body: q.GetBody()}
+	m.Number = n
 	err := send(p.stream, m)
 	p.mu.Unlock()
 	if err != nil {
--- a/entry/link/link_test.go
+++ b/entry/link/link_test.go
@@ -26,6 +26,24 @@
 	assert.Assert(t, proto.Equal(got, want), "got %v, want %v", got, want)
 }
 
+// TestWithdrawnKeyIsLostInCall sends calls with each of their fields set, one with each body. Without the credential, an owner
+// with a newer configuration didn't check the caller's key again.
+func TestWithdrawnKeyIsLostInCall(t *testing.T) {
+	bodies := (&link.Call{}).ProtoReflect().Descriptor().Oneofs().ByName("body").Fields()
+	for i := range bodies.Len() {
+		t.Run(string(bodies.Get(i).Name()), func(t *testing.T) {
+			want := &link.Call{}
+			fill(want.ProtoReflect(), i)
+			sent := proto.CloneOf(want)
+			got, _ := exchange(t, want, &link.Answer{})
+			assert.Assert(t, proto.Equal(want, sent), "the call was changed")
+			assert.Assert(t, got.GetNumber() != want.GetNumber(), "the number is not the link's")
+			got.Number = want.GetNumber()
+			assert.Assert(t, proto.Equal(got, want), "got %v, want %v", got, want)
+		})
+	}
+}
+
 // exchange sends a call over a link on loopback, and returns it as the handler has got it, and the answer.
 func exchange(t *testing.T, q *link.Call, a *link.Answer) (*link.Call, *link.Answer) {
 	t.Helper()
