scheduler: an answer to a release fits into a message of the link

An answer lists up to 10,000 jobs, and a message of the link is at most 1 MiB. With names of 250 bytes the answer takes 5,100,004 bytes: the connection would break each time it is sent, and the route would never be released.

Pages are bounded by bytes, too. TestReleaseFitsMessage pages through 25,000 jobs with names of 16 and of 250 bytes; the second failed before.

--- a/entry/link/client.go
+++ b/entry/link/client.go
@@ -25,8 +25,8 @@
 	// answers within a few milliseconds, so a longer silence means that the connection
 	// is broken.
 	_answerTimeout = 900 * time.Millisecond
-	// _maxMessage limits a message, in bytes; it is enough for a job with its steps.
-	_maxMessage = 1 << 20
+	// MaxMessage limits a message, in bytes; it is enough for a job with its steps.
+	MaxMessage = 1 << 20
 	// _streamWindow is the flow-control window of the stream, in bytes.
 	_streamWindow = 512 << 10
 )
@@ -176,7 +176,7 @@
 	r := bufio.NewReader(p.stream)
 	for {
 		var a Answer
-		if err := (protodelim.UnmarshalOptions{MaxSize: _maxMessage}).UnmarshalFrom(r, &a); err != nil {
+		if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessage}).UnmarshalFrom(r, &a); err != nil {
 			p.close()
 			return
 		}
--- a/entry/link/server.go
+++ b/entry/link/server.go
@@ -96,7 +96,7 @@
 	var mu sync.Mutex
 	for {
 		var q Call
-		if err := (protodelim.UnmarshalOptions{MaxSize: _maxMessage}).UnmarshalFrom(r, &q); err != nil {
+		if err := (protodelim.UnmarshalOptions{MaxSize: MaxMessage}).UnmarshalFrom(r, &q); err != nil {
 			return
 		}
 		slots <- struct{}{}
--- a/entry/scheduler/homes.go
+++ b/entry/scheduler/homes.go
@@ -28,8 +28,12 @@
 const (
 	// _releaseRetryDelay is the pause before a former owner is asked again for a release.
 	_releaseRetryDelay = 200 * time.Millisecond
-	// _maxHeldJobs is the number of jobs in an answer to a request for a release.
-	_maxHeldJobs = 10_000
+	// _maxHeldJobs is the number of jobs in an answer to a request for a release, and _maxHeldBytes the
+	// size of their names, which leaves room in a message of the link.
+	_maxHeldJobs  = 10_000
+	_maxHeldBytes = 512 << 10
+	// _heldJobBytes is what a job takes in an answer beside its names, at most.
+	_heldJobBytes = 16
 	// _maxRouteKey is the length from which the end of a route's key is replaced by its hash, as the store
 	// limits keys.
 	_maxRouteKey = 200
@@ -339,6 +343,18 @@
 	return !configured || slices.Contains(e.Queues, name) || slices.Contains(e.Routes, RouteKey(q))
 }
 
+// heldPage returns how many of the jobs with some IDs fit into an answer; one does in any case.
+func (s *Scheduler) heldPage(ids []string) int {
+	size := 0
+	for i, id := range ids {
+		size += len(id) + len(s.jobs[id].def.GetWorkspace()) + _heldJobBytes
+		if i == _maxHeldJobs || i > 0 && size > _maxHeldBytes {
+			return i
+		}
+	}
+	return len(ids)
+}
+
 // heldJobs lists the jobs of this pool that may have been submitted on the routes of a request.
 func (s *Scheduler) heldJobs(e ReleaseRequested) *link.Answer {
 	a := &link.Answer{Outcome: link.Outcome_OUTCOME_OK}
@@ -349,8 +365,8 @@
 		}
 	}
 	slices.Sort(ids)
-	if len(ids) > _maxHeldJobs {
-		ids, a.More = ids[:_maxHeldJobs], true
+	if n := s.heldPage(ids); n < len(ids) {
+		ids, a.More = ids[:n], true
 	}
 	byWorkspace := make(map[string]*link.Held)
 	for _, id := range ids {
--- a/entry/scheduler/homes_test.go
+++ b/entry/scheduler/homes_test.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"fescuelanding/entry/link"
 	"fescuelanding/fleet/work"
 	"fescuelanding/platform"
 )
@@ -111,3 +115,29 @@
 	p.takeOver(true)
 	assert.Equal(t, p.s.jobs["A"].queue.Attempts, 3)
 }
+
+// TestReleaseFitsMessage checks that the answers to a release fit into messages of the link, whatever
+// the names of jobs and workspaces, and list each job.
+func TestReleaseFitsMessage(t *testing.T) {
+	for _, length := range []int{16, 250} {
+		t.Run(strconv.Itoa(length), func(t *testing.T) {
+			const jobs = 25_000
+			s := New(Settings{Pool: "pool"})
+			for i := range jobs {
+				id := fmt.Sprintf("%0*d", length, i)
+				s.jobs[id] = &job{def: &work.Job{Id: id, Workspace: fmt.Sprintf("w%0*d", length, i), Queue: "q", Steps: []*work.Step{{Count: 1}}}}
+			}
+			e, listed := ReleaseRequested{Queues: []string{"q"}}, 0
+			for more := true; more; {
+				a := s.heldJobs(e)
+				assert.Assert(t, proto.Size(a) < link.MaxMessage, "%d bytes", proto.Size(a))
+				for _, h := range a.GetHeld() {
+					listed += len(h.GetJobs())
+					e.After = max(e.After, slices.Max(h.GetJobs()))
+				}
+				more = a.GetMore()
+			}
+			assert.Equal(t, listed, jobs)
+		})
+	}
+}
