--- a/entry/internal/journal/homes_test.go
+++ b/entry/internal/journal/homes_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -61,7 +62,9 @@
 	w := httptest.NewServer(&serve.Store{Append: s.append, Newest: s.newest})
 	defer w.Close()
 	h := Homes{Store: platform.NewStore(strings.TrimPrefix(w.URL, "http://"), 2)}
-	m, err := h.Find(context.Background(), pool, scheduler.FindHomes{Version: version, Queues: queues})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	m, err := h.Find(ctx, pool, scheduler.FindHomes{Version: version, Queues: queues})
 	assert.NilError(t, err)
 	return m
 }
@@ -94,7 +97,7 @@
 		s := &homesStore{}
 		var queues []platform.Queue
 		for i := range 2*_maxHomes + 1 {
-			queues = append(queues, platform.Queue{Name: "q", Prefix: fmt.Sprintf("/%d/", i)})
+			queues = append(queues, platform.Queue{Name: "q", Host: "a.example", Prefix: fmt.Sprintf("/%d/", i)})
 		}
 		assert.Equal(t, len(s.find(t, "b", 5, queues...)), len(queues))
 		assert.Equal(t, s.appends, 3)
