--- a/entry/internal/duty/duty_test.go
+++ b/entry/internal/duty/duty_test.go
@@ -87,6 +87,34 @@
 	assert.ErrorIs(t, d.Post(number(14)), duty.ErrStopped)
 }
 
+// TestUrgentWaitsForEmptyRing posts two urgent messages while the handler is busy with a third, and no others. The last one
+// waited until something else was posted.
+func TestUrgentWaitsForEmptyRing(t *testing.T) {
+	entered, release, seen := make(chan struct{}), make(chan struct{}), make(chan event, 3)
+	d, err := duty.Spawn(duty.System(nil), "test", 3, duty.Refuse, func(_ time.Time, m event) {
+		if m == event(number(0)) {
+			close(entered)
+			<-release
+		}
+		seen <- m
+	}, duty.WithUrgent(0, func(event) bool { return true }))
+	assert.NilError(t, err)
+	defer d.Stop()
+	assert.NilError(t, d.Post(number(0)))
+	<-entered
+	assert.NilError(t, d.Post(number(1)))
+	assert.NilError(t, d.Post(number(2)))
+	close(release)
+	for n := range 3 {
+		select {
+		case m := <-seen:
+			assert.Equal(t, m, event(number(n)))
+		case <-time.After(5 * time.Second):
+			t.Fatalf("message %d isn't delivered", n)
+		}
+	}
+}
+
 // TestUrgentStarvesOthers checks that other messages are delivered soon although an urgent one always waits.
 func TestUrgentStarvesOthers(t *testing.T) {
 	const others, each, patience = 100, 10 * time.Millisecond, 500 * time.Millisecond
