emulator: judge leases that lapse, and count tasks that were never available

The ledger's AVAIL was narrower than the rule: a lease that lapses with no fault near counts as an order, and a task that isn't at work for long counts as away also if it never was.

--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -252,6 +252,14 @@
 	}
 }
 
+// recordLapse records that a run's lease lapses. That counts as an order, unless a fault may have kept the owner from
+// renewing it.
+func (l *ledger) recordLapse(s *runRecord, u *upstream) {
+	if l.world.now-l.world.lastFaultEnd() >= _calmTime {
+		l.recordStop(s, u, "the lapse of its lease")
+	}
+}
+
 // _outageTolerance is how long a task may be down for a cause other than an order
 // before it counts as unavailable.
 const _outageTolerance = 4500 * time.Millisecond
@@ -282,7 +290,7 @@
 
 // unavailable reports whether a long-running task is unavailable: none of its current runs
 // is past start-up. A task that was available until less than _outageTolerance ago counts
-// only if an order ended its run. A task that was never available doesn't count.
+// only if an order ended its run. One that was never available counts that long after its first start.
 func (t *taskRecord) unavailable() bool {
 	now := t.world.now
 	var last *runRecord
@@ -295,7 +303,7 @@
 		}
 	}
 	if last == nil {
-		return false
+		return len(t.runs) > 0 && now-t.runs[0].at >= _outageTolerance
 	}
 	return last.stoppedByOrder || now-last.endedAt >= _outageTolerance
 }
--- a/standin/emulator/ledger_test.go
+++ b/standin/emulator/ledger_test.go
@@ -26,6 +26,8 @@
 //	ack TASK RUN          an owner acknowledges its end
 //	lose TASK RUN         its end is lost with the upstream's incarnation
 //	order TASK RUN        an order ends it
+//	lapse TASK RUN        its lease lapses
+//	faultUntil MS         the last fault ends
 //	unknown TASK          an order starts a task of no submitted job, by its full name
 //	expire HOST           the lease of a host's upstream expires
 //	accepted | refused | cancelled
@@ -122,13 +124,19 @@
 		p.job.def.Steps = []*work.Step{{
 			Count: int32(p.number(f[1])), MilliCpu: 500, LongRunning: true, MayMiss: int32(p.number(f[2])),
 		}}
-	case "order":
+	case "order", "lapse":
 		s := p.runs[f[1]+"/"+f[2]]
 		for _, u := range p.w.upstreams {
-			if u.name() == s.upstream {
+			switch {
+			case u.name() != s.upstream:
+			case f[0] == "order":
 				l.recordStop(s, u, "a stop order")
+			default:
+				l.recordLapse(s, u)
 			}
 		}
+	case "faultUntil":
+		p.w.fault.lastEnd = time.Duration(p.number(f[1])) * time.Millisecond
 	case "unknown":
 		l.recordStart(l.task(f[1], "s"), p.w.at("m0"), 1, "e0")
 	case "late":
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -200,6 +200,7 @@
 		}
 		u.leaseExpired = u.world.now
 		for _, t := range sortedKeys(u.runs) {
+			u.world.ledger.recordLapse(u.runs[t].record, u)
 			u.end(u.runs[t], platform.EndLapsed)
 		}
 	})
