emulator: events of upstreams that wait behind callers

With AnswerWait, events of upstreams wait for a set time during 10 s that begin long after all faults.

--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -99,6 +99,24 @@
 // plays more.
 const _busySeeds = 80
 
+// TestAvailLapseWhileCallersPress plays histories in which events of upstreams wait behind callers: as long as owners let
+// them, and for so long that leases lapse, which must be found.
+func TestAvailLapseWhileCallersPress(t *testing.T) {
+	playSeedsUpTo(t, emulator.Settings{LateOrders: true, AnswerWait: 500 * time.Millisecond}, _pressedSeeds)
+	found := 0
+	for seed := range uint64(_pressedSeeds) {
+		for _, v := range emulator.New(emulator.Settings{Seed: seed + 1, LateOrders: true, AnswerWait: 7 * time.Second}).Run() {
+			if v.Rule == "AVAIL" && strings.Contains(v.Detail, "the lapse of its lease") {
+				found++
+			}
+		}
+	}
+	assert.Assert(t, found > 0, "no lapse is found in %d histories", _pressedSeeds)
+}
+
+// _pressedSeeds is how many histories the test plays of each kind, at most.
+const _pressedSeeds = 20
+
 // TestAvailStopOfUnconfirmedStart plays histories in which some orders are executed late, and others in
 // time. A stop that was to rule out a late start ended a task that its step couldn't miss.
 func TestAvailStopOfUnconfirmedStart(t *testing.T) {
--- a/standin/emulator/owner.go
+++ b/standin/emulator/owner.go
@@ -40,9 +40,11 @@
 	advising scheduler.AdvicePacing
 	// lastRef numbers the requests, waiting holds the callbacks of those without an answer.
 	// batch are the events that the scheduler handles together with the next one.
-	batch   []scheduler.Event
-	lastRef scheduler.Ref
-	waiting map[scheduler.Ref]func(*link.Answer)
+	batch []scheduler.Event
+	// deliverAt is when the last event of an upstream that waits is handled; later ones aren't before it.
+	deliverAt time.Duration
+	lastRef   scheduler.Ref
+	waiting   map[scheduler.Ref]func(*link.Answer)
 }
 
 // _maxPastWakes is how many consecutive requests for a wake in the past are tolerated.
@@ -87,8 +89,36 @@
 	o.post(scheduler.Listed{Upstreams: l})
 }
 
-// post passes an event to the scheduler, at once or in a batch.
+// post passes an event to the scheduler, after those that it waits for.
 func (o *owner) post(ev scheduler.Event) {
+	w := o.entry.world
+	switch ev.(type) {
+	case scheduler.Polled, scheduler.Ordered, scheduler.Listed, scheduler.Woken:
+		if w.pressed() {
+			o.deliverAt = max(o.deliverAt, w.now+w.settings.AnswerWait)
+		}
+		if o.deliverAt > w.now {
+			o.entry.after(o.deliverAt-w.now, func() { o.handle(ev) })
+			return
+		}
+	}
+	o.handle(ev)
+}
+
+// Callers press on the owners for _pressTime, from _calmDrain after the last submission on.
+const (
+	_pressTime = 10 * time.Second
+	_calmDrain = 25 * time.Second
+)
+
+// pressed reports whether callers ask for more than owners can answer.
+func (w *World) pressed() bool {
+	from := w.settings.SubmitPeriod + _calmDrain
+	return w.settings.AnswerWait > 0 && w.now >= from && w.now < from+_pressTime
+}
+
+// handle passes an event to the scheduler, at once or in a batch.
+func (o *owner) handle(ev scheduler.Event) {
 	if !o.isCurrent() || o.ended {
 		return
 	}
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -45,6 +45,9 @@
 	SmallRecords bool
 	// Batches has owners fall behind their events at times, and handle several at once.
 	Batches bool
+	// AnswerWait is how long events of upstreams wait behind the requests of callers, while these press on the owners for
+	// _pressTime after all faults; zero for not at all.
+	AnswerWait time.Duration
 	// Policy has the queue's policy decide on which upstreams a step may run.
 	Policy bool
 	// Moves adds two pools, and versions of the configuration that have the queue's route feed one of them or
