--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -10,12 +10,26 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 )
 
 // cases are the cases by name. Each returns how the rule was broken, or an empty string.
 var cases = map[string]func(s *site, trouble bool) string{}
 
+// stop ends all that was started.
+var stop = func() {}
+
+func check(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "can't run:", err)
+		stop()
+		os.Exit(2)
+	}
+}
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
@@ -24,12 +38,14 @@
 	dir, err := os.MkdirTemp("", "standin3-")
 	check(err)
 	s := newSite(dir, os.Args[2])
+	stop = sync.OnceFunc(s.stop)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { check(fmt.Errorf("%v", <-signals)) }()
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.log("case %s, disruption: %v", os.Args[1], trouble)
 	limit := time.AfterFunc(115*time.Second, func() {
-		s.log("the case takes too long")
-		s.stop()
-		os.Exit(2)
+		check(fmt.Errorf("the case takes too long"))
 	})
 	broken := cases[os.Args[1]](s, trouble)
 	limit.Stop()
@@ -38,7 +54,7 @@
 	} else {
 		s.log("held")
 	}
-	s.stop()
+	stop()
 	if broken != "" {
 		fmt.Println("broken:", broken)
 		os.Exit(1)
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -28,13 +28,6 @@
 	rackSize = 3
 )
 
-func check(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "can't run:", err)
-		os.Exit(2)
-	}
-}
-
 // runRecord is a run as its executor saw it.
 type runRecord struct {
 	executor string
@@ -289,8 +282,10 @@
 // stop ends all processes.
 func (s *site) stop() {
 	for _, e := range s.entries {
-		_ = e.process.Process.Kill()
-		<-e.done
+		if e.process != nil {
+			_ = e.process.Process.Kill()
+			<-e.done
+		}
 	}
 	if d := os.Getenv("KEEP_LOGS"); d != "" {
 		for _, e := range s.entries {
