--- a/standin/cmd/standin/play.go
+++ b/standin/cmd/standin/play.go
@@ -38,6 +38,8 @@
 			&cli.BoolFlag{Name: "late", Usage: "have some orders executed late and others in time, with half of the jobs long-running"},
 			&cli.BoolFlag{Name: "restarts", Usage: "add waves in which upstreams crash together and start again under their IDs, while tasks wait for room"},
 			&cli.BoolFlag{Name: "stale-calls", Usage: "with --restarts: have upstreams execute calls that were meant for a former incarnation"},
+			&cli.BoolFlag{Name: "stalls", Usage: "add spells in which owners stand still while their clocks run on, and upstreams start again under their IDs"},
+			&cli.BoolFlag{Name: "exits", Usage: "have runs of long-running tasks end by themselves as done"},
 			&cli.BoolFlag{Name: "power-loss", Usage: "cut the power of all entries at once after the other faults, while callers go on"},
 			&cli.BoolFlag{Name: "trace", Usage: "print the trace of the first seed's simulation, and run no other"},
 			&cli.StringFlag{Name: "load", Usage: "replay the load in this file with each seed, and print the results"},
@@ -55,7 +57,8 @@
 		return emulator.New(emulator.Settings{
 			Seed: seed, Splits: c.Bool("splits"), Cancels: c.Bool("cancels"), Batches: c.Bool("batches"),
 			LateOrders: c.Bool("late"), Policy: c.Bool("policy"), Moves: c.Bool("moves"), Upstreams: c.Int("upstreams"), Jobs: c.Int("jobs"), PowerLoss: c.Bool("power-loss"),
-			Restarts: c.Bool("restarts"), StaleCalls: c.Bool("stale-calls"), Trace: trace,
+			Restarts: c.Bool("restarts"), StaleCalls: c.Bool("stale-calls"),
+			Stalls: c.Bool("stalls"), Exits: c.Bool("exits"), Trace: trace,
 		})
 	}
 	if c.Bool("trace") {
--- a/standin/emulator/entry.go
+++ b/standin/emulator/entry.go
@@ -169,6 +169,16 @@
 	})
 }
 
+// stall stops the entry as a signal does: its clocks run on, so that it can't tell from them.
+func (e *entry) stall(d time.Duration) {
+	if !e.up || e.world.now < e.frozenUntil {
+		return
+	}
+	e.world.tracef("%s stands still for %v", e.name, d)
+	e.frozenUntil = e.world.now + d
+	e.recordFault(e.frozenUntil)
+}
+
 const _group = "entries"
 
 func (e *entry) member() string { return fmt.Sprintf("%s/%d", e.name, e.incarnation) }
--- a/standin/emulator/ledger.go
+++ b/standin/emulator/ledger.go
@@ -129,6 +129,28 @@
 	return int(h.Sum32()%100) < t.job.failPercent
 }
 
+// exitsAfter returns how long a run of a long-running task lasts if it ends by itself as done, as a function of the task
+// and the run number only. One task in _exitLoops ends at once each time, the runs of the others after up to _maxExit.
+func (t *taskRecord) exitsAfter(number int64) (time.Duration, bool) {
+	if !t.world.settings.Exits {
+		return 0, false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t.name.String())) // A hash never fails.
+	if h.Sum32()%_exitLoops == 0 {
+		return 0, true
+	}
+	_, _ = h.Write([]byte("exit" + strconv.FormatInt(number, 10)))
+	n := h.Sum32()
+	return time.Duration(n/_exitRuns) % _maxExit, n%_exitRuns > 0
+}
+
+// With exits, one run of a long-running task in _exitRuns doesn't end by itself.
+const (
+	_exitLoops, _exitRuns = 4, 3
+	_maxExit              = 3 * time.Second
+)
+
 // addViolation adds a violation, unless one with the same rule and detail was added before.
 func (l *ledger) addViolation(rule, format string, a ...any) {
 	v := Violation{rule, l.world.now, fmt.Sprintf(format, a...)}
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -175,6 +175,8 @@
 	}
 	if !d.longRunning || r.fails {
 		u.finishLater(r, d.duration)
+	} else if left, exits := d.exitsAfter(s.Run); exits {
+		u.finishLater(r, left)
 	}
 	return nil
 }
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -58,6 +58,11 @@
 	Restarts bool
 	// StaleCalls has upstreams execute calls that were meant for a former incarnation, around such waves.
 	StaleCalls bool
+	// Stalls adds spells in which owners stand still while their clocks run on, and upstreams start again under
+	// their IDs before they go on.
+	Stalls bool
+	// Exits has runs of long-running tasks end by themselves as done.
+	Exits bool
 	// Trace receives a line for each event, if set.
 	Trace io.Writer
 }
@@ -146,6 +151,8 @@
 	lateOrders *lateOrders
 	// restarts draws the waves of restarts, or is nil.
 	restarts *restarts
+	// stalls draws the spells in which owners stand still, or is nil.
+	stalls *stalls
 	// powerLoss draws the loss of power, or is nil.
 	powerLoss *powerLoss
 	// batches draws which events wait for others.
@@ -217,6 +224,9 @@
 	if s.Restarts {
 		w.restarts = newRestarts(s.Seed)
 	}
+	if s.Stalls {
+		w.stalls = newStalls(s.Seed)
+	}
 	if s.LateOrders {
 		w.lateOrders = newLateOrders(s.Seed)
 	}
@@ -271,6 +281,7 @@
 		w.planSplits()
 		w.lateOrders.plan(w)
 		w.restarts.plan(w)
+		w.stalls.plan(w)
 		w.powerLoss.plan(w)
 		w.policy.plan(w)
 	}
@@ -283,7 +294,7 @@
 	w.checkIdleTasks()
 	w.checkCancelledJobs()
 	end := w.settings.SubmitPeriod + _drainTime
-	if w.splits != nil || w.restarts != nil {
+	if w.splits != nil || w.restarts != nil || w.stalls != nil {
 		end += _longDrain
 	}
 	w.run(end)
@@ -338,6 +349,7 @@
 	w.splitJob(d)
 	w.lateOrders.planJob(d)
 	w.restarts.planJob(d)
+	w.stalls.planJob(d)
 	w.policy.planJob(d)
 	w.planCrash(j)
 	w.ledger.jobs[d.GetId()] = j
