scheduler: starts need a proof of ownership that a restarted upstream can't give

Cause: an owner might order for 6 s after the store's last confirmation, though its membership lapses after 1.1 s. In between only the successor's token on the upstreams held its starts back, and an upstream that restarts under its ID forgets that. An owner that stood still read an old answer to a poll on waking, and placed the next step in the same millisecond, before the refusal by another upstream and the group's answer, which were in the process already.

While starts wait for a proof, two upstreams are polled at once; a store that is away for all so costs one round trip each half second. Leases are renewed and tasks stopped as before: on an upstream that has forgotten the successor nothing of its runs. A process that stood still is logged, as are starts that wait.

--- a/entry/internal/group/group.go
+++ b/entry/internal/group/group.go
@@ -74,6 +74,9 @@
 	// OnStoreStatus is called with an error when joins begin to fail, and with nil when
 	// they succeed again.
 	OnStoreStatus func(error)
+	// OnDelayed is called if a join is due for longer than _maxDelay before it is sent: the process
+	// stood still, which its clocks don't show, or had no processor time. It may be nil.
+	OnDelayed func(time.Duration)
 
 	mu          sync.Mutex
 	owners      map[int]string
@@ -115,13 +118,16 @@
 			wait.For(ctx, _standbyInterval)
 		}
 	}
-	t := time.NewTimer(0)
+	t, due := time.NewTimer(0), time.Now()
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			if d := time.Since(due); d > _maxDelay && g.OnDelayed != nil {
+				g.OnDelayed(d)
+			}
 		case <-g.rejoin:
 			// Several changes often follow each other closely.
 			wait.For(ctx, member.RejoinDelay)
@@ -129,9 +135,13 @@
 		pause, err := g.join(ctx)
 		g.reportStatus(err)
 		t.Reset(pause)
+		due = time.Now().Add(pause)
 	}
 }
 
+// _maxDelay is how late a join may be without a notice. Busy entries are late by tens of milliseconds.
+const _maxDelay = 250 * time.Millisecond
+
 // Rejoin makes Run join again without waiting for the interval. It does not block.
 func (g *Group) Rejoin() {
 	select {
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -84,6 +84,9 @@
 	n.group.OnJoined = n.pools.applyAssignment
 	n.group.OnOthersMustRejoin = n.requestRejoin
 	n.group.OnStoreStatus = func(err error) { n.logStoreStatus("group", err) }
+	n.group.OnDelayed = func(d time.Duration) {
+		g.Warn("Process stood still, or had no processor time.", "forMs", d.Milliseconds())
+	}
 	return n
 }
 
--- a/entry/scheduler/held.go
+++ b/entry/scheduler/held.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		r.held, r.ordered = false, now
-		if !r.mayStart(now) || !s.mayOrder(now) || !st.hasTicket(now, r.host) {
+		if !r.mayStart(now) || !s.mayStart(now) || !st.hasTicket(now, r.host) {
 			s.releaseUnstarted(now, r)
 			continue
 		}
--- a/entry/scheduler/host.go
+++ b/entry/scheduler/host.go
@@ -45,6 +45,8 @@
 	// one is. The second doesn't wait for a run to end, as the first may do.
 	polling        bool
 	concurrentPoll bool
+	// promptPoll is set if the last poll that wasn't concurrent doesn't wait for a run to end.
+	promptPoll bool
 	// polledAt is when the last poll was sent.
 	polledAt time.Time
 	// pollDue is the earliest time of the next poll.
--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -55,23 +55,31 @@
 	if h.concurrentPoll || h.polling && !h.needsConfirmation() && !overdue || !s.wantsPoll(h) || now.Before(s.pollTime(h)) {
 		return
 	}
-	hold := platform.Hold{Token: s.set.Token, Acked: h.acknowledgeable(now), Wait: s.pollWait(h)}
-	p := permit.New(now, _orderLife)
+	d := s.pollWait(h)
 	if overdue {
-		hold.Wait = 0
+		d = 0
 	}
+	s.sendPoll(now, h, d)
+}
+
+// sendPoll sends a poll that waits up to d for a run to end, beside another one that may be waiting.
+func (s *Scheduler) sendPoll(now time.Time, h *host, d time.Duration) {
+	hold := platform.Hold{Token: s.set.Token, Acked: h.acknowledgeable(now), Wait: d}
+	p := permit.New(now, _orderLife)
 	h.polledAt = now
+	h.touch()
 	// Leases of an unreachable upstream aren't renewed, so that its tasks can be
 	// placed elsewhere once the current lease has lapsed.
 	if s.mayOrder(now) && !h.clockReadAt.IsZero() && len(h.runs) > 0 && h.failedPolls == 0 && !h.followed() {
 		hold.DeadlineMs = h.extendLease(now, s.leaseTime())
-		p = s.ownerPermit(now, _orderLife)
+		p = permitUntil(now, s.ownership.confirmedAt.Add(_storeTimeout))
 	}
 	l := Poll{Host: h.up.ID, Concurrent: h.polling, Target: h.target, Hold: hold, Permit: p, Timeout: hold.Wait + s.flow.timeout(_pollTimeout)}
 	if l.Concurrent {
 		h.concurrentPoll = true
+	} else {
+		h.polling, h.promptPoll = true, d == 0
 	}
-	h.polling = true
 	s.emit(l)
 }
 
@@ -231,6 +239,7 @@
 		s.setFirstDeadline(now, h, e.Result)
 	}
 	s.noteAnswer(now, h, e)
+	s.accepted(h, e.Sent)
 	delete(s.unpolled, h.up.ID)
 	s.recordInUse(now, h)
 	s.recordEnds(now, h, e.Result.Ended)
--- a/entry/scheduler/order.go
+++ b/entry/scheduler/order.go
@@ -59,13 +59,14 @@
 	r.deadlineMs = max(r.deadlineMs, o.DeadlineMs)
 	s.emit(Start{
 		Host: h.up.ID, At: now, Target: h.target, Order: o,
-		Permit: s.ownerPermit(now, _orderLife), Timeout: s.flow.timeout(_orderTimeout),
+		Permit: permitUntil(now, s.startsUntil()), Timeout: s.flow.timeout(_orderTimeout),
 	})
 }
 
-// ownerPermit returns a permit for an order that only the owner of the pool may give.
-func (s *Scheduler) ownerPermit(now time.Time, life time.Duration) permit.Permit {
-	return permit.New(now, max(0, min(life, s.ownership.confirmedAt.Add(_storeTimeout).Sub(now))))
+// permitUntil returns a permit for an order that is given as the owner of the pool, which this entry may be until some
+// time.
+func permitUntil(now, until time.Time) permit.Permit {
+	return permit.New(now, max(0, min(_orderLife, until.Sub(now))))
 }
 
 // unloggedStart is a start that wasn't logged yet.
@@ -199,7 +200,7 @@
 		r.task.avoid = h.up.ID
 		s.countUnanswered(now, h)
 	}
-	if expired && r.task.step.def.GetGang() && r.state == runOrdered {
+	if expired && r.task.step.def.GetGang() && r.state == runOrdered && s.mayStart(now) {
 		// The other members may be waiting for this one.
 		r.ordered = now
 		s.emitStart(now, r)
--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -1,15 +1,21 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"fescuelanding/entry/member"
 )
 
-// An entry that doesn't reach the store may have a successor. It goes on giving orders for
+// An entry that doesn't reach the store, or that stood still, may have a successor. It goes on giving orders for
 // _storeTimeout; upstreams that the successor has reached refuse them. On an upstream that this
 // entry doesn't reach, the successor may have renewed leases meanwhile. So a lease that has lapsed
 // by this owner's count is known to have lapsed only if this entry still was the owner when it did.
+//
+// An upstream that restarts forgets the successor's token, and would start a task that the successor has
+// started elsewhere. So starts need a more recent proof: a confirmation by the store that is too young for a
+// successor, or that an upstream in use, which a successor fences off before it starts anything, has just accepted
+// this owner's token. Renewed leases and stops do no harm there, as nothing runs on such an upstream.
 
 // ownership is what is known of this entry's ownership of the pool. The zero value is that of
 // a new owner.
@@ -21,6 +27,9 @@
 	// one does. Another owner claims the journal before it does anything else, which the store would
 	// refuse an append for.
 	provenAt time.Time
+	// acceptedAt is the latest time at which a poll was sent that an upstream in use has answered: no other entry
+	// can have started a task before.
+	acceptedAt time.Time
 	// generation is that of the group in the last join, which was sent at joinedAt.
 	generation int64
 	joinedAt   time.Time
@@ -32,6 +41,9 @@
 	resumedAt time.Time
 	// awaited is set while something that has lapsed by this owner's count waits for an append.
 	awaited bool
+	// startsWait is set while starts wait for a proof of ownership; startsWaitAt is when that was logged last.
+	startsWait   bool
+	startsWaitAt time.Time
 	// silent is set while no orders are given, because the ownership wasn't confirmed in time.
 	silent bool
 }
@@ -73,6 +85,7 @@
 	o.resumedAt = now
 	o.confirmedAt = o.confirmedAt.Add(-d)
 	o.provenAt = o.provenAt.Add(-d)
+	o.acceptedAt = o.acceptedAt.Add(-d)
 	o.joinedAt = o.joinedAt.Add(-d)
 }
 
@@ -131,7 +144,7 @@
 	}
 }
 
-// mayOrder reports whether this owner may start tasks and renew leases. It may
+// mayOrder reports whether this owner may renew leases. It may
 // for _storeTimeout after the store last confirmed the ownership. A later owner
 // waits longer than that before it treats this owner's leases on unreachable
 // upstreams as lapsed.
@@ -139,6 +152,72 @@
 	return now.Sub(s.ownership.confirmedAt) < _storeTimeout
 }
 
+// mayStart reports whether this owner may start tasks.
+func (s *Scheduler) mayStart(now time.Time) bool { return now.Before(s.startsUntil()) }
+
+// startsUntil returns until when the present proof of ownership allows starts.
+func (s *Scheduler) startsUntil() time.Time {
+	o := s.ownership
+	t := o.confirmedAt.Add(member.MaxConfirmationAge)
+	if u := o.acceptedAt.Add(_acceptanceLife); u.After(t) {
+		t = u
+	}
+	if u := o.confirmedAt.Add(_storeTimeout); u.Before(t) {
+		t = u
+	}
+	return t
+}
+
+const (
+	// _acceptanceLife is how long starts rely on an upstream's answer to a poll. It covers the round trip, and is
+	// shorter than a takeover and the restart of an upstream after it.
+	_acceptanceLife = 500 * time.Millisecond
+	// _acceptancePolls is how many upstreams are polled at once for a proof of ownership.
+	_acceptancePolls = 2
+	// _startsWaitLogInterval is the shortest time between two log lines about starts that wait for a proof.
+	_startsWaitLogInterval = time.Second
+)
+
+// accepted notes that the known incarnation of an upstream has answered a poll, sent at some time. It is in the
+// journal, so that a successor fences it off, or waits for its leases to lapse, before it starts what this owner may
+// start. A poll that was sent before a suspension may be older than it seems.
+func (s *Scheduler) accepted(h *host, sent time.Time) {
+	o := &s.ownership
+	if h.recordDurable && sent.After(o.acceptedAt) && sent.After(o.resumedAt) {
+		o.acceptedAt = sent
+	}
+}
+
+// seekAcceptance polls the upstreams that answered last, as starts wait for a proof of ownership. The answer
+// to each is an event, after which others are polled if need be.
+func (s *Scheduler) seekAcceptance(now time.Time) {
+	o := &s.ownership
+	if !o.startsWait && now.Sub(o.startsWaitAt) >= _startsWaitLogInterval {
+		o.startsWaitAt = now
+		accepted := int64(-1)
+		if !o.acceptedAt.IsZero() {
+			accepted = now.Sub(o.acceptedAt).Milliseconds()
+		}
+		s.logNote("Starts wait until the store or an upstream in use confirms the ownership.", "", "token", s.set.Token,
+			"confirmedMsAgo", now.Sub(o.confirmedAt).Milliseconds(), "acceptedMsAgo", accepted)
+	}
+	o.startsWait = true
+	var l []*host
+	left := _acceptancePolls
+	for _, h := range s.hosts.order {
+		switch {
+		case h.concurrentPoll || h.polling && h.promptPoll:
+			left--
+		case h.recordDurable && h.fenced && !h.gone && !h.followed() && h.failedPolls == 0:
+			l = append(l, h)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b *host) int { return b.lastAnsweredAt.Compare(a.lastAnsweredAt) })
+	for _, h := range l[:max(0, min(left, len(l)))] {
+		s.sendPoll(now, h, 0)
+	}
+}
+
 // logSilence logs when this owner ceases to give orders, and when it gives them again.
 func (s *Scheduler) logSilence(now time.Time) {
 	silent := !s.mayOrder(now)
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -166,7 +166,7 @@
 	var all []ranked
 	p.s.visited = 0
 	for _, j := range p.s.active {
-		if !j.durable || j.inherited && len(p.s.unpolled) > 0 {
+		if !p.s.mayPlace(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -181,6 +181,16 @@
 	return all
 }
 
+// mayPlace reports whether the tasks of a job may be placed, as far as upstreams of a former owner don't hold them up.
+func (s *Scheduler) mayPlace(j *job) bool { return j.durable && (!j.inherited || len(s.unpolled) == 0) }
+
+// tasksWait reports whether any task waits to be placed.
+func (s *Scheduler) tasksWait() bool {
+	return slices.ContainsFunc(s.active, func(j *job) bool {
+		return s.mayPlace(j) && slices.ContainsFunc(j.occurrences, (*occurrence).waiting)
+	})
+}
+
 // crowded reports whether so many jobs, or occurrences of them, haven't ended that rounds of
 // placement are rate-limited. Each round visits all of them.
 func (s *Scheduler) crowded() bool { return max(len(s.active), s.visited) > _crowdedJobs }
--- a/entry/scheduler/retain.go
+++ b/entry/scheduler/retain.go
@@ -23,7 +23,7 @@
 	switch {
 	case tooLate || !s.retains(r):
 		s.stop(now, r, stopUnconfirmed)
-	case r.host.usable(now) && now.Sub(r.ordered) >= _repeatStartDelay:
+	case r.host.usable(now) && s.mayStart(now) && now.Sub(r.ordered) >= _repeatStartDelay:
 		s.repeatStart(now, r)
 	}
 }
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -251,9 +251,13 @@
 	if t := s.reclaimAt.time; !t.IsZero() && !now.Before(t) {
 		s.reclaimAt, s.replan = earliest{}, true
 	}
-	if s.replan && s.mayOrder(now) && !now.Before(s.nextPlaceTime()) {
-		s.replan = false
+	switch {
+	case !s.replan || !s.mayOrder(now) || now.Before(s.nextPlaceTime()):
+	case s.mayStart(now):
+		s.replan, s.ownership.startsWait = false, false
 		s.place(now)
+	case s.tasksWait():
+		s.seekAcceptance(now)
 	}
 	s.sendTicketed(now)
 	for _, h := range a.list() {
@@ -298,7 +302,7 @@
 			w.add(t)
 		}
 	}
-	if s.replan && s.mayOrder(now) {
+	if s.replan && s.mayStart(now) {
 		w.add(s.nextPlaceTime())
 	}
 	w.add(s.hosts.agenda.next())
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -139,6 +139,18 @@
 	playRestarts(t, emulator.Settings{Restarts: true, StaleCalls: true}, _restartSeeds, false)
 }
 
+// TestTwiceAfterStandstill plays histories in which owners stand still as after SIGSTOP, while others take their pools
+// over and upstreams start again under their IDs. On waking, the former owner started tasks on upstreams that had
+// forgotten the successor's token.
+func TestTwiceAfterStandstill(t *testing.T) {
+	playRestarts(t, emulator.Settings{Stalls: true}, _stallSeeds, false)
+	playRestarts(t, emulator.Settings{Stalls: true, Restarts: true}, _stallSeeds, false)
+}
+
+// _stallSeeds is how many histories with each of these settings the test plays at most. The command play --stalls plays
+// more.
+const _stallSeeds = 40
+
 // TestLostAfterRestartUnderID checks in the same histories that tasks aren't lost. Some were given up as
 // crashing their upstreams.
 func TestLostAfterRestartUnderID(t *testing.T) {
@@ -253,6 +265,7 @@
 	for _, seed := range []uint64{1, 2, 3} {
 		checkOneHistory(t, emulator.Settings{Seed: seed, Restarts: true})
 		checkOneHistory(t, emulator.Settings{Seed: seed, Restarts: true, StaleCalls: true})
+		checkOneHistory(t, emulator.Settings{Seed: seed, Stalls: true, Exits: true})
 	}
 }
 
