scheduler: a long-running task whose run ends as done is started again

If all of its tasks had ended so, the job was shown as completed, and given up.

Cause: recordEnd took each end done for the completion of its task, whether or not the step is long-running.

Now only the ends of other tasks complete them. A task whose runs last for under 1 s, done or failed, pauses before its next start, from 0.1 s after the second such run in a row up to 1 s: it was started at the rate of polls before, which is paid by the owner and the upstream for nothing.

--- a/entry/scheduler/ends.go
+++ b/entry/scheduler/ends.go
@@ -54,22 +54,25 @@
 	if e.Checkpoint != "" {
 		s.saveCheckpoint(t, e.Checkpoint)
 	}
-	var took time.Duration
+	var took, lasted time.Duration
 	if r != nil {
 		if !r.started.IsZero() {
 			took = now.Sub(r.started)
 		}
+		lasted = now.Sub(r.ordered)
 		s.release(now, r)
 	}
 	if e.End == platform.EndDone || e.End == platform.EndFailed {
 		h.lastResult = max(h.lastResult, e.Number)
 	}
-	switch e.End {
-	case platform.EndDone:
+	switch {
+	case e.End == platform.EndDone && !t.step.def.GetLongRunning():
 		h.health.recordSuccess()
 		s.finishTask(now, t, h, took)
-	case platform.EndFailed:
-		s.recordFailure(now, t, h, e)
+	case e.End == platform.EndDone:
+		s.recordExit(now, t, h, e, lasted)
+	case e.End == platform.EndFailed:
+		s.recordFailure(now, t, h, e, lasted)
 	default:
 		if !t.step.occurrence.job.over() {
 			s.logNote("Run ended without a result.", t.step.occurrence.job.def.GetId(), "task", e.Task, "run", e.Run,
@@ -131,9 +134,48 @@
 	}
 }
 
+// recordExit handles a run of a long-running task that has ended as done. The task is started again, as however else
+// its runs end: only the cancellation of its job ends it.
+func (s *Scheduler) recordExit(now time.Time, t *task, h *host, e platform.Ended, lasted time.Duration) {
+	j := t.step.occurrence.job
+	if j.over() {
+		return
+	}
+	t.delayRestart(now, lasted)
+	s.logNote("Run of a long-running task has ended; the task is started again.", j.def.GetId(), "task", e.Task, "run", e.Run,
+		"upstream", h.up.ID, "lastedMs", lasted.Milliseconds(), "inMs", max(0, t.restartAt.Sub(now)).Milliseconds())
+}
+
+const (
+	// _shortRun is how long a run of a long-running task lasts at least if the task serves at all. A task whose
+	// runs are shorter starts again after a pause, from _restartDelay after the second such run in a row to
+	// _maxRestartDelay, which is well below the time for which a task may be idle.
+	_shortRun        = time.Second
+	_restartDelay    = 100 * time.Millisecond
+	_maxRestartDelay = time.Second
+)
+
+// delayRestart sets when a long-running task whose run has ended by itself may start again. The time from the order to
+// the end is zero if it isn't known; the run then counts as long.
+func (t *task) delayRestart(now time.Time, lasted time.Duration) {
+	if lasted == 0 || lasted >= _shortRun {
+		t.shortRuns, t.restartAt = 0, time.Time{}
+		return
+	}
+	d := time.Duration(0)
+	for range t.shortRuns {
+		d = min(max(_restartDelay, 2*d), _maxRestartDelay)
+	}
+	t.shortRuns = min(t.shortRuns+1, _maxShortRuns)
+	t.restartAt = now.Add(d)
+}
+
+// _maxShortRuns is the number of short runs in a row from which the pause is the longest.
+const _maxShortRuns = 8
+
 // recordFailure counts a failed run, and fails the job once the queue's limit of
 // attempts is reached.
-func (s *Scheduler) recordFailure(now time.Time, t *task, h *host, e platform.Ended) {
+func (s *Scheduler) recordFailure(now time.Time, t *task, h *host, e platform.Ended, lasted time.Duration) {
 	j := t.step.occurrence.job
 	if j.over() || t.done {
 		return
@@ -142,6 +184,7 @@
 	s.logNote("Run failed.", j.def.GetId(), "task", e.Task, "run", e.Run, "upstream", h.up.ID,
 		"failures", t.failed.count()+1, "allowed", j.queue.Attempts)
 	if t.step.def.GetLongRunning() {
+		t.delayRestart(now, lasted)
 		return // Long-running tasks have no limit of attempts.
 	}
 	if t.failed.has(e.Run) {
--- a/entry/scheduler/job.go
+++ b/entry/scheduler/job.go
@@ -290,6 +290,9 @@
 	// avoid is the upstream on which the task failed last.
 	avoid   string
 	crashes crashes
+	// shortRuns counts the short runs in a row of a long-running task. It starts again no earlier than restartAt.
+	shortRuns int
+	restartAt time.Time
 	// doubted is set once a run was given up whose end wasn't read, until an append that was sent
 	// later is durable. A later owner may have read that the task is done.
 	doubted bool
--- a/entry/scheduler/place.go
+++ b/entry/scheduler/place.go
@@ -302,6 +302,10 @@
 		if t.done || len(t.runs) > 0 || t.crashes.givenUp {
 			continue
 		}
+		if p.now.Before(t.restartAt) {
+			p.s.placeAt.add(t.restartAt)
+			continue
+		}
 		if !p.windowOpen() || !p.withinLimit(st) {
 			return
 		}
@@ -374,7 +378,7 @@
 		return nil
 	}
 	if at := t.waitingSince.Add(_reclaimAfter); p.now.Before(at) {
-		p.s.reclaimAt.add(at)
+		p.s.placeAt.add(at)
 		return nil
 	}
 	return p.pickFrom(p.drained, t, "")
--- a/entry/scheduler/progress.go
+++ b/entry/scheduler/progress.go
@@ -187,7 +187,8 @@
 func (s *Scheduler) restoreTasks(p *work.StepProgress, l []*task) {
 	done := p.GetDone()
 	for i, t := range l {
-		if i/8 < len(done) && done[i/8]&(1<<(i%8)) != 0 && !t.done {
+		// Earlier builds also recorded ended runs of long-running tasks so, which are to start again.
+		if i/8 < len(done) && done[i/8]&(1<<(i%8)) != 0 && !t.done && !t.step.def.GetLongRunning() {
 			t.setDone()
 			t.step.occurrence.job.begun = true
 		}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -61,9 +61,9 @@
 	homes homes
 	// adviser has the requests to the queues' policies.
 	adviser adviser
-	// reclaimAt is no later than the first time at which a task may be placed on an upstream that is
-	// being vacated.
-	reclaimAt earliest
+	// placeAt is no later than the first time at which a waiting task may be placed though nothing else has changed:
+	// on an upstream that is being vacated, or after a pause.
+	placeAt earliest
 	// summed is the backlog as of summedAt, with the jobs accepted since.
 	summed   backlog
 	summedAt time.Time
@@ -248,8 +248,8 @@
 	if t := s.adviser.wake.time; !t.IsZero() && !now.Before(t) {
 		s.adviser.wake, s.replan = earliest{}, true
 	}
-	if t := s.reclaimAt.time; !t.IsZero() && !now.Before(t) {
-		s.reclaimAt, s.replan = earliest{}, true
+	if t := s.placeAt.time; !t.IsZero() && !now.Before(t) {
+		s.placeAt, s.replan = earliest{}, true
 	}
 	switch {
 	case !s.replan || !s.mayOrder(now) || now.Before(s.nextPlaceTime()):
@@ -316,7 +316,7 @@
 	if s.homes.retryAt.After(now) {
 		w.add(s.homes.retryAt)
 	}
-	w.add(s.reclaimAt.time)
+	w.add(s.placeAt.time)
 	return w.time
 }
 
--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -229,6 +229,9 @@
 	j.lastState, j.shownAt = s, w.now
 	switch s {
 	case link.JobState_JOB_STATE_COMPLETED:
+		if j.longRunning() {
+			w.ledger.addViolation("MIXED", "job %s is reported completed, but has long-running tasks", id)
+		}
 		for k := range max(1, int(j.def.GetOccurrences())) {
 			w.checkCompleted(j, k)
 		}
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -151,6 +151,18 @@
 // more.
 const _stallSeeds = 40
 
+// TestLostLongRunningTaskEndsAsDone plays histories in which runs of long-running tasks end by themselves as done. These
+// tasks counted as done, and weren't started again.
+func TestLostLongRunningTaskEndsAsDone(t *testing.T) {
+	for _, s := range []emulator.Settings{{}, {Splits: true}, {LateOrders: true}, {Batches: true}, {SmallRecords: true}} {
+		s.Exits = true
+		playSeedsUpTo(t, s, _exitSeeds)
+	}
+}
+
+// _exitSeeds is how many histories with each of these settings the test plays at most. The command play --exits plays more.
+const _exitSeeds = 20
+
 // TestLostAfterRestartUnderID checks in the same histories that tasks aren't lost. Some were given up as
 // crashing their upstreams.
 func TestLostAfterRestartUnderID(t *testing.T) {
