--- a/standin/site/ledger.go
+++ b/standin/site/ledger.go
@@ -152,9 +152,8 @@
 	}
 }
 
-// recordStart records the start of a run that an entry ordered, and reports whether the run
-// must fail.
-func (d *taskRecord) recordStart(u *Upstream, entry string, run int64) bool {
+// recordStart records the start of a run that an entry ordered, and returns how many runs of the task have started.
+func (d *taskRecord) recordStart(u *Upstream, entry string, run int64) int {
 	u.site.mu.Lock()
 	defer u.site.mu.Unlock()
 	now := time.Now()
@@ -169,7 +168,7 @@
 	d.runCount++
 	d.startedAt, d.startedBy, d.late, d.removed = now, entry, false, false
 	d.current = append(d.current, runRecord{name: name, upstream: u})
-	return d.runCount <= d.behaviour.Fails
+	return d.runCount
 }
 
 // recordLate records that a start was carried out late, at a time. The run may have been there before.
@@ -247,7 +246,7 @@
 	d.current = slices.DeleteFunc(d.current, func(r runRecord) bool { return r.name == name })
 	d.endedAt = time.Now()
 	s.log(fmt.Sprintf("%s on %s ends: %s", name, e.upstream.machine, e.End))
-	if e.End == platform.EndDone {
+	if e.End == platform.EndDone && !d.longRunning {
 		d.done++
 		d.ends = append(d.ends, e)
 	}
--- a/standin/site/script.go
+++ b/standin/site/script.go
@@ -67,6 +67,8 @@
 //	dark HOST                make an upstream unreachable and stop its heartbeats
 //	light HOST               end the fault of dark
 //	owner POOL               kill the entry that owns a pool, and start it again
+//	freeze POOL              stop the entry that owns a pool by SIGSTOP
+//	thaw                     end that
 //	kill NAME                kill an entry
 //	term NAME                stop an entry in an orderly way
 //	hup NAME                 send an entry SIGHUP
@@ -139,7 +141,9 @@
 	case "as":
 		s.UseKey(strings.TrimPrefix(f[1], "-"))
 		return "", nil
-	case "kill", "term", "hup", "owner":
+	case "thaw":
+		return "", s.thaw()
+	case "kill", "term", "hup", "owner", "freeze":
 		return "", s.controlEntry(f)
 	case "sleep":
 		ms, err := strconv.Atoi(f[1])
@@ -231,13 +235,18 @@
 
 func (s *Site) controlEntry(f []string) error {
 	name := f[1]
-	switch f[0] {
-	case "owner":
+	if f[0] == "owner" || f[0] == "freeze" {
 		if name = s.PoolOwner(name); name == "" {
 			return fmt.Errorf("pool %s has no owner: %w", f[1], ErrCommand)
 		}
+	}
+	switch f[0] {
+	case "owner":
 		s.Kill(name)
 		return s.StartEntry(name)
+	case "freeze":
+		s.frozen = append(s.frozen, name)
+		return s.Signal(name, syscall.SIGSTOP)
 	case "kill":
 		s.Kill(name)
 	case "term":
@@ -248,6 +257,17 @@
 	return nil
 }
 
+// thaw has the entries go on that freeze has stopped.
+func (s *Site) thaw() error {
+	for _, n := range s.frozen {
+		if err := s.Signal(n, syscall.SIGCONT); err != nil {
+			return fmt.Errorf("thaw: %w", err)
+		}
+	}
+	s.frozen = nil
+	return nil
+}
+
 // call executes a caller's command. Like real callers, it repeats a failed call at another
 // entry with the same job ID.
 func (s *Site) call(f []string, line string) (string, error) {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -69,8 +69,10 @@
 	upstreams map[string]*Upstream
 	servers   []*http.Server
 	faults    faults
-	cloudAt   string
-	adviceAt  string
+	// frozen are the entries that freeze has stopped, in the order of the commands.
+	frozen   []string
+	cloudAt  string
+	adviceAt string
 
 	mu      sync.Mutex
 	entries map[string]*process.Process
--- a/standin/site/upstream.go
+++ b/standin/site/upstream.go
@@ -17,6 +17,8 @@
 	Millis int `json:"ms"`
 	// Fails is the number of runs of each task that fail before one completes.
 	Fails int `json:"fails"`
+	// Exits is the number of runs of each long-running task that end as done after Millis.
+	Exits int `json:"exits,omitempty"`
 	// Note is a text without meaning.
 	Note string `json:"note,omitempty"`
 }
@@ -62,6 +64,8 @@
 	duration    time.Duration
 	fails       bool
 	longRunning bool
+	// exits is set for a run of a long-running task that ends as done.
+	exits bool
 	// checkpoint is the one that the run began with, checkpointing is set if it reports further ones.
 	checkpoint    string
 	checkpointing bool
@@ -198,9 +202,11 @@
 	}
 	r := &running{
 		task: s.Task, run: s.Run, began: time.Now(), duration: time.Duration(d.behaviour.Millis) * time.Millisecond,
-		fails: d.recordStart(u, entry, s.Run), longRunning: d.longRunning, size: d.size,
+		longRunning: d.longRunning, size: d.size,
 		checkpoint: s.Checkpoint, checkpointing: d.checkpointing,
 	}
+	n := d.recordStart(u, entry, s.Run)
+	r.fails, r.exits = n <= d.behaviour.Fails, d.longRunning && n <= d.behaviour.Exits
 	u.extendLease(s.DeadlineMs)
 	u.runs[s.Task] = r
 	if d.gang > 0 {
@@ -234,7 +240,7 @@
 			u.end(r, platform.EndBroken)
 		case !r.working() && time.Since(r.began) >= _gangTimeout:
 			u.end(r, platform.EndAlone)
-		case r.longRunning || !r.working() || time.Since(r.began) < r.duration:
+		case r.longRunning && !r.exits || !r.working() || time.Since(r.began) < r.duration:
 		case r.fails:
 			u.end(r, platform.EndFailed)
 		default:
