--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "workers", Value: 1, Usage: "soaks that run at the same time"},
 			&cli.BoolFlag{Name: "splits", Usage: "cut entries off from the store and some upstreams, and the others from the rest"},
 			&cli.BoolFlag{Name: "restarts", Usage: "let hosts crash together and begin again under their IDs"},
+			&cli.BoolFlag{Name: "stalls", Usage: "stop entries for some time, while hosts begin again under their IDs"},
 			&cli.StringFlag{Name: "old", Usage: "`PATH` of an old build of the entry; entries run it at first and are replaced one after the other"},
 			&cli.StringFlag{Name: "log", Usage: "`DIRECTORY` for the output of the entries, one file for each seed"},
 		},
@@ -60,6 +61,7 @@
 				results <- runSoak(&soak.Soak{
 					Program: program, OldProgram: c.String("old"), Seed: s, Entries: c.Int("entries"),
 					Faults: c.Duration("for"), Splits: c.Bool("splits"), Restarts: c.Bool("restarts"),
+					Stalls: c.Bool("stalls"),
 				}, dir, logs)
 			}
 		})
--- a/standin/soak/job.go
+++ b/standin/soak/job.go
@@ -123,15 +123,24 @@
 	return j, nil
 }
 
-// newLongRunningJob draws a job of tasks that run until the job is cancelled.
-func newLongRunningJob(r *rand.Rand, s *site.Site, id, queue string) (*job, error) {
+// newLongRunningJob draws a job of tasks that run until the job is cancelled. With exits, the first runs of the tasks of
+// most jobs end as done.
+func newLongRunningJob(r *rand.Rand, s *site.Site, id, queue string, exits bool) (*job, error) {
+	v := site.Behaviour{Millis: 100}
+	if exits {
+		// The ID's last digit stands for a draw, so that the others of a seed stay the same.
+		v.Exits = int(id[len(id)-1]) % (_maxExits + 1)
+	}
 	p := step{Count: 2, CPU: 500, MemMB: 64, LongRunning: true, MayMiss: 1, AntiAffinity: 1}
 	if r.IntN(3) == 0 {
 		p.Count, p.AntiAffinity = 3, 0
 	}
-	return recordJob(s, id, queue, site.Behaviour{Millis: 100}, jobBody{Phases: []step{p}})
+	return recordJob(s, id, queue, v, jobBody{Phases: []step{p}})
 }
 
+// _maxExits is the largest number of runs of a long-running task that end as done.
+const _maxExits = 3
+
 // _note has characters that are escaped, or are several bytes long, in one encoding or another.
 const _note = "\"<&>\" \\ \u2028 \u00e9 \ufffd \U0001f600\x7f"
 
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -90,6 +90,8 @@
 	Upgrades bool
 	// Restarts are waves of crashes of hosts that begin again under their IDs.
 	Restarts bool
+	// Stalls are entries that are stopped for some time, while hosts begin again under their IDs.
+	Stalls bool
 }
 
 // NewSchedule draws the schedule of a seed for some entries.
@@ -103,6 +105,7 @@
 	common := drawCommon(r, len(entries), d)
 	upgrades := drawUpgrades(seed, entries, d)
 	restarts, kills := drawRestarts(seed, entries, d)
+	stalls, rebirths := drawStalls(seed, entries, d)
 	for i, n := range entries {
 		l := drawTarget(r, _entrySeries, n, rest, d)
 		for _, c := range common[i] {
@@ -116,6 +119,11 @@
 				l = insert(l, e)
 			}
 		}
+		if o.Stalls {
+			for _, e := range stalls[i] {
+				l = insert(l, e)
+			}
+		}
 		s = append(s, flat(l))
 	}
 	for _, p := range _platformSeries {
@@ -132,6 +140,9 @@
 	if o.Restarts {
 		s = append(s, restarts...)
 	}
+	if o.Stalls {
+		s = append(s, rebirths)
+	}
 	return s
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -61,6 +61,8 @@
 	Splits bool
 	// Restarts adds waves of crashes, see Options.
 	Restarts bool
+	// Stalls adds entries that are stopped while hosts begin again, see Options.
+	Stalls bool
 	// OldProgram is the path of an old build of the entry's program. Unless it is empty, all
 	// entries run it at first and are upgraded while faults go on.
 	OldProgram string
@@ -176,7 +178,7 @@
 			return nil, err
 		}
 	}
-	o := Options{Splits: k.Splits, Upgrades: k.OldProgram != "", Restarts: k.Restarts}
+	o := Options{Splits: k.Splits, Upgrades: k.OldProgram != "", Restarts: k.Restarts, Stalls: k.Stalls}
 	return NewSchedule(k.Seed, names, k.Faults, o), k.awaitReady()
 }
 
@@ -244,7 +246,7 @@
 	var err error
 	switch {
 	case kind == _longRunning:
-		j, err = newLongRunningJob(r, k.site, id, q)
+		j, err = newLongRunningJob(r, k.site, id, q, k.OldProgram == "")
 	case kind == _cancelledSoon:
 		j, err = newCancelledJob(r, k.site, id, q)
 	case k.Splits && now.Sub(k.begin) < k.length()*3/4 && r.IntN(_longEvery) == 0:
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -46,6 +46,9 @@
 // TestSoakRestarts runs a short soak in which hosts crash together and begin again under their IDs.
 func TestSoakRestarts(t *testing.T) { soakAll(t, soak.Options{Restarts: true}, 1) }
 
+// TestSoakStalls runs a short soak in which entries are stopped by signals, while hosts begin again under their IDs.
+func TestSoakStalls(t *testing.T) { soakAll(t, soak.Options{Stalls: true}, 1) }
+
 // soakAll runs a short soak for each seed, with the splits and restarts of the options.
 func soakAll(t *testing.T, o soak.Options, seeds ...uint64) {
 	program := filepath.Join(t.TempDir(), "entry")
@@ -57,7 +60,7 @@
 			var log output
 			k := soak.Soak{
 				Program: program, Dir: t.TempDir(), Out: &log, Seed: seed, Entries: 3, Faults: 12 * time.Second,
-				Splits: o.Splits, Restarts: o.Restarts,
+				Splits: o.Splits, Restarts: o.Restarts, Stalls: o.Stalls,
 			}
 			r, err := k.Run()
 			assert.NilError(t, err)
@@ -73,7 +76,7 @@
 func TestSchedule(t *testing.T) {
 	for name, o := range map[string]soak.Options{
 		"schedule": {}, "splits": {Splits: true}, "upgrades": {Upgrades: true},
-		"restarts": {Restarts: true},
+		"restarts": {Restarts: true}, "stalls": {Stalls: true},
 	} {
 		s := soak.NewSchedule(1, []string{"e1", "e2"}, 10*time.Second, o)
 		golden.Assert(t, s.String(), name+".golden")
