scheduler: a durable start waits for a proof of ownership instead of being placed anew

If the append took over a second, as with a slow store, it proved the ownership no more when it was answered: the start was released, placed again and appended again, for as long as the store was slow.

Now it stays held, an upstream is polled for a proof, and it is sent then.

--- a/entry/scheduler/held.go
+++ b/entry/scheduler/held.go
@@ -56,8 +56,28 @@
 	s.sendStarts(now, due)
 }
 
+// sendProven sends the held starts for which the ownership wasn't proven, or has it proven. While it can't be, the
+// starts are released.
+func (s *Scheduler) sendProven(now time.Time) {
+	if !slices.ContainsFunc(s.held, func(r *run) bool { return r.unproven }) {
+		return
+	}
+	if s.mayOrder(now) && !s.mayStart(now) {
+		s.seekAcceptance(now)
+		return
+	}
+	var due []*run
+	s.held = slices.DeleteFunc(s.held, func(r *run) bool {
+		if r.unproven && slices.Contains(r.task.runs, r) {
+			due = append(due, r)
+		}
+		return r.unproven
+	})
+	s.sendStarts(now, due)
+}
+
 // sendStarts sends held starts that are durable. Those whose tickets have lapsed are held until there
-// are others.
+// are others, and all of them while the ownership isn't proven.
 func (s *Scheduler) sendStarts(now time.Time, due []*run) {
 	for _, r := range due {
 		r.task.doubted = false
@@ -69,8 +89,12 @@
 			s.held = append(s.held, r)
 			continue
 		}
+		if r.unproven = s.mayOrder(now) && !s.mayStart(now); r.unproven {
+			s.held = append(s.held, r)
+			continue
+		}
 		r.held, r.ordered = false, now
-		if !r.mayStart(now) || !s.mayStart(now) || !st.hasTicket(now, r.host) {
+		if !r.mayStart(now) || !s.mayOrder(now) || !st.hasTicket(now, r.host) {
 			s.releaseUnstarted(now, r)
 			continue
 		}
--- a/entry/scheduler/run.go
+++ b/entry/scheduler/run.go
@@ -77,6 +77,8 @@
 	heldBatch int64
 	// unticketed is set while the start is held because its ticket has lapsed meanwhile.
 	unticketed bool
+	// unproven is set while the start is held because the ownership isn't proven any more.
+	unproven bool
 	// inherited is set for a run that a former owner recorded, until it is listed.
 	inherited bool
 	// crashCounted is set once a crash was counted against the run. The run may still be kept, if
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -260,6 +260,7 @@
 		s.seekAcceptance(now)
 	}
 	s.sendTicketed(now)
+	s.sendProven(now)
 	for _, h := range a.list() {
 		if !h.dropped {
 			s.resendStops(now, h)
