--- a/entry/scheduler/look.go
+++ b/entry/scheduler/look.go
@@ -239,7 +239,6 @@
 		s.setFirstDeadline(now, h, e.Result)
 	}
 	s.noteAnswer(now, h, e)
-	s.accepted(h, e.Sent)
 	delete(s.unpolled, h.up.ID)
 	s.recordInUse(now, h)
 	s.recordEnds(now, h, e.Result.Ended)
@@ -272,6 +271,7 @@
 	if h.deadlineMs > 0 && e.Sent.Before(h.knownSince) {
 		s.extendLongest(h, e.Result.ClockMs)
 	}
+	s.accepted(h, e.Sent)
 }
 
 // setFirstDeadline sets the latest lease deadline that may have reached an upstream before its
