scheduler: polls of unreachable upstreams don't stand in the way of a proof of ownership

Two upstreams whose runs are unconfirmed are polled without a pause while they are unreachable. These polls counted as those that seek a proof, so that no sound upstream was asked, and nothing started while the store was away. The script startBesideUnreachable shows no poll of the sound upstream on the code before.

--- a/entry/scheduler/ownership.go
+++ b/entry/scheduler/ownership.go
@@ -206,9 +206,10 @@
 	left := _acceptancePolls
 	for _, h := range s.hosts.order {
 		switch {
+		case !h.recordDurable || !h.fenced || h.gone || h.followed() || h.failedPolls > 0:
 		case h.concurrentPoll || h.polling && h.promptPoll:
 			left--
-		case h.recordDurable && h.fenced && !h.gone && !h.followed() && h.failedPolls == 0:
+		default:
 			l = append(l, h)
 		}
 	}
